Add the build, the base and wire modules and the design page

Cause: the repository was empty. Ruled out: a hand-written codec (FlatBuffers verifies hostile bytes for us) and GIO buffered streams (one copy more a frame and no bound on unsent bytes). Before: nothing. Conclusion: modules can be built side by side on these types.

--- /dev/null
+++ b/src/settings/agent_address.hpp
@@ -0,0 +1,20 @@
+#ifndef GOOSEBERRYWOOD_SETTINGS_AGENT_ADDRESS_HPP
+#define GOOSEBERRYWOOD_SETTINGS_AGENT_ADDRESS_HPP
+
+#include <string>
+
+namespace gooseberrywood::settings
+{
+
+/// \ingroup settings
+/// \brief Where an entry reaches an agent when the platform's host list does not say.
+struct agent_address
+{
+    std::string host;
+    /// `IP:port`.
+    std::string address;
+};
+
+} // namespace gooseberrywood::settings
+
+#endif
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,429 @@
+#include "wire/codec.hpp"
+
+#include "wire/frame_generated.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace gooseberrywood::wire
+{
+
+namespace
+{
+
+using builder = flatbuffers::FlatBufferBuilder;
+using body_offset = std::pair<fb::Body, flatbuffers::Offset<void>>;
+
+fb::Id to_fb(base::request_id const& id)
+{
+    return {id.high, id.low};
+}
+
+body_offset pack(builder& out, hello const& m)
+{
+    std::vector<flatbuffers::Offset<fb::UpstreamInfo>> upstreams;
+    upstreams.reserve(m.upstreams.size());
+    for (auto const& u : m.upstreams)
+    {
+        upstreams.push_back(
+            fb::CreateUpstreamInfo(out, out.CreateString(u.name), out.CreateString(u.route)));
+    }
+    auto const body =
+        fb::CreateHello(out, m.protocol, static_cast<std::uint8_t>(m.role),
+                        out.CreateString(m.host), out.CreateString(m.domain), m.incarnation,
+                        base::micros(m.started_at), out.CreateVector(upstreams));
+    return {fb::Body::Hello, body.Union()};
+}
+
+body_offset pack(builder& out, start const& m)
+{
+    auto const id = to_fb(m.id);
+    auto const upstream = out.CreateString(m.upstream);
+    auto const team = out.CreateString(m.team);
+    auto const route = out.CreateString(m.route);
+    auto const path = out.CreateString(m.path);
+    auto const method = out.CreateString(m.method);
+    auto const content_type = out.CreateString(m.content_type);
+    auto const body = out.CreateString(m.body);
+    auto const resume_text = out.CreateString(m.resume_text);
+    auto const crash_ids = out.CreateVector(m.crash_ids);
+    auto const key_hash = out.CreateString(m.key_hash);
+    fb::StartBuilder b(out);
+    b.add_id(&id);
+    b.add_attempt(m.attempt);
+    b.add_upstream(upstream);
+    b.add_team(team);
+    b.add_route(route);
+    b.add_path(path);
+    b.add_method(method);
+    b.add_content_type(content_type);
+    b.add_idempotent(m.idempotent);
+    b.add_stream(m.stream);
+    b.add_deadline_us(base::micros(m.deadline));
+    b.add_cost(m.cost);
+    b.add_priority(m.priority);
+    b.add_body(body);
+    b.add_resume_tokens(m.resume_tokens);
+    b.add_resume_text(resume_text);
+    b.add_fingerprint(m.fingerprint);
+    b.add_crash_ids(crash_ids);
+    b.add_key_hash(key_hash);
+    return {fb::Body::Start, b.Finish().Union()};
+}
+
+body_offset pack(builder& out, started const& m)
+{
+    auto const id = to_fb(m.id);
+    return {fb::Body::Started, fb::CreateStarted(out, &id, m.attempt).Union()};
+}
+
+body_offset pack(builder& out, chunk const& m)
+{
+    auto const id = to_fb(m.id);
+    return {fb::Body::Chunk,
+            fb::CreateChunk(out, &id, m.attempt, m.first_token, m.tokens, out.CreateString(m.bytes))
+                .Union()};
+}
+
+body_offset pack(builder& out, finished const& m)
+{
+    auto const id = to_fb(m.id);
+    auto const content_type = out.CreateString(m.content_type);
+    auto const body = out.CreateString(m.body);
+    auto const reason = out.CreateString(m.finish_reason);
+    return {fb::Body::Finished,
+            fb::CreateFinished(out, &id, m.attempt, m.status, m.total_tokens, m.prompt_tokens,
+                               m.version_before, m.version_after, content_type, body, reason)
+                .Union()};
+}
+
+body_offset pack(builder& out, refuse const& m)
+{
+    auto const id = to_fb(m.id);
+    return {fb::Body::Refuse,
+            fb::CreateRefuse(out, &id, m.attempt, static_cast<std::uint16_t>(m.code), m.not_run,
+                             base::micros(m.retry_at), out.CreateString(m.message))
+                .Union()};
+}
+
+body_offset pack(builder& out, cancel const& m)
+{
+    auto const id = to_fb(m.id);
+    return {fb::Body::Cancel, fb::CreateCancel(out, &id, m.attempt).Union()};
+}
+
+body_offset pack(builder& out, fence const& m)
+{
+    auto const id = to_fb(m.id);
+    return {fb::Body::Fence, fb::CreateFence(out, &id, m.attempt).Union()};
+}
+
+body_offset pack(builder& out, fenced const& m)
+{
+    auto const id = to_fb(m.id);
+    return {fb::Body::Fenced, fb::CreateFenced(out, &id, m.attempt, m.started).Union()};
+}
+
+body_offset pack(builder& out, credit const& m)
+{
+    return {fb::Body::Credit, fb::CreateCredit(out, out.CreateString(m.upstream), m.amount, m.limit,
+                                               m.running, m.queued, m.latency_us, m.accepting)
+                                  .Union()};
+}
+
+body_offset pack(builder& out, claim const& m)
+{
+    auto const id = to_fb(m.id);
+    return {fb::Body::Claim, fb::CreateClaim(out, &id, m.token, base::micros(m.deadline)).Union()};
+}
+
+body_offset pack(builder& out, claimed const& m)
+{
+    auto const id = to_fb(m.id);
+    return {fb::Body::Claimed,
+            fb::CreateClaimed(out, &id, m.token, m.is_new, m.older_than_horizon).Union()};
+}
+
+body_offset pack(builder& out, suspect const& m)
+{
+    return {fb::Body::Suspect, fb::CreateSuspect(out, m.fingerprint, out.CreateVector(m.crash_ids),
+                                                 base::micros(m.expires_at))
+                                   .Union()};
+}
+
+body_offset pack(builder& out, config_request const& m)
+{
+    return {fb::Body::ConfigRequest, fb::CreateConfigRequest(out, m.above_version).Union()};
+}
+
+body_offset pack(builder& out, config_content const& m)
+{
+    auto const content = out.CreateString(m.content);
+    auto const signature = out.CreateString(m.signature);
+    return {fb::Body::ConfigContent,
+            fb::CreateConfigContent(out, m.version, content, signature).Union()};
+}
+
+body_offset pack(builder& out, config_intent const& m)
+{
+    return {
+        fb::Body::ConfigIntent,
+        fb::CreateConfigIntent(out, m.version, out.CreateString(m.announcer), m.withdrawn).Union()};
+}
+
+body_offset pack(builder& out, ping const&)
+{
+    return {fb::Body::Ping, fb::CreatePing(out).Union()};
+}
+
+base::request_id from_fb(fb::Id const* id)
+{
+    return id != nullptr ? base::request_id{id->high(), id->low()} : base::request_id{};
+}
+
+std::string from_fb(flatbuffers::String const* text)
+{
+    return text != nullptr ? text->str() : std::string{};
+}
+
+std::vector<std::uint64_t> from_fb(flatbuffers::Vector<std::uint64_t> const* values)
+{
+    return values != nullptr ? std::vector<std::uint64_t>(values->begin(), values->end())
+                             : std::vector<std::uint64_t>{};
+}
+
+base::wall_time wall(std::int64_t us)
+{
+    return base::wall_time{base::wall_clock::duration{us}};
+}
+
+// A code of a newer peer that this process does not know is treated as an internal fault.
+base::result_code code_of(std::uint16_t number)
+{
+    return base::result_code_from(number).value_or(base::result_code::internal);
+}
+
+hello unpack(fb::Hello const& m)
+{
+    hello out{m.protocol(),
+              static_cast<peer_role>(m.role()),
+              from_fb(m.host()),
+              from_fb(m.domain()),
+              m.incarnation(),
+              wall(m.host_started_us()),
+              {}};
+    if (m.upstreams() != nullptr)
+    {
+        for (auto const* u : *m.upstreams())
+        {
+            out.upstreams.push_back({from_fb(u->name()), from_fb(u->route())});
+        }
+    }
+    return out;
+}
+
+start unpack(fb::Start const& m)
+{
+    start out;
+    out.id = from_fb(m.id());
+    out.attempt = m.attempt();
+    out.upstream = from_fb(m.upstream());
+    out.team = from_fb(m.team());
+    out.route = from_fb(m.route());
+    out.path = from_fb(m.path());
+    out.method = from_fb(m.method());
+    out.content_type = from_fb(m.content_type());
+    out.idempotent = m.idempotent();
+    out.stream = m.stream();
+    out.deadline = wall(m.deadline_us());
+    out.cost = m.cost();
+    out.priority = m.priority();
+    out.body = from_fb(m.body());
+    out.resume_tokens = m.resume_tokens();
+    out.resume_text = from_fb(m.resume_text());
+    out.fingerprint = m.fingerprint();
+    out.crash_ids = from_fb(m.crash_ids());
+    out.key_hash = from_fb(m.key_hash());
+    return out;
+}
+
+started unpack(fb::Started const& m)
+{
+    return {from_fb(m.id()), m.attempt()};
+}
+
+chunk unpack(fb::Chunk const& m)
+{
+    return {from_fb(m.id()), m.attempt(), m.first_token(), m.tokens(), from_fb(m.bytes())};
+}
+
+finished unpack(fb::Finished const& m)
+{
+    return {from_fb(m.id()),   m.attempt(),
+            m.status(),        m.total_tokens(),
+            m.prompt_tokens(), m.version_before(),
+            m.version_after(), from_fb(m.content_type()),
+            from_fb(m.body()), from_fb(m.finish_reason())};
+}
+
+refuse unpack(fb::Refuse const& m)
+{
+    return {from_fb(m.id()), m.attempt(),           code_of(m.code()),
+            m.not_run(),     wall(m.retry_at_us()), from_fb(m.message())};
+}
+
+cancel unpack(fb::Cancel const& m)
+{
+    return {from_fb(m.id()), m.attempt()};
+}
+
+fence unpack(fb::Fence const& m)
+{
+    return {from_fb(m.id()), m.attempt()};
+}
+
+fenced unpack(fb::Fenced const& m)
+{
+    return {from_fb(m.id()), m.attempt(), m.started()};
+}
+
+credit unpack(fb::Credit const& m)
+{
+    return {from_fb(m.upstream()), m.credit(),   m.limit(), m.running(), m.queued(),
+            m.latency_us(),        m.accepting()};
+}
+
+claim unpack(fb::Claim const& m)
+{
+    return {from_fb(m.id()), m.token(), wall(m.deadline_us())};
+}
+
+claimed unpack(fb::Claimed const& m)
+{
+    return {from_fb(m.id()), m.token(), m.is_new(), m.older_than_horizon()};
+}
+
+suspect unpack(fb::Suspect const& m)
+{
+    return {m.fingerprint(), from_fb(m.crash_ids()), wall(m.expires_us())};
+}
+
+config_request unpack(fb::ConfigRequest const& m)
+{
+    return {m.above_version()};
+}
+
+config_content unpack(fb::ConfigContent const& m)
+{
+    return {m.version(), from_fb(m.content()), from_fb(m.signature())};
+}
+
+config_intent unpack(fb::ConfigIntent const& m)
+{
+    return {m.version(), from_fb(m.announcer()), m.withdrawn()};
+}
+
+ping unpack(fb::Ping const&)
+{
+    return {};
+}
+
+template <class Table>
+message unpack_as(fb::Frame const& root)
+{
+    return unpack(*static_cast<Table const*>(root.body()));
+}
+
+std::optional<message> unpack_body(fb::Frame const& root)
+{
+    switch (root.body_type())
+    {
+    case fb::Body::NONE:
+        return std::nullopt;
+    case fb::Body::Hello:
+        return unpack_as<fb::Hello>(root);
+    case fb::Body::Start:
+        return unpack_as<fb::Start>(root);
+    case fb::Body::Started:
+        return unpack_as<fb::Started>(root);
+    case fb::Body::Chunk:
+        return unpack_as<fb::Chunk>(root);
+    case fb::Body::Finished:
+        return unpack_as<fb::Finished>(root);
+    case fb::Body::Refuse:
+        return unpack_as<fb::Refuse>(root);
+    case fb::Body::Cancel:
+        return unpack_as<fb::Cancel>(root);
+    case fb::Body::Fence:
+        return unpack_as<fb::Fence>(root);
+    case fb::Body::Fenced:
+        return unpack_as<fb::Fenced>(root);
+    case fb::Body::Credit:
+        return unpack_as<fb::Credit>(root);
+    case fb::Body::Claim:
+        return unpack_as<fb::Claim>(root);
+    case fb::Body::Claimed:
+        return unpack_as<fb::Claimed>(root);
+    case fb::Body::Suspect:
+        return unpack_as<fb::Suspect>(root);
+    case fb::Body::ConfigRequest:
+        return unpack_as<fb::ConfigRequest>(root);
+    case fb::Body::ConfigContent:
+        return unpack_as<fb::ConfigContent>(root);
+    case fb::Body::ConfigIntent:
+        return unpack_as<fb::ConfigIntent>(root);
+    case fb::Body::Ping:
+        return unpack_as<fb::Ping>(root);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+base::result<std::string> encode(frame const& value)
+{
+    builder out(512);
+    auto const [type, offset] =
+        std::visit([&out](auto const& body) { return pack(out, body); }, value.body);
+    fb::FinishFrameBuffer(
+        out, fb::CreateFrame(out, value.config_version, base::micros(value.sent_at), type, offset));
+    if (out.GetSize() > max_frame_bytes)
+    {
+        return base::fail(base::result_code::frame_too_large,
+                          fmt::format("frame of {} bytes exceeds the limit of {} bytes",
+                                      out.GetSize(), max_frame_bytes));
+    }
+    std::string bytes(length_bytes + out.GetSize(), '\0');
+    flatbuffers::WriteScalar(bytes.data(), static_cast<std::uint32_t>(out.GetSize()));
+    std::copy_n(reinterpret_cast<char const*>(out.GetBufferPointer()), out.GetSize(),
+                bytes.data() + length_bytes);
+    return bytes;
+}
+
+base::result<frame> decode(std::span<std::byte const> bytes)
+{
+    // FlatBuffers reads 8-byte scalars in place, and frames lie at any offset of a receive buffer.
+    std::vector<std::uint64_t> aligned((bytes.size() + sizeof(std::uint64_t) - 1) /
+                                       sizeof(std::uint64_t));
+    std::copy(bytes.begin(), bytes.end(), std::as_writable_bytes(std::span(aligned)).begin());
+    bytes = std::as_bytes(std::span(aligned)).first(bytes.size());
+    flatbuffers::Verifier verifier(reinterpret_cast<std::uint8_t const*>(bytes.data()),
+                                   bytes.size());
+    if (!fb::VerifyFrameBuffer(verifier))
+    {
+        return base::fail(base::result_code::frame_malformed,
+                          fmt::format("frame of {} bytes does not verify", bytes.size()));
+    }
+    auto const& root = *fb::GetFrame(bytes.data());
+    auto body = unpack_body(root);
+    if (!body)
+    {
+        return base::fail(base::result_code::frame_malformed, "frame without a known body");
+    }
+    return frame{root.config_version(), wall(root.sent_wall_us()), std::move(*body)};
+}
+
+} // namespace gooseberrywood::wire
--- /dev/null
+++ b/src/wire/connection.cpp
@@ -0,0 +1,309 @@
+#include "wire/connection.hpp"
+
+#include "wire/codec.hpp"
+
+#include <fmt/format.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+namespace gooseberrywood::wire
+{
+
+namespace
+{
+
+constexpr std::size_t read_bytes = 64 * 1024;
+
+// Reads at most this many times in a row, so that one busy peer can't starve the others.
+constexpr int max_reads_per_event = 8;
+
+bool check_first(connection& c, frame const& received)
+{
+    auto const* greeting = std::get_if<hello>(&received.body);
+    if (c.peer)
+    {
+        if (greeting != nullptr)
+        {
+            close(c, {base::result_code::frame_malformed, "second hello on one connection"});
+            return false;
+        }
+        return true;
+    }
+    if (greeting == nullptr)
+    {
+        close(c, {base::result_code::frame_malformed, "first frame is not a hello"});
+        return false;
+    }
+    if (greeting->protocol != protocol_version)
+    {
+        close(c, {base::result_code::protocol_mismatch,
+                  fmt::format("peer speaks protocol {}, this process {}", greeting->protocol,
+                              protocol_version)});
+        return false;
+    }
+    c.peer = *greeting;
+    return true;
+}
+
+void handle_frame(connection& c, std::span<std::byte const> bytes)
+{
+    auto received = decode(bytes);
+    if (!received)
+    {
+        close(c, received.error());
+        return;
+    }
+    if (!check_first(c, *received))
+    {
+        return;
+    }
+    c.clock_offset = base::wall_now() - received->sent_at;
+    c.handlers.on_frame(*received);
+}
+
+void handle_received(connection& c)
+{
+    while (!c.closed)
+    {
+        auto const next = next_frame(c.received);
+        if (!next)
+        {
+            close(c, next.error());
+            return;
+        }
+        if (!*next)
+        {
+            return;
+        }
+        handle_frame(c, **next);
+    }
+}
+
+void handle_readable(connection& c)
+{
+    std::array<std::byte, read_bytes> buffer;
+    for (int i = 0; i < max_reads_per_event && !c.closed; ++i)
+    {
+        GError* failure = nullptr;
+        gssize const count =
+            g_socket_receive(c.socket.get(), reinterpret_cast<gchar*>(buffer.data()), buffer.size(),
+                             nullptr, &failure);
+        if (count > 0)
+        {
+            c.silent_after = base::mono_now() + silence_limit;
+            append(c.received, std::span(buffer).first(static_cast<std::size_t>(count)));
+            handle_received(c);
+            continue;
+        }
+        if (count == 0)
+        {
+            close(c, {base::result_code::connection_lost, "peer closed the connection"});
+            return;
+        }
+        base::glib_error_ptr const owned(failure);
+        if (g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) == 0)
+        {
+            close(c, {base::result_code::connection_lost, failure->message});
+        }
+        return;
+    }
+}
+
+void write_unsent(connection& c);
+
+gboolean on_readable(GSocket*, GIOCondition, gpointer data)
+{
+    auto const keep = static_cast<connection*>(data)->shared_from_this();
+    handle_readable(*keep);
+    return keep->closed ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
+}
+
+gboolean on_writable(GSocket*, GIOCondition, gpointer data)
+{
+    auto const keep = static_cast<connection*>(data)->shared_from_this();
+    keep->writable.reset();
+    write_unsent(*keep);
+    return G_SOURCE_REMOVE;
+}
+
+base::event_source watch(connection& c, GIOCondition condition, GSocketSourceFunc call)
+{
+    GSource* const source = g_socket_create_source(c.socket.get(), condition, nullptr);
+    g_source_set_callback(source, G_SOURCE_FUNC(call), &c, nullptr);
+    g_source_attach(source, nullptr);
+    return base::event_source(source);
+}
+
+void write_unsent(connection& c)
+{
+    while (!c.closed && c.unsent_begin < c.unsent.size())
+    {
+        GError* failure = nullptr;
+        gssize const count = g_socket_send(c.socket.get(), c.unsent.data() + c.unsent_begin,
+                                           c.unsent.size() - c.unsent_begin, nullptr, &failure);
+        if (count >= 0)
+        {
+            c.unsent_begin += static_cast<std::size_t>(count);
+            continue;
+        }
+        base::glib_error_ptr const owned(failure);
+        if (g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) == 0)
+        {
+            close(c, {base::result_code::connection_lost, failure->message});
+            return;
+        }
+        c.writable = watch(c, G_IO_OUT, on_writable);
+        return;
+    }
+    c.unsent.clear();
+    c.unsent_begin = 0;
+}
+
+void check_liveness(connection& c)
+{
+    if (base::mono_now() >= c.silent_after)
+    {
+        close(c, {base::result_code::peer_silent, "peer sent nothing within the silence limit"});
+        return;
+    }
+    (void)send(c, ping{});
+}
+
+} // namespace
+
+std::shared_ptr<connection> make_connection(base::object_ptr<GSocket> socket, hello const& own,
+                                            connection_handlers handlers)
+{
+    auto made = std::make_shared<connection>();
+    made->socket = std::move(socket);
+    made->handlers = std::move(handlers);
+    made->silent_after = base::mono_now() + silence_limit;
+    g_socket_set_blocking(made->socket.get(), FALSE);
+    // Frames are small and a request waits for each of them.
+    g_socket_set_option(made->socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    made->readable = watch(*made, G_IO_IN, on_readable);
+    made->liveness = base::every(ping_interval,
+                                 [weak = std::weak_ptr(made)]
+                                 {
+                                     if (auto const c = weak.lock())
+                                     {
+                                         check_liveness(*c);
+                                     }
+                                 });
+    (void)send(*made, own);
+    return made;
+}
+
+base::result<void> send(connection& to, message body)
+{
+    if (to.closed)
+    {
+        return base::fail(base::result_code::connection_lost, "the connection is closed");
+    }
+    auto const bytes = encode({to.handlers.config_version(), base::wall_now(), std::move(body)});
+    if (!bytes)
+    {
+        return tl::unexpected(bytes.error());
+    }
+    if (to.unsent.size() - to.unsent_begin + bytes->size() > max_unsent_bytes)
+    {
+        base::error const why{base::result_code::connection_lost, "peer reads too slowly"};
+        close(to, why);
+        return tl::unexpected(why);
+    }
+    to.unsent += *bytes;
+    if (!to.flush && !to.writable)
+    {
+        to.flush = base::soon(
+            [weak = to.weak_from_this()]
+            {
+                if (auto const c = weak.lock())
+                {
+                    c->flush.reset();
+                    write_unsent(*c);
+                }
+            });
+        // Ahead of other work, so that a frame does not wait behind a long run of events.
+        g_source_set_priority(to.flush.get(), G_PRIORITY_DEFAULT);
+    }
+    return {};
+}
+
+void close(connection& which, base::error const& why)
+{
+    if (which.closed)
+    {
+        return;
+    }
+    which.closed = true;
+    which.readable.reset();
+    which.writable.reset();
+    which.flush.reset();
+    which.liveness.reset();
+    g_socket_close(which.socket.get(), nullptr);
+    auto const keep = which.weak_from_this().lock();
+    // Moved out, so that an owner that drops the connection in the handler destroys nothing in use.
+    auto const handlers = std::move(which.handlers);
+    which.handlers = {};
+    handlers.on_closed(why);
+}
+
+base::mono_time to_local(connection const& from, base::wall_time theirs)
+{
+    return base::mono_now() + (theirs + from.clock_offset - base::wall_now());
+}
+
+base::wall_time to_wall(base::mono_time local)
+{
+    return base::wall_now() + (local - base::mono_now());
+}
+
+namespace
+{
+
+using connect_done = std::function<void(base::result<base::object_ptr<GSocket>>)>;
+
+void on_connected(GObject* client, GAsyncResult* outcome, gpointer data)
+{
+    std::unique_ptr<connect_done> const done(static_cast<connect_done*>(data));
+    GError* failure = nullptr;
+    base::object_ptr<GSocketConnection> const made(
+        g_socket_client_connect_finish(G_SOCKET_CLIENT(client), outcome, &failure));
+    if (!made)
+    {
+        base::glib_error_ptr const owned(failure);
+        (*done)(base::fail(base::result_code::connection_lost, failure->message));
+        return;
+    }
+    // The stream closes its socket when it is destroyed, so the descriptor is duplicated. The new
+    // socket also has none of the client's timeout.
+    int const descriptor = dup(g_socket_get_fd(g_socket_connection_get_socket(made.get())));
+    base::object_ptr<GSocket> socket(g_socket_new_from_fd(descriptor, &failure));
+    if (!socket)
+    {
+        base::glib_error_ptr const owned(failure);
+        (*done)(base::fail(base::result_code::connection_lost, failure->message));
+        return;
+    }
+    (*done)(std::move(socket));
+}
+
+} // namespace
+
+void connect_to(std::string_view address, connect_done done)
+{
+    base::object_ptr<GSocketClient> const client(g_socket_client_new());
+    // Seconds. Within a data centre a connection that takes longer is to a host that is down.
+    constexpr guint connect_timeout_s = 2;
+    g_socket_client_set_timeout(client.get(), connect_timeout_s);
+    g_socket_client_set_enable_proxy(client.get(), FALSE);
+    g_socket_client_connect_to_host_async(client.get(), std::string(address).c_str(), 0, nullptr,
+                                          on_connected, new connect_done(std::move(done)));
+}
+
+} // namespace gooseberrywood::wire
--- /dev/null
+++ b/test/wire_codec_test.cpp
@@ -0,0 +1,113 @@
+#include "wire/codec.hpp"
+#include "wire/frame_buffer.hpp"
+
+#include "property.hpp"
+
+#include <algorithm>
+
+using namespace gooseberrywood;
+
+namespace
+{
+
+std::span<std::byte const> bytes_of(std::string const& text)
+{
+    return std::as_bytes(std::span(text));
+}
+
+wire::frame sample_frame(std::string body)
+{
+    wire::start message;
+    message.id = base::random_request_id();
+    message.attempt = 3;
+    message.upstream = "planner-lm-1";
+    message.team = "zlatar";
+    message.body = std::move(body);
+    message.crash_ids = {1, 2};
+    message.deadline = base::wall_now();
+    return {9, base::wall_now(), message};
+}
+
+} // namespace
+
+SCENARIO("a frame survives encoding and decoding")
+{
+    auto const sent = sample_frame(R"({"prompt":"x"})");
+    auto const encoded = wire::encode(sent);
+    REQUIRE(encoded.has_value());
+
+    WHEN("it arrives byte by byte behind another one")
+    {
+        wire::frame_buffer buffer;
+        auto const stream = *encoded + *encoded;
+        int frames = 0;
+        for (char const& c : stream)
+        {
+            wire::append(buffer, std::as_bytes(std::span(&c, 1)));
+            auto const next = wire::next_frame(buffer);
+            REQUIRE(next.has_value());
+            if (*next)
+            {
+                ++frames;
+                auto const received = wire::decode(**next);
+                REQUIRE(received.has_value());
+                auto const& start = std::get<wire::start>(received->body);
+                auto const& original = std::get<wire::start>(sent.body);
+                CHECK(received->config_version == 9);
+                CHECK(start.id == original.id);
+                CHECK(start.body == original.body);
+                CHECK(start.crash_ids == original.crash_ids);
+                CHECK(start.deadline == original.deadline);
+            }
+        }
+        THEN("both are cut out whole")
+        {
+            CHECK(frames == 2);
+        }
+    }
+}
+
+SCENARIO("hostile bytes are refused with bounded memory")
+{
+    GIVEN("an announced length above the limit")
+    {
+        wire::frame_buffer buffer;
+        wire::append(buffer, bytes_of("\xff\xff\xff\xff"));
+        THEN("the frame is refused before any of it is stored")
+        {
+            auto const next = wire::next_frame(buffer);
+            REQUIRE_FALSE(next.has_value());
+            CHECK(next.error().code == base::result_code::frame_too_large);
+        }
+    }
+    GIVEN("a body that can't fit into a frame")
+    {
+        THEN("it is refused when it is encoded")
+        {
+            auto const encoded =
+                wire::encode(sample_frame(std::string(wire::max_frame_bytes, 'x')));
+            REQUIRE_FALSE(encoded.has_value());
+            CHECK(encoded.error().code == base::result_code::frame_too_large);
+        }
+    }
+    GIVEN("a frame with changed and cut bytes")
+    {
+        // Guards against reading outside the buffer; run under AddressSanitizer.
+        test::check_property("damaged frames decode or are refused",
+                             [](std::vector<std::pair<std::uint16_t, std::uint8_t>> const& changes,
+                                std::uint16_t cut)
+                             {
+                                 auto text = *wire::encode(sample_frame("abc"));
+                                 text.erase(0, wire::length_bytes);
+                                 for (auto const& [at, value] : changes)
+                                 {
+                                     text[at % text.size()] = static_cast<char>(value);
+                                 }
+                                 text.resize(text.size() - cut % text.size());
+                                 auto const received = wire::decode(bytes_of(text));
+                                 RC_ASSERT(received.has_value() ||
+                                           received.error().code ==
+                                               base::result_code::frame_malformed);
+                             });
+    }
+}
