Add check_invariant

Properties that must always hold are asserted inside the program; a violation is logged and ends the process in every build type, since NDEBUG removes assert in release builds.

--- a/src/base.hpp
+++ b/src/base.hpp
@@ -6,6 +6,7 @@
 
 #include "base/error.hpp"
 #include "base/hash.hpp"
+#include "base/invariant.hpp"
 #include "base/log.hpp"
 #include "base/request_id.hpp"
 #include "base/result.hpp"
