Add the entry and agent processes, thin

Cause: a request must be served end to end before policies are built on top. Change: HTTP server and client by libsoup with bounded input, agent that runs attempts on its upstreams, entry that checks keys and sends attempts to agents; admin port with /state. Ruled out: libsoup's own listeners (no bound on connections and no idle timeout) and its resending of requests on kept connections (a non-idempotent call could run twice).

--- /dev/null
+++ b/src/agent/execution.cpp
@@ -0,0 +1,135 @@
+#include "agent/execution.hpp"
+
+#include "agent/engine_request.hpp"
+#include "http/limits.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace gooseberrywood::agent
+{
+
+namespace
+{
+
+constexpr std::uint16_t http_ok = 200;
+
+// The handler that ends an execution destroys it, so handlers are moved out first.
+void end_with_failure(execution& e, execution_failure const& failure)
+{
+    auto const handlers = std::move(e.handlers);
+    handlers.on_failed(failure);
+}
+
+void receive_tokens(execution& e, std::string_view bytes)
+{
+    auto tokens = read(e.stream, bytes);
+    if (!tokens)
+    {
+        end_with_failure(e, {tokens.error(), true, false});
+        return;
+    }
+    if (tokens->tokens == 0)
+    {
+        return;
+    }
+    if (e.first_token_at == base::mono_time{})
+    {
+        e.first_token_at = base::mono_now();
+    }
+    e.handlers.on_chunk({e.attempt.id, e.attempt.attempt, tokens->first_token, tokens->tokens,
+                         std::move(tokens->events)});
+}
+
+void receive(execution& e, std::string_view bytes)
+{
+    if (e.is_engine && e.status == http_ok)
+    {
+        receive_tokens(e, bytes);
+        return;
+    }
+    if (e.body.size() + bytes.size() > http::max_body_bytes)
+    {
+        end_with_failure(e, {{base::result_code::upstream_error,
+                              fmt::format("the answer exceeds {} bytes", http::max_body_bytes)},
+                             true,
+                             false});
+        return;
+    }
+    e.body += bytes;
+}
+
+void complete(execution& e)
+{
+    if (e.is_engine && e.status == http_ok && !e.stream.done)
+    {
+        end_with_failure(e, {{base::result_code::connection_lost,
+                              "the engine's stream ended before its last event"},
+                             true,
+                             true});
+        return;
+    }
+    wire::finished message;
+    message.id = e.attempt.id;
+    message.attempt = e.attempt.attempt;
+    message.status = e.status;
+    message.total_tokens = e.stream.next_token;
+    message.prompt_tokens = e.stream.prompt_tokens;
+    message.version_before = e.stream.first_version.value_or(0);
+    message.version_after = e.stream.last_version;
+    message.content_type = e.content_type;
+    message.body = std::move(e.body);
+    message.finish_reason = e.stream.finish_reason;
+    auto const handlers = std::move(e.handlers);
+    handlers.on_finished(std::move(message));
+}
+
+} // namespace
+
+base::result<std::unique_ptr<execution>> execute(SoupSession* session, std::string_view url,
+                                                 bool is_engine, wire::start attempt,
+                                                 execution_handlers handlers)
+{
+    http::call_request request;
+    request.method = attempt.method;
+    request.url = fmt::format("{}{}", url, attempt.path);
+    request.content_type = attempt.content_type;
+    request.may_repeat = attempt.idempotent;
+    request.headers.push_back({"X-Request-Id", base::to_string(attempt.id)});
+    if (is_engine)
+    {
+        auto body = engine_body(attempt);
+        if (!body)
+        {
+            return tl::unexpected(body.error());
+        }
+        request.body = std::move(*body);
+    }
+    else
+    {
+        request.body = attempt.body;
+    }
+    auto made = std::make_unique<execution>();
+    auto* const e = made.get();
+    e->attempt = std::move(attempt);
+    e->is_engine = is_engine;
+    e->handlers = std::move(handlers);
+    e->began = base::mono_now();
+    e->stream.next_token = e->attempt.resume_tokens;
+    e->call = http::start_call(session, request,
+                               {[e](std::uint16_t status, std::string_view type)
+                                {
+                                    e->status = status;
+                                    e->content_type = type;
+                                },
+                                [e](std::string_view bytes) { receive(*e, bytes); },
+                                [e] { complete(*e); },
+                                [e](base::error const& why, bool sent)
+                                {
+                                    end_with_failure(*e, {why, sent, sent});
+                                }});
+    return made;
+}
+
+} // namespace gooseberrywood::agent
--- /dev/null
+++ b/src/http.hpp
@@ -0,0 +1,13 @@
+#ifndef GOOSEBERRYWOOD_HTTP_HPP
+#define GOOSEBERRYWOOD_HTTP_HPP
+
+/// \defgroup http http
+/// \brief HTTP by libsoup: a server with bounded input and a client whose answers are streamed.
+
+#include "http/call.hpp"
+#include "http/error_answer.hpp"
+#include "http/exchange.hpp"
+#include "http/limits.hpp"
+#include "http/server.hpp"
+
+#endif
--- /dev/null
+++ b/src/http/call.cpp
@@ -0,0 +1,180 @@
+#include "http/call.hpp"
+
+#include <utility>
+
+namespace gooseberrywood::http
+{
+
+namespace
+{
+
+constexpr gsize read_bytes = 16 * 1024;
+
+// Most kept connections of an agent to its upstreams: well above the concurrency limit of any.
+constexpr int max_session_connections = 4096;
+
+using weak_call = std::weak_ptr<call>;
+
+void fail(call& c, GError* failure)
+{
+    base::glib_error_ptr const owned(failure);
+    if (c.ended)
+    {
+        return;
+    }
+    c.ended = true;
+    auto const handlers = std::move(c.handlers);
+    handlers.on_failed({base::result_code::connection_lost, failure->message}, c.sent);
+}
+
+void read_more(call& c);
+
+void on_read(GObject* stream, GAsyncResult* outcome, gpointer data)
+{
+    std::unique_ptr<weak_call> const weak(static_cast<weak_call*>(data));
+    GError* failure = nullptr;
+    GBytes* bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(stream), outcome, &failure);
+    auto const c = weak->lock();
+    if (!c || c->ended)
+    {
+        g_clear_pointer(&bytes, g_bytes_unref);
+        g_clear_error(&failure);
+        return;
+    }
+    if (bytes == nullptr)
+    {
+        fail(*c, failure);
+        return;
+    }
+    gsize size = 0;
+    auto const* const start = static_cast<char const*>(g_bytes_get_data(bytes, &size));
+    if (size == 0)
+    {
+        c->ended = true;
+        auto const handlers = std::move(c->handlers);
+        handlers.on_complete();
+    }
+    else
+    {
+        c->handlers.on_bytes({start, size});
+        if (!c->ended)
+        {
+            read_more(*c);
+        }
+    }
+    g_bytes_unref(bytes);
+}
+
+void read_more(call& c)
+{
+    g_input_stream_read_bytes_async(c.answer.get(), read_bytes, G_PRIORITY_DEFAULT,
+                                    c.cancellable.get(), on_read,
+                                    new weak_call(c.weak_from_this()));
+}
+
+void on_answer(GObject* session, GAsyncResult* outcome, gpointer data)
+{
+    std::unique_ptr<weak_call> const weak(static_cast<weak_call*>(data));
+    GError* failure = nullptr;
+    base::object_ptr<GInputStream> stream(
+        soup_session_send_finish(SOUP_SESSION(session), outcome, &failure));
+    auto const c = weak->lock();
+    if (!c || c->ended)
+    {
+        g_clear_error(&failure);
+        return;
+    }
+    if (!stream)
+    {
+        fail(*c, failure);
+        return;
+    }
+    c->answer = std::move(stream);
+    char const* const type = soup_message_headers_get_content_type(
+        soup_message_get_response_headers(c->message.get()), nullptr);
+    c->handlers.on_status(static_cast<std::uint16_t>(soup_message_get_status(c->message.get())),
+                          type != nullptr ? type : "application/octet-stream");
+    if (!c->ended)
+    {
+        read_more(*c);
+    }
+}
+
+void on_starting(SoupMessage*, gpointer data)
+{
+    static_cast<call*>(data)->sent = true;
+}
+
+} // namespace
+
+call::~call()
+{
+    ended = true;
+    if (message)
+    {
+        g_signal_handlers_disconnect_by_data(message.get(), this);
+    }
+    if (cancellable)
+    {
+        g_cancellable_cancel(cancellable.get());
+    }
+}
+
+base::object_ptr<SoupSession> make_session()
+{
+    base::object_ptr<SoupSession> session(soup_session_new_with_options(
+        "max-conns", max_session_connections, "max-conns-per-host", max_session_connections,
+        "timeout", 0, "idle-timeout", 30, "proxy-resolver", nullptr, nullptr));
+    soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
+    return session;
+}
+
+std::shared_ptr<call> start_call(SoupSession* session, call_request const& what,
+                                 call_handlers handlers)
+{
+    auto made = std::make_shared<call>();
+    made->handlers = std::move(handlers);
+    made->cancellable.reset(g_cancellable_new());
+    made->message.reset(soup_message_new(what.method.c_str(), what.url.c_str()));
+    if (!made->message)
+    {
+        // Reported from the loop, so that the owner has stored the call when its handler runs.
+        made->failing = base::soon(
+            [weak = made->weak_from_this()]
+            {
+                if (auto const c = weak.lock())
+                {
+                    fail(*c, g_error_new_literal(G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
+                                                 "the upstream's URL is not valid"));
+                }
+            });
+        return made;
+    }
+    int flags = SOUP_MESSAGE_NO_REDIRECT;
+    if (!what.may_repeat)
+    {
+        flags |= SOUP_MESSAGE_NEW_CONNECTION;
+    }
+    soup_message_set_flags(made->message.get(), static_cast<SoupMessageFlags>(flags));
+    auto* const out = soup_message_get_request_headers(made->message.get());
+    for (auto const& [name, value] : what.headers)
+    {
+        soup_message_headers_replace(out, name.c_str(), value.c_str());
+    }
+    if (!what.body.empty() || !what.content_type.empty())
+    {
+        GBytes* const body = g_bytes_new(what.body.data(), what.body.size());
+        soup_message_set_request_body_from_bytes(
+            made->message.get(),
+            what.content_type.empty() ? "application/octet-stream" : what.content_type.c_str(),
+            body);
+        g_bytes_unref(body);
+    }
+    g_signal_connect(made->message.get(), "starting", G_CALLBACK(on_starting), made.get());
+    soup_session_send_async(session, made->message.get(), G_PRIORITY_DEFAULT,
+                            made->cancellable.get(), on_answer,
+                            new weak_call(made->weak_from_this()));
+    return made;
+}
+
+} // namespace gooseberrywood::http
--- /dev/null
+++ b/src/http/error_answer.cpp
@@ -0,0 +1,35 @@
+#include "http/error_answer.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace gooseberrywood::http
+{
+
+std::string error_json(base::error const& why)
+{
+    auto const& row = base::info(why.code);
+    nlohmann::ordered_json const body = {{"error",
+                                          {{"code", static_cast<std::uint16_t>(why.code)},
+                                           {"name", row.name},
+                                           {"not_run", row.not_run},
+                                           {"message", why.message}}}};
+    return body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+void respond_error(exchange& to, base::error const& why, std::optional<base::mono_time> retry_at)
+{
+    std::vector<header> headers;
+    if (retry_at)
+    {
+        auto const wait = std::chrono::ceil<std::chrono::seconds>(*retry_at - base::mono_now());
+        headers.push_back(
+            {"Retry-After", fmt::format("{}", std::max<std::int64_t>(1, wait.count()))});
+    }
+    respond(to, base::info(why.code).http_status, "application/json", error_json(why), headers);
+}
+
+} // namespace gooseberrywood::http
--- /dev/null
+++ b/src/http/exchange.cpp
@@ -0,0 +1,132 @@
+#include "http/exchange.hpp"
+
+#include "http/limits.hpp"
+
+#include <sys/socket.h>
+
+namespace gooseberrywood::http
+{
+
+namespace
+{
+
+void set_headers(exchange& to, std::uint16_t status, std::string_view content_type,
+                 std::span<header const> headers)
+{
+    auto* const message = to.message.get();
+    soup_server_message_set_status(message, status, nullptr);
+    auto* const out = soup_server_message_get_response_headers(message);
+    soup_message_headers_set_content_type(out, std::string(content_type).c_str(), nullptr);
+    for (auto const& [name, value] : headers)
+    {
+        soup_message_headers_replace(out, name.c_str(), value.c_str());
+    }
+}
+
+SoupMessageBody* response_body(exchange& to)
+{
+    return soup_server_message_get_response_body(to.message.get());
+}
+
+} // namespace
+
+exchange::~exchange()
+{
+    if (!message)
+    {
+        return;
+    }
+    g_signal_handlers_disconnect_by_data(message.get(), this);
+    if (!answered && !gone)
+    {
+        soup_server_message_set_status(message.get(), SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
+        soup_server_message_unpause(message.get());
+    }
+}
+
+std::optional<std::string_view> request_header(exchange const& of, char const* name)
+{
+    char const* const value = soup_message_headers_get_one(
+        soup_server_message_get_request_headers(of.message.get()), name);
+    return value != nullptr ? std::optional<std::string_view>(value) : std::nullopt;
+}
+
+void respond(exchange& to, std::uint16_t status, std::string_view content_type,
+             std::string_view body, std::span<header const> headers)
+{
+    if (to.answered || to.gone)
+    {
+        return;
+    }
+    to.answered = true;
+    set_headers(to, status, content_type, headers);
+    soup_message_body_append(response_body(to), SOUP_MEMORY_COPY, body.data(), body.size());
+    soup_message_body_complete(response_body(to));
+    soup_server_message_unpause(to.message.get());
+}
+
+void begin_stream(exchange& to, std::uint16_t status, std::string_view content_type,
+                  std::span<header const> headers)
+{
+    if (to.answered || to.gone)
+    {
+        return;
+    }
+    to.streaming = true;
+    set_headers(to, status, content_type, headers);
+    soup_message_headers_set_encoding(soup_server_message_get_response_headers(to.message.get()),
+                                      SOUP_ENCODING_CHUNKED);
+    soup_message_body_set_accumulate(response_body(to), FALSE);
+    soup_server_message_unpause(to.message.get());
+}
+
+bool append_stream(exchange& to, std::string_view bytes)
+{
+    if (to.gone || to.unread_bytes + bytes.size() > max_unread_bytes)
+    {
+        return false;
+    }
+    to.unread_bytes += bytes.size();
+    soup_message_body_append(response_body(to), SOUP_MEMORY_COPY, bytes.data(), bytes.size());
+    soup_server_message_unpause(to.message.get());
+    return true;
+}
+
+void end_stream(exchange& to)
+{
+    if (to.answered || to.gone)
+    {
+        return;
+    }
+    to.answered = true;
+    soup_message_body_complete(response_body(to));
+    soup_server_message_unpause(to.message.get());
+}
+
+void abort_stream(exchange& to)
+{
+    if (to.answered || to.gone)
+    {
+        return;
+    }
+    to.answered = true;
+    // Without the last, empty chunk the caller's HTTP library reports a cut body.
+    if (auto* const socket = soup_server_message_get_socket(to.message.get()))
+    {
+        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    }
+    soup_server_message_unpause(to.message.get());
+}
+
+bool is_caller_gone(exchange const& of)
+{
+    auto* const socket = soup_server_message_get_socket(of.message.get());
+    if (socket == nullptr)
+    {
+        return true;
+    }
+    char byte = 0;
+    return recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+} // namespace gooseberrywood::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,169 @@
+#include "http/server.hpp"
+
+#include "http/error_answer.hpp"
+#include "http/limits.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace gooseberrywood::http
+{
+
+namespace
+{
+
+void refuse_large(SoupServerMessage* message)
+{
+    base::error const why{base::result_code::request_too_large,
+                          fmt::format("the body exceeds {} bytes", max_body_bytes)};
+    auto const body = error_json(why);
+    soup_server_message_set_status(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
+    soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, body.data(),
+                                     body.size());
+    // The rest of the body is not read, so the connection can't carry another request.
+    soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection",
+                                 "close");
+}
+
+bool is_too_large(SoupServerMessage* message)
+{
+    auto* const headers = soup_server_message_get_request_headers(message);
+    return soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH &&
+           static_cast<std::size_t>(soup_message_headers_get_content_length(headers)) >
+               max_body_bytes;
+}
+
+void on_got_headers(SoupServerMessage* message, gpointer)
+{
+    if (is_too_large(message))
+    {
+        refuse_large(message);
+    }
+}
+
+// Counts the bytes of a body without an announced length.
+void on_got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer)
+{
+    auto* const object = G_OBJECT(message);
+    auto const before = GPOINTER_TO_SIZE(g_object_get_data(object, "received-bytes"));
+    auto const total = before + g_bytes_get_size(chunk);
+    g_object_set_data(object, "received-bytes", GSIZE_TO_POINTER(total));
+    if (total > max_body_bytes)
+    {
+        if (auto* const socket = soup_server_message_get_socket(message))
+        {
+            g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+        }
+    }
+}
+
+void on_request_started(SoupServer*, SoupServerMessage* message, gpointer)
+{
+    g_signal_connect(message, "got-headers", G_CALLBACK(on_got_headers), nullptr);
+    g_signal_connect(message, "got-chunk", G_CALLBACK(on_got_chunk), nullptr);
+}
+
+void on_wrote_data(SoupServerMessage*, guint size, gpointer data)
+{
+    auto& which = *static_cast<exchange*>(data);
+    which.unread_bytes -= std::min<std::size_t>(which.unread_bytes, size);
+}
+
+void on_finished(SoupServerMessage*, gpointer data)
+{
+    auto const which = static_cast<exchange*>(data)->shared_from_this();
+    bool const complete = which->answered;
+    which->gone = true;
+    if (!complete && which->on_gone)
+    {
+        // Moved out, since the handler usually drops the exchange.
+        auto const call = std::move(which->on_gone);
+        call();
+    }
+}
+
+void handle_request(SoupServer*, SoupServerMessage* message, char const* path, GHashTable*,
+                    gpointer data)
+{
+    auto& owner = *static_cast<server*>(data);
+    if (soup_server_message_get_status(message) != 0)
+    {
+        return;
+    }
+    auto const made = std::make_shared<exchange>();
+    made->message = base::share(message);
+    made->method = soup_server_message_get_method(message);
+    made->path = path != nullptr ? path : "/";
+    char const* const query = g_uri_get_query(soup_server_message_get_uri(message));
+    made->query = query != nullptr ? fmt::format("?{}", query) : std::string{};
+    auto* const body = soup_server_message_get_request_body(message);
+    made->body = {body->data != nullptr ? body->data : "", static_cast<std::size_t>(body->length)};
+    g_signal_connect(message, "wrote-body-data", G_CALLBACK(on_wrote_data), made.get());
+    g_signal_connect(message, "finished", G_CALLBACK(on_finished), made.get());
+    soup_server_message_pause(message);
+    owner.handle(made);
+}
+
+void forget_connection(gpointer data, GObject*)
+{
+    --static_cast<server*>(data)->open_connections;
+}
+
+void accept_connection(server& owner, base::object_ptr<GSocket> socket)
+{
+    if (owner.open_connections >= max_connections)
+    {
+        return;
+    }
+    g_socket_set_timeout(socket.get(), idle_timeout_s);
+    base::object_ptr<GSocketAddress> const local(g_socket_get_local_address(socket.get(), nullptr));
+    base::object_ptr<GSocketAddress> const remote(
+        g_socket_get_remote_address(socket.get(), nullptr));
+    base::object_ptr<GSocketConnection> const stream(
+        g_socket_connection_factory_create_connection(socket.get()));
+    if (soup_server_accept_iostream(owner.soup.get(), G_IO_STREAM(stream.get()), local.get(),
+                                    remote.get(), nullptr) != 0)
+    {
+        ++owner.open_connections;
+        g_object_weak_ref(G_OBJECT(stream.get()), forget_connection, &owner);
+    }
+}
+
+} // namespace
+
+server::~server()
+{
+    if (soup)
+    {
+        g_signal_handlers_disconnect_by_data(soup.get(), this);
+        soup_server_disconnect(soup.get());
+    }
+}
+
+base::result<std::unique_ptr<server>>
+serve(std::string_view address, std::function<void(std::shared_ptr<exchange> const&)> handle)
+{
+    auto made = std::make_unique<server>();
+    made->handle = std::move(handle);
+    made->soup.reset(
+        SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, "server-header", "gooseberrywood", nullptr)));
+    g_signal_connect(made->soup.get(), "request-started", G_CALLBACK(on_request_started),
+                     made.get());
+    soup_server_add_handler(made->soup.get(), nullptr, handle_request, made.get(), nullptr);
+    auto listening = wire::listen(address, [owner = made.get()](base::object_ptr<GSocket> socket)
+                                  { accept_connection(*owner, std::move(socket)); });
+    if (!listening)
+    {
+        return tl::unexpected(listening.error());
+    }
+    made->listening = std::move(*listening);
+    return made;
+}
+
+void stop_listening(server& which)
+{
+    which.listening.reset();
+}
+
+} // namespace gooseberrywood::http
--- /dev/null
+++ b/src/process/admin.hpp
@@ -0,0 +1,34 @@
+#ifndef GOOSEBERRYWOOD_PROCESS_ADMIN_HPP
+#define GOOSEBERRYWOOD_PROCESS_ADMIN_HPP
+
+#include "base/result.hpp"
+#include "http/server.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace gooseberrywood::process
+{
+
+/// \ingroup process
+/// \brief What a process shows on its admin port.
+struct admin_views
+{
+    std::function<nlohmann::ordered_json()> state;
+    std::function<std::string()> metrics;
+    std::function<bool()> ready;
+};
+
+/// \ingroup process
+/// \brief Serves `/state`, `/metrics`, `/healthz` and `/readyz`.
+/// \param address `IP:port`.
+[[nodiscard]] base::result<std::unique_ptr<http::server>> serve_admin(std::string_view address,
+                                                                      admin_views views);
+
+} // namespace gooseberrywood::process
+
+#endif
