--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -44,6 +44,14 @@
     }
 }
 
+GSocket* socket_of(SoupServerMessage* message)
+{
+    auto* const remote = soup_server_message_get_remote_address(message);
+    return remote != nullptr
+               ? static_cast<GSocket*>(g_object_get_data(G_OBJECT(remote), socket_data_name))
+               : nullptr;
+}
+
 std::optional<std::string_view> request_header(exchange const& of, char const* name)
 {
     char const* const value = soup_message_headers_get_one(
@@ -111,7 +119,7 @@
     }
     to.answered = true;
     // Without the last, empty chunk the caller's HTTP library reports a cut body.
-    if (auto* const socket = soup_server_message_get_socket(to.message.get()))
+    if (auto* const socket = socket_of(to.message.get()))
     {
         g_socket_shutdown(socket, TRUE, TRUE, nullptr);
     }
@@ -120,7 +128,7 @@
 
 bool is_caller_gone(exchange const& of)
 {
-    auto* const socket = soup_server_message_get_socket(of.message.get());
+    auto* const socket = socket_of(of.message.get());
     if (socket == nullptr)
     {
         return true;
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -51,6 +51,11 @@
     bool gone = false;
 };
 
+/// \ingroup http
+/// \brief The socket that a request came on. libsoup itself knows it only for sockets that it
+/// accepted; the server attaches it to the remote address.
+[[nodiscard]] GSocket* socket_of(SoupServerMessage* message);
+
 /// \ingroup http
 /// \brief The value of a request header, if there is exactly one.
 [[nodiscard]] std::optional<std::string_view> request_header(exchange const& of, char const* name);
--- a/src/http/limits.hpp
+++ b/src/http/limits.hpp
@@ -28,6 +28,10 @@
 /// \brief How often a running request's connection is checked for a caller that went away.
 inline constexpr base::duration caller_check_interval = std::chrono::seconds(1);
 
+/// \ingroup http
+/// \brief Name under which a connection's socket is attached to its remote address.
+inline constexpr char const* socket_data_name = "connection-socket";
+
 } // namespace gooseberrywood::http
 
 #endif
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -51,7 +51,7 @@
     g_object_set_data(object, "received-bytes", GSIZE_TO_POINTER(total));
     if (total > max_body_bytes)
     {
-        if (auto* const socket = soup_server_message_get_socket(message))
+        if (auto* const socket = socket_of(message))
         {
             g_socket_shutdown(socket, TRUE, TRUE, nullptr);
         }
@@ -120,6 +120,8 @@
     base::object_ptr<GSocketAddress> const local(g_socket_get_local_address(socket.get(), nullptr));
     base::object_ptr<GSocketAddress> const remote(
         g_socket_get_remote_address(socket.get(), nullptr));
+    g_object_set_data_full(G_OBJECT(remote.get()), socket_data_name, g_object_ref(socket.get()),
+                           g_object_unref);
     base::object_ptr<GSocketConnection> const stream(
         g_socket_connection_factory_create_connection(socket.get()));
     if (soup_server_accept_iostream(owner.soup.get(), G_IO_STREAM(stream.get()), local.get(),
