--- /dev/null
+++ b/test/process/support/http_client.cpp
@@ -0,0 +1,173 @@
+#include "process/support/http_client.hpp"
+
+#include <fmt/format.h>
+
+#include <stdexcept>
+
+namespace gooseberrywood::test
+{
+
+namespace
+{
+
+/// Makes a context the default of this thread, so that no source gets into the main one.
+struct pushed_context
+{
+    GMainContext* context;
+
+    explicit pushed_context(GMainContext* which) : context(which)
+    {
+        g_main_context_push_thread_default(context);
+    }
+    pushed_context(pushed_context const&) = delete;
+    pushed_context& operator=(pushed_context const&) = delete;
+    ~pushed_context()
+    {
+        g_main_context_pop_thread_default(context);
+    }
+};
+
+base::result<std::string> read_all(GInputStream* from)
+{
+    GError* failure = nullptr;
+    base::object_ptr<GOutputStream> const to(g_memory_output_stream_new_resizable());
+    auto const flags = GOutputStreamSpliceFlags(G_OUTPUT_STREAM_SPLICE_CLOSE_TARGET);
+    if (g_output_stream_splice(to.get(), from, flags, nullptr, &failure) < 0)
+    {
+        base::glib_error_ptr const owned(failure);
+        return base::fail(base::result_code::connection_lost, failure->message);
+    }
+    auto* const memory = G_MEMORY_OUTPUT_STREAM(to.get());
+    return std::string(static_cast<char const*>(g_memory_output_stream_get_data(memory)),
+                       g_memory_output_stream_get_data_size(memory));
+}
+
+nlohmann::json must_succeed(http_request const& request)
+{
+    auto const response = fetch(request);
+    if (!response || response->status != SOUP_STATUS_OK)
+    {
+        throw std::runtime_error(
+            fmt::format("{} {}: {}", request.method, request.url,
+                        response ? fmt::format("{} {}", response->status, response->body)
+                                 : response.error().message));
+    }
+    return nlohmann::json::parse(response->body);
+}
+
+} // namespace
+
+http_stream::~http_stream()
+{
+    if (context == nullptr)
+    {
+        return;
+    }
+    pushed_context const pushed(context.get());
+    soup_session_abort(session.get());
+    body.reset();
+    message.reset();
+    session.reset();
+}
+
+base::result<http_stream> open_stream(http_request const& request)
+{
+    http_stream opened;
+    opened.context.reset(g_main_context_new());
+    pushed_context const pushed(opened.context.get());
+    opened.session.reset(soup_session_new());
+    soup_session_set_timeout(opened.session.get(), request.silence_s);
+    opened.message.reset(soup_message_new(request.method.c_str(), request.url.c_str()));
+    if (!opened.message)
+    {
+        return base::fail(base::result_code::usage, "not a URL: " + request.url);
+    }
+    auto* const message = opened.message.get();
+    // libsoup would send the request again on a connection that ended, which hides the fault.
+    soup_message_add_flags(
+        message, SoupMessageFlags(SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION));
+    auto* const headers = soup_message_get_request_headers(message);
+    for (auto const& [name, value] : request.headers)
+    {
+        soup_message_headers_append(headers, name.c_str(), value.c_str());
+    }
+    if (!request.body.empty())
+    {
+        GBytes* const bytes = g_bytes_new(request.body.data(), request.body.size());
+        soup_message_set_request_body_from_bytes(message, "application/json", bytes);
+        g_bytes_unref(bytes);
+    }
+    GError* failure = nullptr;
+    base::object_ptr<GInputStream> const input(
+        soup_session_send(opened.session.get(), message, nullptr, &failure));
+    if (!input)
+    {
+        base::glib_error_ptr const owned(failure);
+        return base::fail(base::result_code::connection_lost, failure->message);
+    }
+    opened.body.reset(g_data_input_stream_new(input.get()));
+    opened.status = soup_message_get_status(message);
+    return opened;
+}
+
+base::result<std::optional<std::string>> next_event(http_stream& from)
+{
+    pushed_context const pushed(from.context.get());
+    static constexpr std::string_view prefix = "data: ";
+    while (true)
+    {
+        GError* failure = nullptr;
+        std::unique_ptr<char, base::glib_free> const line(
+            g_data_input_stream_read_line(from.body.get(), nullptr, nullptr, &failure));
+        if (failure != nullptr)
+        {
+            base::glib_error_ptr const owned(failure);
+            return base::fail(base::result_code::connection_lost, failure->message);
+        }
+        if (!line)
+        {
+            return std::nullopt;
+        }
+        std::string_view const text(line.get());
+        if (text.starts_with(prefix))
+        {
+            return std::string(text.substr(prefix.size()));
+        }
+    }
+}
+
+base::result<http_response> fetch(http_request const& request)
+{
+    auto opened = open_stream(request);
+    if (!opened)
+    {
+        return tl::unexpected(opened.error());
+    }
+    pushed_context const pushed(opened->context.get());
+    auto body = read_all(G_INPUT_STREAM(opened->body.get()));
+    if (!body)
+    {
+        return tl::unexpected(body.error());
+    }
+    http_response response;
+    response.status = opened->status;
+    response.body = std::move(*body);
+    soup_message_headers_foreach(
+        soup_message_get_response_headers(opened->message.get()),
+        [](char const* name, char const* value, gpointer data)
+        { static_cast<http_response*>(data)->headers.emplace_back(name, value); },
+        &response);
+    return response;
+}
+
+nlohmann::json get_json(std::string const& url)
+{
+    return must_succeed({.url = url});
+}
+
+nlohmann::json post_json(std::string const& url, nlohmann::json const& body)
+{
+    return must_succeed({.url = url, .method = "POST", .body = body.dump()});
+}
+
+} // namespace gooseberrywood::test
