Refuse TOML keys with more than 16 dots

Cause: a file with one dotted key of 450,000 parts crashed the process: toml++ 3.3 limits the nesting of values, but not the parts of a key, and builds and destroys the tables recursively. Ruled out: a limit of dots in a line (a long list of names such as "model-4.1" has many), and a larger stack (the length of the text would have to bound it).

--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -84,6 +84,26 @@
             CHECK(faults_of("host = \"a\"\n= 3\n").starts_with("p.toml:2: TOML: "));
         }
     }
+    GIVEN("keys with very many parts")
+    {
+        // Guards against a stack overflow in toml++, which nests one table for each part.
+        std::string parts;
+        for (int i = 0; i < 400'000; ++i)
+        {
+            parts += ".a";
+        }
+        auto const refused = "p.toml:2: TOML: a key has more than 16 dots";
+        CHECK(faults_of("\na" + parts + " = 1") == refused);
+        CHECK(faults_of("\n[a" + parts + "]") == refused);
+        CHECK(faults_of("\nx = [\"\"\"\"a\"\"\"\"\", {a" + parts + " = 1}]") == refused);
+        THEN("text in strings and comments is not counted")
+        {
+            CHECK(settings::parse("host = \"a\"\ndomain = \"b\"\ndata_folder = \"" + parts +
+                                      "\" # " + parts,
+                                  "p.toml")
+                      .has_value());
+        }
+    }
     GIVEN("a file that does not exist")
     {
         auto const read = settings::load("/nonexistent/p.toml");
