Sign and verify bundles with Ed25519

Cause: processes take a bundle only with the operators' signature. Ruled out: a signature over the parsed form (it would need a canonical form of TOML); the text is signed byte for byte.

--- a/src/bundle.hpp
+++ b/src/bundle.hpp
@@ -7,6 +7,7 @@
 #include "bundle/bundle.hpp"
 #include "bundle/parse.hpp"
 #include "bundle/route.hpp"
+#include "bundle/signature.hpp"
 #include "bundle/team.hpp"
 #include "bundle/trainer.hpp"
 
