Add the command line

Cause: operators need commands to check, sign and show bundles, to make keys and to read the state of a process. Ruled out: gflags::ParseCommandLineFlags, which exits with status 1 and its own message on a wrong flag and accepts the flags of every subcommand and its built-in ones everywhere. The flags are still gflags flags; cli/flags.cpp sets them one by one from the list in the subcommand's row. Change: table of subcommands (one row each), help with examples and exit codes from the table of result codes, bundle check/keygen/sign/show, key new, state, version; base/file for whole files. keygen does not overwrite a file, sign refuses a bundle with faults.

--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,79 @@
+#include "cli/commands.hpp"
+
+namespace gooseberrywood::cli
+{
+
+namespace
+{
+
+using rc = base::result_code;
+
+// Columns: name, usage, summary, examples, arguments, flags, codes, function.
+constexpr std::array table = {
+    command{"bundle check",
+            "FILE",
+            "Checks a bundle and reports all its faults.",
+            "bundle check examples/zagorje.toml",
+            1,
+            {},
+            {rc::io_error, rc::not_found, rc::bundle_invalid},
+            bundle_check_command},
+    command{"bundle keygen",
+            "[--secret_key_file NEWFILE]",
+            "Makes a key pair for signing bundles; prints the public key, and the secret key too "
+            "unless a file is given.",
+            "bundle keygen --secret_key_file operators.secret",
+            0,
+            {"secret_key_file"},
+            {rc::io_error},
+            bundle_keygen_command},
+    command{"bundle sign",
+            "FILE --secret_key_file SECRETFILE",
+            "Checks a bundle and writes its signature to FILE.sig.",
+            "bundle sign bundle.toml --secret_key_file operators.secret",
+            1,
+            {"secret_key_file"},
+            {rc::io_error, rc::not_found, rc::bundle_invalid},
+            bundle_sign_command},
+    command{"bundle show",
+            "FILE [--json]",
+            "Shows a bundle with its defaults filled in.",
+            "bundle show bundle.toml\nbundle show bundle.toml --json",
+            1,
+            {"json"},
+            {rc::io_error, rc::not_found, rc::bundle_invalid},
+            bundle_show_command},
+    command{"key new",
+            "--team NAME",
+            "Makes a key; prints the key and the line that adds it to the team in the bundle.",
+            "key new --team lepoglava",
+            0,
+            {"team"},
+            {},
+            key_new_command},
+    command{"state",
+            "--address IP:port",
+            "Prints the state of a process, read from its admin address.",
+            "state --address 127.0.0.1:9100",
+            0,
+            {"address"},
+            {rc::io_error, rc::not_found, rc::timeout, rc::connection_lost},
+            state_command},
+    command{"version",
+            "",
+            "Prints the version of this program.",
+            "version",
+            0,
+            {},
+            {},
+            version_command},
+};
+
+} // namespace
+
+std::span<command const> commands()
+{
+    return table;
+}
+
+} // namespace gooseberrywood::cli
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -1,16 +1,12 @@
 #include "settings/load.hpp"
 
+#include "base/file.hpp"
 #include "base/ip_port.hpp"
 #include "base/toml_reader.hpp"
 
 #include <fmt/format.h>
 
 #include <array>
-#include <cerrno>
-#include <cstring>
-#include <fstream>
-#include <iterator>
-#include <system_error>
 
 namespace gooseberrywood::settings
 {
@@ -145,13 +141,12 @@
 
 base::result<process_settings> load(std::string const& file)
 {
-    std::ifstream stream(file, std::ios::binary);
-    std::string const text(std::istreambuf_iterator<char>(stream), {});
-    if (!stream.is_open() || stream.bad())
+    auto const text = base::read_file(file);
+    if (!text)
     {
-        return base::fail(base::result_code::io_error, fmt::format("can't read {}", file));
+        return base::fail(base::result_code::io_error, text.error().message);
     }
-    return parse(text, file);
+    return parse(*text, file);
 }
 
 } // namespace gooseberrywood::settings
