--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -10,6 +10,22 @@
 
 // Columns: name, usage, summary, examples, arguments, flags, codes, function.
 constexpr std::array table = {
+    command{"entry",
+            "--settings FILE",
+            "Runs an entry: the process that callers reach.",
+            "entry --settings examples/entry.toml",
+            0,
+            {"settings"},
+            {rc::io_error, rc::not_found, rc::settings_invalid, rc::bundle_invalid},
+            entry_command},
+    command{"agent",
+            "--settings FILE",
+            "Runs an agent: the process beside the upstreams of a host.",
+            "agent --settings examples/agent.toml",
+            0,
+            {"settings"},
+            {rc::io_error, rc::not_found, rc::settings_invalid, rc::bundle_invalid},
+            agent_command},
     command{"bundle check",
             "FILE",
             "Checks a bundle and reports all its faults.",
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -161,17 +161,17 @@
 
 body_offset pack(builder& out, config_content const& m)
 {
-    auto const content = out.CreateString(m.content);
-    auto const signature = out.CreateString(m.signature);
     return {fb::Body::ConfigContent,
-            fb::CreateConfigContent(out, m.version, content, signature).Union()};
+            fb::CreateConfigContent(out, out.CreateString(m.content)).Union()};
 }
 
 body_offset pack(builder& out, config_intent const& m)
 {
+    auto const announcer = out.CreateString(m.announcer);
+    auto const content = out.CreateString(m.content);
     return {
         fb::Body::ConfigIntent,
-        fb::CreateConfigIntent(out, m.version, out.CreateString(m.announcer), m.withdrawn).Union()};
+        fb::CreateConfigIntent(out, m.version, m.hash, announcer, m.withdrawn, content).Union()};
 }
 
 body_offset pack(builder& out, ping const&)
@@ -318,12 +318,12 @@
 
 config_content unpack(fb::ConfigContent const& m)
 {
-    return {m.version(), from_fb(m.content()), from_fb(m.signature())};
+    return {from_fb(m.content())};
 }
 
 config_intent unpack(fb::ConfigIntent const& m)
 {
-    return {m.version(), from_fb(m.announcer()), m.withdrawn()};
+    return {m.version(), m.hash(), from_fb(m.announcer()), m.withdrawn(), from_fb(m.content())};
 }
 
 ping unpack(fb::Ping const&)
@@ -381,6 +381,19 @@
     return std::nullopt;
 }
 
+frame_stamp unpack_stamp(fb::Frame const& root)
+{
+    frame_stamp out{root.config_version(), root.standing(), root.host_leaving(), {}};
+    if (root.announced() != nullptr)
+    {
+        for (auto const* change : *root.announced())
+        {
+            out.announced.push_back({change->version(), change->hash()});
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 base::result<std::string> encode(frame const& value)
@@ -388,8 +401,16 @@
     builder out(512);
     auto const [type, offset] =
         std::visit([&out](auto const& body) { return pack(out, body); }, value.body);
+    std::vector<fb::NamedChange> announced;
+    for (auto const& change : value.stamp.announced)
+    {
+        announced.emplace_back(change.version, change.hash);
+    }
+    auto const announced_offset = announced.empty() ? 0 : out.CreateVectorOfStructs(announced);
     fb::FinishFrameBuffer(
-        out, fb::CreateFrame(out, value.config_version, base::micros(value.sent_at), type, offset));
+        out, fb::CreateFrame(out, value.stamp.config_version, base::micros(value.sent_at),
+                             value.sent_mono_us, value.echo_mono_us, value.stamp.standing,
+                             value.stamp.host_leaving, announced_offset, type, offset));
     if (out.GetSize() > max_frame_bytes)
     {
         return base::fail(base::result_code::frame_too_large,
@@ -423,7 +444,8 @@
     {
         return base::fail(base::result_code::frame_malformed, "frame without a known body");
     }
-    return frame{root.config_version(), wall(root.sent_wall_us()), std::move(*body)};
+    return frame{unpack_stamp(root), wall(root.sent_wall_us()), root.sent_mono_us(),
+                 root.echo_mono_us(), std::move(*body)};
 }
 
 } // namespace gooseberrywood::wire
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -63,6 +63,7 @@
         return;
     }
     c.clock_offset = base::wall_now() - received->sent_at;
+    note_times(c.times, received->sent_mono_us, received->echo_mono_us, base::mono_now());
     c.handlers.on_frame(*received);
 }
 
@@ -205,7 +206,9 @@
     {
         return base::fail(base::result_code::connection_lost, "the connection is closed");
     }
-    auto const bytes = encode({to.handlers.config_version(), base::wall_now(), std::move(body)});
+    auto const bytes =
+        encode({to.handlers.stamp(), base::wall_now(), base::micros(base::mono_now()),
+                to.times.to_echo_us, std::move(body)});
     if (!bytes)
     {
         return tl::unexpected(bytes.error());
--- a/src/wire/connection.hpp
+++ b/src/wire/connection.hpp
@@ -6,6 +6,7 @@
 #include "base/result.hpp"
 #include "wire/frame_buffer.hpp"
 #include "wire/message.hpp"
+#include "wire/send_times.hpp"
 
 #include <gio/gio.h>
 
@@ -39,8 +40,8 @@
     std::function<void(frame&)> on_frame;
     /// The connection ended; called once, and nothing is called after it.
     std::function<void(base::error const&)> on_closed;
-    /// The version that each sent frame carries.
-    std::function<std::uint64_t()> config_version;
+    /// What each sent frame says of this process.
+    std::function<frame_stamp()> stamp;
 };
 
 /// \ingroup wire
@@ -63,6 +64,8 @@
     std::optional<hello> peer;
     /// Added to a wall-clock time of the peer to get one of this process.
     base::wall_clock::duration clock_offset{};
+    /// Bounds when received frames were sent.
+    send_times times;
     bool closed = false;
 };
 
--- a/src/wire/frame_generated.h
+++ b/src/wire/frame_generated.h
@@ -73,6 +73,8 @@
 struct Ping;
 struct PingBuilder;
 
+struct NamedChange;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -252,6 +254,29 @@
 };
 FLATBUFFERS_STRUCT_END(Id, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) NamedChange FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t version_;
+  uint64_t hash_;
+
+ public:
+  NamedChange()
+      : version_(0),
+        hash_(0) {
+  }
+  NamedChange(uint64_t _version, uint64_t _hash)
+      : version_(flatbuffers::EndianScalar(_version)),
+        hash_(flatbuffers::EndianScalar(_hash)) {
+  }
+  uint64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+  uint64_t hash() const {
+    return flatbuffers::EndianScalar(hash_);
+  }
+};
+FLATBUFFERS_STRUCT_END(NamedChange, 16);
+
 struct UpstreamInfo FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef UpstreamInfoBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1691,26 +1716,15 @@
 struct ConfigContent FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ConfigContentBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_VERSION = 4,
-    VT_CONTENT = 6,
-    VT_SIGNATURE = 8
+    VT_CONTENT = 4
   };
-  uint64_t version() const {
-    return GetField<uint64_t>(VT_VERSION, 0);
-  }
   const flatbuffers::String *content() const {
     return GetPointer<const flatbuffers::String *>(VT_CONTENT);
   }
-  const flatbuffers::String *signature() const {
-    return GetPointer<const flatbuffers::String *>(VT_SIGNATURE);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyOffset(verifier, VT_CONTENT) &&
            verifier.VerifyString(content()) &&
-           VerifyOffset(verifier, VT_SIGNATURE) &&
-           verifier.VerifyString(signature()) &&
            verifier.EndTable();
   }
 };
@@ -1719,15 +1733,9 @@
   typedef ConfigContent Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_version(uint64_t version) {
-    fbb_.AddElement<uint64_t>(ConfigContent::VT_VERSION, version, 0);
-  }
   void add_content(flatbuffers::Offset<flatbuffers::String> content) {
     fbb_.AddOffset(ConfigContent::VT_CONTENT, content);
   }
-  void add_signature(flatbuffers::Offset<flatbuffers::String> signature) {
-    fbb_.AddOffset(ConfigContent::VT_SIGNATURE, signature);
-  }
   explicit ConfigContentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1741,52 +1749,54 @@
 
 inline flatbuffers::Offset<ConfigContent> CreateConfigContent(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t version = 0,
-    flatbuffers::Offset<flatbuffers::String> content = 0,
-    flatbuffers::Offset<flatbuffers::String> signature = 0) {
+    flatbuffers::Offset<flatbuffers::String> content = 0) {
   ConfigContentBuilder builder_(_fbb);
-  builder_.add_version(version);
-  builder_.add_signature(signature);
   builder_.add_content(content);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<ConfigContent> CreateConfigContentDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t version = 0,
-    const char *content = nullptr,
-    const char *signature = nullptr) {
+    const char *content = nullptr) {
   auto content__ = content ? _fbb.CreateString(content) : 0;
-  auto signature__ = signature ? _fbb.CreateString(signature) : 0;
   return gooseberrywood::wire::fb::CreateConfigContent(
       _fbb,
-      version,
-      content__,
-      signature__);
+      content__);
 }
 
 struct ConfigIntent FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ConfigIntentBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VERSION = 4,
-    VT_ANNOUNCER = 6,
-    VT_WITHDRAWN = 8
+    VT_HASH = 6,
+    VT_ANNOUNCER = 8,
+    VT_WITHDRAWN = 10,
+    VT_CONTENT = 12
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
+  uint64_t hash() const {
+    return GetField<uint64_t>(VT_HASH, 0);
+  }
   const flatbuffers::String *announcer() const {
     return GetPointer<const flatbuffers::String *>(VT_ANNOUNCER);
   }
   bool withdrawn() const {
     return GetField<uint8_t>(VT_WITHDRAWN, 0) != 0;
   }
+  const flatbuffers::String *content() const {
+    return GetPointer<const flatbuffers::String *>(VT_CONTENT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
            VerifyOffset(verifier, VT_ANNOUNCER) &&
            verifier.VerifyString(announcer()) &&
            VerifyField<uint8_t>(verifier, VT_WITHDRAWN, 1) &&
+           VerifyOffset(verifier, VT_CONTENT) &&
+           verifier.VerifyString(content()) &&
            verifier.EndTable();
   }
 };
@@ -1798,12 +1808,18 @@
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(ConfigIntent::VT_VERSION, version, 0);
   }
+  void add_hash(uint64_t hash) {
+    fbb_.AddElement<uint64_t>(ConfigIntent::VT_HASH, hash, 0);
+  }
   void add_announcer(flatbuffers::Offset<flatbuffers::String> announcer) {
     fbb_.AddOffset(ConfigIntent::VT_ANNOUNCER, announcer);
   }
   void add_withdrawn(bool withdrawn) {
     fbb_.AddElement<uint8_t>(ConfigIntent::VT_WITHDRAWN, static_cast<uint8_t>(withdrawn), 0);
   }
+  void add_content(flatbuffers::Offset<flatbuffers::String> content) {
+    fbb_.AddOffset(ConfigIntent::VT_CONTENT, content);
+  }
   explicit ConfigIntentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1818,10 +1834,14 @@
 inline flatbuffers::Offset<ConfigIntent> CreateConfigIntent(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
+    uint64_t hash = 0,
     flatbuffers::Offset<flatbuffers::String> announcer = 0,
-    bool withdrawn = false) {
+    bool withdrawn = false,
+    flatbuffers::Offset<flatbuffers::String> content = 0) {
   ConfigIntentBuilder builder_(_fbb);
+  builder_.add_hash(hash);
   builder_.add_version(version);
+  builder_.add_content(content);
   builder_.add_announcer(announcer);
   builder_.add_withdrawn(withdrawn);
   return builder_.Finish();
@@ -1830,14 +1850,19 @@
 inline flatbuffers::Offset<ConfigIntent> CreateConfigIntentDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
+    uint64_t hash = 0,
     const char *announcer = nullptr,
-    bool withdrawn = false) {
+    bool withdrawn = false,
+    const char *content = nullptr) {
   auto announcer__ = announcer ? _fbb.CreateString(announcer) : 0;
+  auto content__ = content ? _fbb.CreateString(content) : 0;
   return gooseberrywood::wire::fb::CreateConfigIntent(
       _fbb,
       version,
+      hash,
       announcer__,
-      withdrawn);
+      withdrawn,
+      content__);
 }
 
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1874,8 +1899,13 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CONFIG_VERSION = 4,
     VT_SENT_WALL_US = 6,
-    VT_BODY_TYPE = 8,
-    VT_BODY = 10
+    VT_SENT_MONO_US = 8,
+    VT_ECHO_MONO_US = 10,
+    VT_STANDING = 12,
+    VT_HOST_LEAVING = 14,
+    VT_ANNOUNCED = 16,
+    VT_BODY_TYPE = 18,
+    VT_BODY = 20
   };
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
@@ -1883,6 +1913,21 @@
   int64_t sent_wall_us() const {
     return GetField<int64_t>(VT_SENT_WALL_US, 0);
   }
+  int64_t sent_mono_us() const {
+    return GetField<int64_t>(VT_SENT_MONO_US, 0);
+  }
+  int64_t echo_mono_us() const {
+    return GetField<int64_t>(VT_ECHO_MONO_US, 0);
+  }
+  uint8_t standing() const {
+    return GetField<uint8_t>(VT_STANDING, 0);
+  }
+  bool host_leaving() const {
+    return GetField<uint8_t>(VT_HOST_LEAVING, 0) != 0;
+  }
+  const flatbuffers::Vector<const gooseberrywood::wire::fb::NamedChange *> *announced() const {
+    return GetPointer<const flatbuffers::Vector<const gooseberrywood::wire::fb::NamedChange *> *>(VT_ANNOUNCED);
+  }
   gooseberrywood::wire::fb::Body body_type() const {
     return static_cast<gooseberrywood::wire::fb::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
   }
@@ -1945,6 +1990,12 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyField<int64_t>(verifier, VT_SENT_WALL_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_MONO_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_ECHO_MONO_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STANDING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HOST_LEAVING, 1) &&
+           VerifyOffset(verifier, VT_ANNOUNCED) &&
+           verifier.VerifyVector(announced()) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            VerifyBody(verifier, body(), body_type()) &&
@@ -2030,6 +2081,21 @@
   void add_sent_wall_us(int64_t sent_wall_us) {
     fbb_.AddElement<int64_t>(Frame::VT_SENT_WALL_US, sent_wall_us, 0);
   }
+  void add_sent_mono_us(int64_t sent_mono_us) {
+    fbb_.AddElement<int64_t>(Frame::VT_SENT_MONO_US, sent_mono_us, 0);
+  }
+  void add_echo_mono_us(int64_t echo_mono_us) {
+    fbb_.AddElement<int64_t>(Frame::VT_ECHO_MONO_US, echo_mono_us, 0);
+  }
+  void add_standing(uint8_t standing) {
+    fbb_.AddElement<uint8_t>(Frame::VT_STANDING, standing, 0);
+  }
+  void add_host_leaving(bool host_leaving) {
+    fbb_.AddElement<uint8_t>(Frame::VT_HOST_LEAVING, static_cast<uint8_t>(host_leaving), 0);
+  }
+  void add_announced(flatbuffers::Offset<flatbuffers::Vector<const gooseberrywood::wire::fb::NamedChange *>> announced) {
+    fbb_.AddOffset(Frame::VT_ANNOUNCED, announced);
+  }
   void add_body_type(gooseberrywood::wire::fb::Body body_type) {
     fbb_.AddElement<uint8_t>(Frame::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
   }
@@ -2051,16 +2117,51 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t config_version = 0,
     int64_t sent_wall_us = 0,
+    int64_t sent_mono_us = 0,
+    int64_t echo_mono_us = 0,
+    uint8_t standing = 0,
+    bool host_leaving = false,
+    flatbuffers::Offset<flatbuffers::Vector<const gooseberrywood::wire::fb::NamedChange *>> announced = 0,
     gooseberrywood::wire::fb::Body body_type = gooseberrywood::wire::fb::Body::NONE,
     flatbuffers::Offset<void> body = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_echo_mono_us(echo_mono_us);
+  builder_.add_sent_mono_us(sent_mono_us);
   builder_.add_sent_wall_us(sent_wall_us);
   builder_.add_config_version(config_version);
   builder_.add_body(body);
+  builder_.add_announced(announced);
   builder_.add_body_type(body_type);
+  builder_.add_host_leaving(host_leaving);
+  builder_.add_standing(standing);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<Frame> CreateFrameDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t config_version = 0,
+    int64_t sent_wall_us = 0,
+    int64_t sent_mono_us = 0,
+    int64_t echo_mono_us = 0,
+    uint8_t standing = 0,
+    bool host_leaving = false,
+    const std::vector<gooseberrywood::wire::fb::NamedChange> *announced = nullptr,
+    gooseberrywood::wire::fb::Body body_type = gooseberrywood::wire::fb::Body::NONE,
+    flatbuffers::Offset<void> body = 0) {
+  auto announced__ = announced ? _fbb.CreateVectorOfStructs<gooseberrywood::wire::fb::NamedChange>(*announced) : 0;
+  return gooseberrywood::wire::fb::CreateFrame(
+      _fbb,
+      config_version,
+      sent_wall_us,
+      sent_mono_us,
+      echo_mono_us,
+      standing,
+      host_leaving,
+      announced__,
+      body_type,
+      body);
+}
+
 inline bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type) {
   switch (type) {
     case Body::NONE: {
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -203,21 +203,22 @@
 };
 
 /// \ingroup wire
-/// \brief A signed configuration.
+/// \brief A configuration record or a delta between two, see `config::decode_update`.
 struct config_content
 {
-    std::uint64_t version = 0;
     std::string content;
-    std::string signature;
 };
 
 /// \ingroup wire
-/// \brief A version that an operator is about to write, or has given up.
+/// \brief A version that an operator is about to write, or has given up. The receiver returns it
+/// without its content.
 struct config_intent
 {
     std::uint64_t version = 0;
+    std::uint64_t hash = 0;
     std::string announcer;
     bool withdrawn = false;
+    std::string content;
 };
 
 /// \ingroup wire
@@ -232,12 +233,38 @@
     std::variant<hello, start, started, chunk, finished, refuse, cancel, fence, fenced, credit,
                  claim, claimed, suspect, config_request, config_content, config_intent, ping>;
 
+/// \ingroup wire
+/// \brief An announced configuration, by version and hash of its record.
+struct named_change
+{
+    std::uint64_t version = 0;
+    std::uint64_t hash = 0;
+
+    friend auto operator<=>(named_change const&, named_change const&) = default;
+};
+
+/// \ingroup wire
+/// \brief What each frame says of its sender.
+struct frame_stamp
+{
+    std::uint64_t config_version = 0;
+    /// Number of a `config::standing`.
+    std::uint8_t standing = 0;
+    /// From entry to agent: the platform lists the agent's host as leaving.
+    bool host_leaving = false;
+    std::vector<named_change> announced;
+};
+
 /// \ingroup wire
 /// \brief A message and what every frame carries.
 struct frame
 {
-    std::uint64_t config_version = 0;
+    frame_stamp stamp;
     base::wall_time sent_at{};
+    /// The sender's monotonic time, and the last one that it received from the other side; 0 if
+    /// none.
+    std::int64_t sent_mono_us = 0;
+    std::int64_t echo_mono_us = 0;
     message body;
 };
 
--- a/test/wire_codec_test.cpp
+++ b/test/wire_codec_test.cpp
@@ -25,7 +25,7 @@
     message.body = std::move(body);
     message.crash_ids = {1, 2};
     message.deadline = base::wall_now();
-    return {9, base::wall_now(), message};
+    return {{9, 1, true, {{10, 77}}}, base::wall_now(), 5, 6, message};
 }
 
 } // namespace
@@ -53,7 +53,10 @@
                 REQUIRE(received.has_value());
                 auto const& start = std::get<wire::start>(received->body);
                 auto const& original = std::get<wire::start>(sent.body);
-                CHECK(received->config_version == 9);
+                CHECK(received->stamp.config_version == 9);
+                CHECK(received->stamp.host_leaving);
+                CHECK(received->stamp.announced == sent.stamp.announced);
+                CHECK(received->echo_mono_us == 6);
                 CHECK(start.id == original.id);
                 CHECK(start.body == original.body);
                 CHECK(start.crash_ids == original.crash_ids);
