Add the choice of upstream, prefix hash and cache hints

Cause: a request needs an upstream that probably has its prefix cached and is not overloaded. Ruled out: rendezvous hashing over all candidates of a large route (10,000 hashes a request), and precomputed slots, of which 10,000 candidates need several each and which every change of membership touches. A load bound on absolute load was ruled out: a fresh upstream with a small limit would be filled up to the load of the warm ones. Change: exact rendezvous hashing up to 64 candidates, above that 8 probes into a ring with one point for each candidate; skip above 1.25 times the mean load a unit of limit; otherwise the better of two random candidates by expected wait. Hints rank a candidate first and expire after 60 s. Before: nothing. After: the tests cover exclusion, credit, domains out, leaving hosts, suspects, stable homes at 9 and 300 upstreams (no prefix moves that need not), and bounded memory of hints.

--- /dev/null
+++ b/src/routing/choose.cpp
@@ -0,0 +1,191 @@
+#include "routing/choose.hpp"
+
+#include "routing/detail/mix.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace gooseberrywood::routing
+{
+
+namespace
+{
+
+/// Random draws before the open list is scanned. Draws fail only on upstreams tried already or, for
+/// suspects, on those with another suspect; both are few.
+constexpr int max_draws = 8;
+
+bool is_usable(upstream_state const& upstream, std::uint32_t index, choice_request const& request,
+               base::mono_time now)
+{
+    if (upstream.open_position == upstream_state::not_listed)
+    {
+        return false;
+    }
+    if (request.suspect && now < upstream.suspect_until)
+    {
+        return false;
+    }
+    return std::ranges::find(request.tried, index, &upstream_id::index) == request.tried.end();
+}
+
+bool is_within_load_bound(route_candidates const& route, upstream_state const& upstream)
+{
+    auto const mean = static_cast<double>(route.total_load) /
+                      static_cast<double>(std::max<std::uint64_t>(route.total_limit, 1));
+    auto const bound = std::max(1.0, load_bound * mean * upstream.counted_limit);
+    return upstream.counted_load <= bound;
+}
+
+bool waits_less(upstream_state const& a, upstream_state const& b)
+{
+    // An upstream that has completed nothing has no latency; then the load alone is compared, since
+    // a latency of zero would draw all requests to it.
+    auto const known = a.latency_us > 0 && b.latency_us > 0;
+    auto const wait = [known](upstream_state const& upstream)
+    {
+        auto const latency = known ? static_cast<double>(upstream.latency_us) : 1.0;
+        return (upstream.counted_load + 1.0) * latency / std::max(upstream.counted_limit, 1U);
+    };
+    return wait(a) < wait(b);
+}
+
+/// Keeps the best usable candidate by prefix.
+struct prefix_search
+{
+    upstream_table const& table;
+    route_candidates const& route;
+    choice_request const& request;
+    base::mono_time now;
+    bool best_hinted = false;
+    std::uint64_t best_distance = std::numeric_limits<std::uint64_t>::max();
+    std::optional<std::uint32_t> best{};
+
+    void consider(std::uint32_t index, std::uint64_t distance, bool hinted)
+    {
+        if (best && std::tuple(!best_hinted, best_distance) <= std::tuple(!hinted, distance))
+        {
+            return;
+        }
+        auto const& upstream = table.upstreams[index];
+        if (is_usable(upstream, index, request, now) && is_within_load_bound(route, upstream))
+        {
+            best = index;
+            best_hinted = hinted;
+            best_distance = distance;
+        }
+    }
+};
+
+std::optional<std::uint32_t> choose_by_prefix(upstream_table const& table,
+                                              route_candidates const& route,
+                                              choice_request const& request, base::mono_time now)
+{
+    auto const prefix = *request.prefix;
+    prefix_search search{table, route, request, now};
+    auto const rendezvous_distance = [prefix](std::uint64_t point)
+    {
+        return detail::mix(point ^ prefix);
+    };
+    for (auto const& id : request.hinted)
+    {
+        auto const* upstream = find_upstream(table, id);
+        if (upstream != nullptr && &table.routes[upstream->route] == &route)
+        {
+            search.consider(id.index, rendezvous_distance(upstream->point), true);
+        }
+    }
+    if (search.best || route.ring.empty())
+    {
+        return search.best;
+    }
+    if (route.ring.size() <= rendezvous_max_candidates)
+    {
+        for (auto const& [point, index] : route.ring)
+        {
+            search.consider(index, rendezvous_distance(point), false);
+        }
+        return search.best;
+    }
+    auto probe = prefix;
+    for (std::size_t i = 0; i < ring_probes; ++i)
+    {
+        probe = detail::mix(probe);
+        auto next = std::ranges::lower_bound(route.ring, probe, {}, &ring_point::point);
+        if (next == route.ring.end())
+        {
+            next = route.ring.begin();
+        }
+        search.consider(next->upstream, next->point - probe, false);
+    }
+    return search.best;
+}
+
+std::optional<std::uint32_t> choose_by_wait(upstream_table const& table,
+                                            route_candidates const& route,
+                                            choice_request const& request, base::mono_time now,
+                                            std::mt19937_64& random)
+{
+    if (route.open.empty())
+    {
+        return std::nullopt;
+    }
+    std::uniform_int_distribution<std::size_t> any(0, route.open.size() - 1);
+    std::optional<std::uint32_t> first;
+    std::optional<std::uint32_t> second;
+    auto const take = [&](std::uint32_t index)
+    {
+        if (index != first && is_usable(table.upstreams[index], index, request, now))
+        {
+            (first ? second : first) = index;
+        }
+    };
+    for (int i = 0; i < max_draws && !second; ++i)
+    {
+        take(route.open[any(random)]);
+    }
+    if (!first)
+    {
+        auto const offset = any(random);
+        for (std::size_t i = 0; i < route.open.size() && !second; ++i)
+        {
+            take(route.open[(offset + i) % route.open.size()]);
+        }
+    }
+    if (second && waits_less(table.upstreams[*second], table.upstreams[*first]))
+    {
+        return second;
+    }
+    return first;
+}
+
+} // namespace
+
+std::optional<choice> choose(upstream_table const& table, choice_request const& request,
+                             base::mono_time now, std::mt19937_64& random)
+{
+    auto const* route = find_route(table, request.route);
+    if (route == nullptr)
+    {
+        return std::nullopt;
+    }
+    bool by_prefix = false;
+    std::optional<std::uint32_t> index;
+    if (request.prefix)
+    {
+        index = choose_by_prefix(table, *route, request, now);
+        by_prefix = index.has_value();
+    }
+    if (!index)
+    {
+        index = choose_by_wait(table, *route, request, now, random);
+    }
+    if (!index)
+    {
+        return std::nullopt;
+    }
+    return choice{{*index, table.upstreams[*index].epoch}, by_prefix};
+}
+
+} // namespace gooseberrywood::routing
--- /dev/null
+++ b/test/routing_choice_test.cpp
@@ -0,0 +1,323 @@
+#include "routing/choose.hpp"
+#include "routing/prefix_hash.hpp"
+#include "routing/prefix_hints.hpp"
+
+#include "property.hpp"
+
+#include <algorithm>
+#include <map>
+
+using namespace gooseberrywood;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+base::mono_time const start{1h};
+
+/// `agents` hosts with one upstream each, spread over three failure domains.
+struct fleet
+{
+    routing::upstream_table table;
+    std::vector<routing::agent_session> sessions;
+    std::mt19937_64 random{1};
+
+    explicit fleet(std::size_t agents, std::uint32_t credit = 16)
+    {
+        for (std::size_t i = 0; i < agents; ++i)
+        {
+            sessions.push_back(connect(i, 1));
+            report(i, {"u", credit, 8, 0, 0, 1000, true});
+        }
+    }
+
+    routing::agent_session connect(std::size_t i, std::uint64_t incarnation)
+    {
+        wire::hello hello;
+        hello.host = "host-" + std::to_string(i);
+        hello.domain = "domain-" + std::to_string(i % 3);
+        hello.incarnation = incarnation;
+        hello.upstreams = {{"u", "lm"}};
+        return routing::connect_agent(table, hello);
+    }
+
+    bool report(std::size_t i, wire::credit const& credit)
+    {
+        return routing::apply_credit(table, sessions[i], credit, start);
+    }
+
+    std::optional<routing::choice> choose(routing::choice_request request = {})
+    {
+        request.route = "lm";
+        return routing::choose(table, request, start, random);
+    }
+
+    std::string host_of(std::optional<routing::choice> const& chosen)
+    {
+        auto const* upstream = routing::find_upstream(table, chosen->upstream);
+        return table.agents[upstream->agent].host;
+    }
+};
+
+/// Compares the kept lists of the only route with what a scan of the table yields.
+void check_lists(routing::upstream_table const& table)
+{
+    std::vector<std::uint32_t> ring;
+    std::vector<std::uint32_t> open;
+    std::uint64_t load = 0;
+    std::uint64_t limit = 0;
+    for (std::uint32_t i = 0; i < table.upstreams.size(); ++i)
+    {
+        auto const& upstream = table.upstreams[i];
+        auto const& agent = table.agents[upstream.agent];
+        if (agent.connected && upstream.accepting && !table.domains_out.contains(agent.domain) &&
+            !table.hosts_leaving.contains(agent.host))
+        {
+            ring.push_back(i);
+            load += routing::expected_load(upstream);
+            limit += std::max(upstream.limit, 1U);
+            if (upstream.in_flight < upstream.credit)
+            {
+                open.push_back(i);
+            }
+        }
+    }
+    auto const& route = table.routes.at(0);
+    std::vector<std::uint32_t> kept_ring;
+    std::ranges::transform(route.ring, std::back_inserter(kept_ring),
+                           &routing::ring_point::upstream);
+    auto kept_open = route.open;
+    std::ranges::sort(kept_ring);
+    std::ranges::sort(kept_open);
+    RC_ASSERT(kept_ring == ring);
+    RC_ASSERT(kept_open == open);
+    RC_ASSERT(route.total_load == load);
+    RC_ASSERT(route.total_limit == limit);
+    RC_ASSERT(std::ranges::is_sorted(route.ring, {}, &routing::ring_point::point));
+}
+
+} // namespace
+
+SCENARIO("the candidate lists follow every change of the table")
+{
+    // Guards against lists that drift from the table, so that a request goes to an upstream that is
+    // out, or an upstream is forgotten.
+    test::check_property(
+        "kept lists equal a scan",
+        [](std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>> const& steps)
+        {
+            fleet own(6, 2);
+            std::vector<routing::attempt_ticket> tickets;
+            for (auto const& [kind, pick, value] : steps)
+            {
+                std::size_t const i = pick % 6;
+                switch (kind % 8)
+                {
+                case 0:
+                    own.sessions[i] = own.connect(i, value);
+                    break;
+                case 1:
+                    routing::disconnect_agent(own.table, own.sessions[i]);
+                    break;
+                case 2:
+                    routing::remove_host(own.table, "host-" + std::to_string(i));
+                    break;
+                case 3:
+                    own.report(i, {"u", value % 4U, value % 8U, pick % 5U, 0, 100, value % 9 != 0});
+                    break;
+                case 4:
+                    routing::set_domains_out(own.table,
+                                             std::vector{"domain-" + std::to_string(value % 5)});
+                    break;
+                case 5:
+                    routing::set_hosts_leaving(own.table,
+                                               std::vector{"host-" + std::to_string(value % 9)});
+                    break;
+                case 6:
+                    if (auto const chosen = own.choose({.suspect = value % 2 == 0}))
+                    {
+                        tickets.push_back(routing::begin_attempt(own.table, chosen->upstream));
+                    }
+                    break;
+                default:
+                    if (!tickets.empty())
+                    {
+                        routing::end_attempt(own.table, tickets[pick % tickets.size()]);
+                        tickets.erase(tickets.begin() + pick % static_cast<int>(tickets.size()));
+                    }
+                }
+                check_lists(own.table);
+            }
+        });
+}
+
+SCENARIO("a choice names only upstreams that may take the request")
+{
+    GIVEN("three upstreams with credit for two requests each")
+    {
+        fleet own(3, 2);
+        THEN("six requests find a place and the seventh waits")
+        {
+            for (int i = 0; i < 6; ++i)
+            {
+                auto const chosen = own.choose({.prefix = 7});
+                REQUIRE(chosen);
+                (void)routing::begin_attempt(own.table, chosen->upstream);
+            }
+            CHECK_FALSE(own.choose({.prefix = 7}));
+        }
+        WHEN("two failure domains are out")
+        {
+            routing::set_domains_out(own.table, std::vector<std::string>{"domain-0", "domain-2"});
+            THEN("only the third is chosen, and none when its host leaves")
+            {
+                CHECK(own.host_of(own.choose({.prefix = 1})) == "host-1");
+                CHECK(own.host_of(own.choose()) == "host-1");
+                routing::set_hosts_leaving(own.table, std::vector<std::string>{"host-1"});
+                CHECK_FALSE(own.choose());
+            }
+        }
+        WHEN("upstreams were tried already")
+        {
+            std::vector<routing::upstream_id> const tried{own.choose()->upstream};
+            THEN("they are not chosen again, with or without a prefix")
+            {
+                for (std::uint64_t i = 0; i < 50; ++i)
+                {
+                    CHECK(own.choose({.tried = tried})->upstream != tried[0]);
+                    CHECK(own.choose({.prefix = i, .tried = tried})->upstream != tried[0]);
+                }
+            }
+        }
+        WHEN("a suspect runs on each of two upstreams")
+        {
+            auto const first = own.choose({.suspect = true})->upstream;
+            auto const ticket = routing::begin_attempt(own.table, first, start + 10s);
+            auto const second = own.choose({.suspect = true})->upstream;
+            (void)routing::begin_attempt(own.table, second, start + 10s);
+            THEN("a third one is placed beside neither, and a fourth one waits")
+            {
+                auto const third = own.choose({.prefix = 3, .suspect = true});
+                REQUIRE(third);
+                CHECK(third->upstream != first);
+                CHECK(third->upstream != second);
+                (void)routing::begin_attempt(own.table, third->upstream, start + 10s);
+                CHECK_FALSE(own.choose({.suspect = true}));
+                CHECK(own.choose().has_value());
+                routing::end_attempt(own.table, ticket);
+                CHECK(own.choose({.suspect = true})->upstream == first);
+            }
+        }
+    }
+    GIVEN("an agent whose connection was replaced")
+    {
+        fleet own(1);
+        auto const old_session = own.sessions[0];
+        auto const old_ticket = routing::begin_attempt(own.table, own.choose()->upstream);
+        own.sessions[0] = own.connect(0, 2);
+        CHECK(own.sessions[0].restarted);
+        THEN("late events of the old connection change nothing")
+        {
+            CHECK_FALSE(own.choose());
+            own.report(0, {"u", 1, 1, 0, 0, 0, true});
+            routing::disconnect_agent(own.table, old_session);
+            CHECK_FALSE(routing::apply_credit(own.table, old_session, {"u"}, start));
+            routing::end_attempt(own.table, old_ticket);
+            REQUIRE(own.choose());
+            CHECK(routing::find_upstream(own.table, own.choose()->upstream)->in_flight == 0);
+        }
+    }
+}
+
+SCENARIO("prefix affinity is stable and bounded")
+{
+    for (std::size_t const size : {9, 300})
+    {
+        fleet own(size);
+        std::map<std::uint64_t, std::string> home;
+        std::map<std::string, int> share;
+        for (std::uint64_t prefix = 0; prefix < 3000; ++prefix)
+        {
+            home[prefix] = own.host_of(own.choose({.prefix = prefix * 0x9e3779b97f4a7c15U}));
+            ++share[home[prefix]];
+        }
+        // Guards against a change of membership that empties the caches of all upstreams.
+        routing::disconnect_agent(own.table, own.sessions[0]);
+        int moved = 0;
+        for (auto const& [prefix, host] : home)
+        {
+            auto const now = own.host_of(own.choose({.prefix = prefix * 0x9e3779b97f4a7c15U}));
+            moved += host != "host-0" && now != host ? 1 : 0;
+        }
+        CHECK(moved == 0);
+        auto const fullest =
+            std::ranges::max_element(share, {}, [](auto const& s) { return s.second; })->second;
+        CHECK(fullest < 2 * 3000 / static_cast<int>(size) + 10);
+    }
+    GIVEN("a home above 1.25 times the mean load")
+    {
+        fleet own(4);
+        auto const home = own.choose({.prefix = 5})->upstream;
+        for (int i = 0; i < 2; ++i)
+        {
+            (void)routing::begin_attempt(own.table, home);
+        }
+        THEN("the prefix goes elsewhere, to a hinted upstream first")
+        {
+            auto const next = own.choose({.prefix = 5})->upstream;
+            CHECK(next != home);
+            for (std::uint32_t i = 0; i < 4; ++i)
+            {
+                std::vector<routing::upstream_id> const hinted{{i, own.table.upstreams[i].epoch}};
+                auto const chosen = own.choose({.prefix = 5, .hinted = hinted})->upstream;
+                CHECK(chosen == (hinted[0] == home ? next : hinted[0]));
+            }
+        }
+    }
+}
+
+SCENARIO("without a prefix the shorter wait wins")
+{
+    fleet own(2);
+    own.report(0, {"u", 16, 8, 8, 8, 1000, true});
+    own.report(1, {"u", 16, 8, 8, 0, 1000, true});
+    CHECK(own.host_of(own.choose()) == "host-1");
+    WHEN("requests were sent since the report")
+    {
+        auto const other = own.choose()->upstream;
+        for (int i = 0; i < 9; ++i)
+        {
+            (void)routing::begin_attempt(own.table, other);
+        }
+        // Guards against herds: the report alone would still prefer the second one.
+        THEN("they count")
+        {
+            CHECK(own.host_of(own.choose()) == "host-0");
+        }
+    }
+}
+
+SCENARIO("prefixes and hints")
+{
+    std::string const system(routing::prefix_block_bytes * routing::prefix_max_blocks, 's');
+    CHECK_FALSE(routing::prefix_hash("short").has_value());
+    CHECK(routing::prefix_hash(system + "one") == routing::prefix_hash(system + "two"));
+    CHECK(routing::prefix_hash(system) != routing::prefix_hash('x' + system));
+
+    routing::prefix_hints hints;
+    routing::note_cached(hints, 1, {4, 0}, start);
+    routing::note_cached(hints, 1, {5, 0}, start + 1s);
+    routing::note_cached(hints, 1, {6, 0}, start + 2s);
+    CHECK(routing::hinted_upstreams(hints, 1, start + 3s).size() == 2);
+    routing::note_evicted(hints, 1, {6, 0});
+    CHECK(routing::hinted_upstreams(hints, 1, start + 3s) ==
+          std::vector{routing::upstream_id{5, 0}});
+    CHECK(routing::hinted_upstreams(hints, 1, start + 1s + routing::prefix_hint_lifetime).empty());
+    // Guards against memory that grows with the number of prefixes ever seen.
+    for (std::uint64_t i = 0; i < 2 * routing::prefix_hints_max; ++i)
+    {
+        routing::note_cached(hints, i, {1, 0}, start);
+    }
+    CHECK(hints.by_prefix.size() <= routing::prefix_hints_max);
+    CHECK(hints.by_expiry.size() <= routing::prefix_hints_max);
+}
