Add retry budget, backoff and crash suspects

Cause: retries must not multiply the load of an outage, and a request that crashes upstreams must be stopped although its caller sends it again with a new id. Ruled out: passing on a mark whenever its expiry grows, since clock conversions differ a little at each process and the mark would circulate for ever; a mark counts as news only with a new crash id.

--- a/src/routing.hpp
+++ b/src/routing.hpp
@@ -9,9 +9,12 @@
 /// random numbers come from a generator that the caller passes in. Nothing here is thread-safe; an
 /// entry has one thread.
 
+#include "routing/backoff.hpp"
 #include "routing/choose.hpp"
 #include "routing/prefix_hash.hpp"
 #include "routing/prefix_hints.hpp"
+#include "routing/retry_budget.hpp"
+#include "routing/suspects.hpp"
 #include "routing/upstream_table.hpp"
 
 #endif
--- /dev/null
+++ b/src/routing/backoff.cpp
@@ -0,0 +1,23 @@
+#include "routing/backoff.hpp"
+
+#include <algorithm>
+
+namespace gooseberrywood::routing
+{
+
+std::optional<base::mono_time> backoff(std::uint32_t retries, base::mono_time now,
+                                       base::mono_time not_before, base::mono_time deadline,
+                                       std::mt19937_64& random)
+{
+    // 20 doublings exceed the bound by far and can't overflow.
+    auto const longest = std::min(backoff_base * (1U << std::min(retries, 20U)), backoff_max);
+    std::uniform_int_distribution<std::int64_t> jitter(0, longest.count());
+    auto const at = std::max(now, not_before) + base::duration(jitter(random));
+    if (at >= deadline)
+    {
+        return std::nullopt;
+    }
+    return at;
+}
+
+} // namespace gooseberrywood::routing
--- /dev/null
+++ b/src/routing/suspect_mark.hpp
@@ -0,0 +1,24 @@
+#ifndef GOOSEBERRYWOOD_ROUTING_SUSPECT_MARK_HPP
+#define GOOSEBERRYWOOD_ROUTING_SUSPECT_MARK_HPP
+
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace gooseberrywood::routing
+{
+
+/// \ingroup routing
+/// \brief Crashes in which requests with one fingerprint ran.
+struct suspect_mark
+{
+    std::uint64_t fingerprint = 0;
+    /// Distinct; at most `crash_ids_max`.
+    std::vector<std::uint64_t> crash_ids;
+    base::mono_time expires_at{};
+};
+
+} // namespace gooseberrywood::routing
+
+#endif
