Add claims of requests with an Idempotency-Key

Cause: a caller may repeat an order at another entry; it must not run twice. Ruled out: choosing the homes among the connected agents, since entries would then choose different homes; treating a connected but silent home as unreachable, since it may hold an earlier claim.

--- a/src/routing.hpp
+++ b/src/routing.hpp
@@ -11,6 +11,8 @@
 
 #include "routing/backoff.hpp"
 #include "routing/choose.hpp"
+#include "routing/claim_home.hpp"
+#include "routing/claim_round.hpp"
 #include "routing/prefix_hash.hpp"
 #include "routing/prefix_hints.hpp"
 #include "routing/retry_budget.hpp"
