Add the attempt log, the decisions about one request

Cause: frames are lost, late, duplicated and crossed; the entry needs one place that decides what an event means, so that an order never runs twice and a caller gets its whole answer or an error. Ruled out: deriving "not run" from the last refusal alone. An idempotent request whose first attempt was lost may have run although the second one was refused as not run; it now ends with outcome_unknown. A not_run refusal after Started is not believed either. Change: attempt_log and one function for each event, returning a decision; properties that must always hold are asserted with check_invariant. Tests for reconnecting leaving hosts and for requests that ended since the report are added to the choice.

--- a/src/routing.hpp
+++ b/src/routing.hpp
@@ -9,10 +9,12 @@
 /// random numbers come from a generator that the caller passes in. Nothing here is thread-safe; an
 /// entry has one thread.
 
+#include "routing/attempt_log.hpp"
 #include "routing/backoff.hpp"
 #include "routing/choose.hpp"
 #include "routing/claim_home.hpp"
 #include "routing/claim_round.hpp"
+#include "routing/decision.hpp"
 #include "routing/prefix_hash.hpp"
 #include "routing/prefix_hints.hpp"
 #include "routing/retry_budget.hpp"
--- /dev/null
+++ b/src/routing/attempt_log.cpp
@@ -0,0 +1,292 @@
+#include "routing/attempt_log.hpp"
+
+#include "base/invariant.hpp"
+#include "routing/backoff.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace gooseberrywood::routing
+{
+
+namespace
+{
+
+using rc = base::result_code;
+
+bool has_attempt_out(attempt_log const& log)
+{
+    return log.phase == request_phase::sent || log.phase == request_phase::started ||
+           log.phase == request_phase::fencing;
+}
+
+/// Whether an event belongs to the attempt that is out. A sign that an earlier one ran is kept
+/// even if an agent has said the opposite before: a doubtful request is never called "not run".
+bool is_current(attempt_log& log, std::uint32_t attempt, bool has_run)
+{
+    if (attempt == log.attempt && has_attempt_out(log))
+    {
+        return true;
+    }
+    log.earlier_open = log.earlier_open || (has_run && attempt <= log.attempt);
+    return false;
+}
+
+void note_run(attempt_log& log)
+{
+    log.attempt_ran = true;
+    if (log.phase == request_phase::sent)
+    {
+        log.phase = request_phase::started;
+    }
+}
+
+decision end(attempt_log& log, rc code, bool cancel_attempt)
+{
+    auto const open = log.attempt_open || log.earlier_open;
+    if (open && base::info(code).not_run)
+    {
+        code =
+            log.idempotent && log.passed_tokens > 0 ? rc::stream_incomplete : rc::outcome_unknown;
+    }
+    base::check_invariant(log.passed_tokens == 0 || open, "passed tokens come from a run");
+    base::check_invariant(!open || !base::info(code).not_run,
+                          "a request that may have run does not fail as not run");
+    log.phase = request_phase::done;
+    return {decision_kind::fail, code, {}, cancel_attempt, !open};
+}
+
+decision retry(attempt_log& log, base::mono_time not_before, bool cancel_attempt,
+               base::mono_time now, retry_means means)
+{
+    base::check_invariant(log.idempotent || (!log.attempt_open && !log.earlier_open),
+                          "a non-idempotent request that may have run is not retried");
+    auto const at = backoff(log.retries, now, not_before, log.deadline, means.random);
+    if (!at)
+    {
+        return end(log, rc::deadline_passed, cancel_attempt);
+    }
+    if (!take_retry(means.budget, now))
+    {
+        return end(log, rc::retry_budget_spent, cancel_attempt);
+    }
+    ++log.retries;
+    log.phase = request_phase::queued;
+    return {decision_kind::retry, rc::ok, *at, cancel_attempt, false};
+}
+
+/// The attempt broke off and may have run.
+decision lose_attempt(attempt_log& log, rc code, bool cancel_attempt, base::mono_time now,
+                      retry_means means)
+{
+    if (log.idempotent)
+    {
+        return retry(log, now, cancel_attempt, now, means);
+    }
+    return end(log, code, cancel_attempt);
+}
+
+/// Codes that another upstream would answer alike.
+bool is_permanent(rc code)
+{
+    switch (code)
+    {
+    case rc::bad_request:
+    case rc::request_too_large:
+    case rc::unknown_route:
+    case rc::key_missing:
+    case rc::key_unknown:
+    case rc::key_not_allowed:
+    case rc::crash_suspect:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+attempt_log start_log(bool idempotent, bool stream, base::mono_time deadline)
+{
+    attempt_log log;
+    log.idempotent = idempotent;
+    log.stream = stream;
+    log.deadline = deadline;
+    return log;
+}
+
+base::mono_time wake_at(attempt_log const& log)
+{
+    return log.phase == request_phase::fencing ? std::min(log.fence_until, log.deadline)
+                                               : log.deadline;
+}
+
+std::uint32_t on_sent(attempt_log& log, upstream_id upstream)
+{
+    base::check_invariant(log.phase == request_phase::queued, "one attempt is out at a time");
+    log.earlier_open = log.earlier_open || log.attempt_open;
+    base::check_invariant(log.idempotent || !log.earlier_open,
+                          "a non-idempotent request runs at most once");
+    log.attempt_open = true;
+    log.attempt_ran = false;
+    log.phase = request_phase::sent;
+    log.tried.push_back(upstream);
+    return ++log.attempt;
+}
+
+decision on_started(attempt_log& log, std::uint32_t attempt)
+{
+    if (is_current(log, attempt, true))
+    {
+        note_run(log);
+    }
+    return {};
+}
+
+decision on_chunk(attempt_log& log, std::uint32_t attempt, std::uint32_t first_token,
+                  std::uint32_t tokens, base::mono_time now, retry_means means)
+{
+    if (!is_current(log, attempt, true) || !log.stream || tokens == 0)
+    {
+        return {};
+    }
+    note_run(log);
+    if (std::uint64_t{first_token} + tokens <= log.passed_tokens)
+    {
+        return {};
+    }
+    if (first_token != log.passed_tokens)
+    {
+        // A gap, or an overlap that can't be cut, since the bytes of single tokens are unknown.
+        return lose_attempt(log, rc::stream_incomplete, true, now, means);
+    }
+    log.passed_tokens += tokens;
+    return {decision_kind::pass_on};
+}
+
+decision on_finished(attempt_log& log, std::uint32_t attempt, std::uint32_t total_tokens,
+                     base::mono_time now, retry_means means)
+{
+    if (!is_current(log, attempt, true))
+    {
+        return {};
+    }
+    if (!log.stream || log.passed_tokens == total_tokens)
+    {
+        log.phase = request_phase::done;
+        return {decision_kind::complete};
+    }
+    if (log.passed_tokens > total_tokens)
+    {
+        // The tokens passed so far contradict the answer; a resumed attempt can't repair that.
+        return end(log, rc::stream_incomplete, false);
+    }
+    return lose_attempt(log, rc::stream_incomplete, false, now, means);
+}
+
+decision on_refused(attempt_log& log, std::uint32_t attempt, rc code, bool not_run,
+                    base::mono_time retry_at, base::mono_time now, retry_means means)
+{
+    // A refusal never proves that something ran, so that a late one changes nothing.
+    if (!is_current(log, attempt, false))
+    {
+        return {};
+    }
+    if (code == rc::duplicate_attempt && !not_run)
+    {
+        // The agent has the attempt already; only a second copy of the Start was refused.
+        return {};
+    }
+    if (not_run && !log.attempt_ran)
+    {
+        log.attempt_open = false;
+        return is_permanent(code) ? end(log, code, false) : retry(log, retry_at, false, now, means);
+    }
+    switch (code)
+    {
+    case rc::key_withdrawn:
+    case rc::canceled:
+        return end(log, code, false);
+    case rc::upstream_error:
+        return lose_attempt(log, code, false, now, means);
+    default:
+        return lose_attempt(log, rc::outcome_unknown, false, now, means);
+    }
+}
+
+decision on_connection_lost(attempt_log& log, base::mono_time now, retry_means means)
+{
+    switch (log.phase)
+    {
+    case request_phase::queued:
+    case request_phase::done:
+        return {};
+    case request_phase::fencing:
+        // The Fence or its answer may be lost as well; it is sent again on the next connection.
+        return {decision_kind::fence, rc::ok, wake_at(log)};
+    case request_phase::sent:
+        if (!log.idempotent)
+        {
+            log.phase = request_phase::fencing;
+            log.fence_until = now + fence_patience;
+            return {decision_kind::fence, rc::ok, wake_at(log)};
+        }
+        break;
+    case request_phase::started:
+        break;
+    }
+    return lose_attempt(log, rc::outcome_unknown, false, now, means);
+}
+
+decision on_fenced(attempt_log& log, std::uint32_t attempt, bool started, base::mono_time now,
+                   retry_means means)
+{
+    if (log.phase != request_phase::fencing || attempt != log.attempt)
+    {
+        return {};
+    }
+    if (started || log.attempt_ran)
+    {
+        return lose_attempt(log, rc::outcome_unknown, true, now, means);
+    }
+    log.attempt_open = false;
+    return retry(log, now, false, now, means);
+}
+
+decision on_time(attempt_log& log, base::mono_time now)
+{
+    if (log.phase == request_phase::done || now < wake_at(log))
+    {
+        return {};
+    }
+    if (!has_attempt_out(log))
+    {
+        return end(log, rc::deadline_passed, false);
+    }
+    if (!log.idempotent)
+    {
+        return end(log, rc::outcome_unknown, true);
+    }
+    return end(log, log.passed_tokens > 0 ? rc::stream_incomplete : rc::timeout, true);
+}
+
+decision on_unplaced(attempt_log& log, rc code)
+{
+    base::check_invariant(log.phase == request_phase::queued || log.phase == request_phase::done,
+                          "only a queued request is unplaced");
+    return log.phase == request_phase::done ? decision{} : end(log, code, false);
+}
+
+decision on_canceled(attempt_log& log)
+{
+    return log.phase == request_phase::done ? decision{}
+                                            : end(log, rc::canceled, has_attempt_out(log));
+}
+
+decision on_key_withdrawn(attempt_log& log)
+{
+    return log.phase == request_phase::done ? decision{}
+                                            : end(log, rc::key_withdrawn, has_attempt_out(log));
+}
+
+} // namespace gooseberrywood::routing
--- /dev/null
+++ b/test/routing_attempt_test.cpp
@@ -0,0 +1,487 @@
+#include "routing/attempt_log.hpp"
+
+#include "property.hpp"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <set>
+
+using namespace gooseberrywood;
+using namespace std::chrono_literals;
+using base::result_code;
+using routing::decision_kind;
+
+namespace
+{
+
+base::mono_time const start{1h};
+
+/// Three agents and one entry on a virtual clock. Frames take random times, so that they overtake
+/// each other, and may arrive twice; connections break and lose the frames under way; upstreams
+/// crash; agents restart without their ledger.
+class simulation
+{
+public:
+    explicit simulation(std::uint64_t seed) : random(seed)
+    {
+        for (std::size_t i = 0; i < 40; ++i)
+        {
+            auto const at = start + std::chrono::milliseconds(random() % 2000);
+            auto const deadline = at + 50ms + std::chrono::milliseconds(random() % 10000);
+            requests.push_back({routing::start_log(chance(50), chance(70), deadline)});
+            requests.back().total = static_cast<std::uint32_t>(random() % 30);
+            after(at - start, [this, i] { place(i); });
+            after(deadline - start, [this, i] { act(i, routing::on_time(requests[i].log, now)); });
+            if (chance(10))
+            {
+                after(at - start + std::chrono::milliseconds(random() % 3000),
+                      [this, i]
+                      {
+                          act(i, chance(50) ? routing::on_canceled(requests[i].log)
+                                            : routing::on_key_withdrawn(requests[i].log));
+                      });
+            }
+        }
+        for (int i = 0; i < 30; ++i)
+        {
+            after(std::chrono::milliseconds(random() % 8000),
+                  [this] { disconnect(random() % agents.size()); });
+        }
+    }
+
+    void run()
+    {
+        while (!events.empty())
+        {
+            auto event = events.extract(events.begin());
+            now = event.key();
+            event.mapped()();
+        }
+        for (auto const& request : requests)
+        {
+            RC_ASSERT(request.log.phase == routing::request_phase::done);
+            RC_ASSERT(request.ended_at <= request.log.deadline);
+            RC_ASSERT(request.log.idempotent || request.runs <= 1);
+            RC_ASSERT(!request.not_run || request.runs == 0);
+            completed += request.completed ? 1 : 0;
+            refused += request.not_run ? 1 : 0;
+            retried += request.log.attempt > 1 ? 1 : 0;
+        }
+    }
+
+    int completed = 0;
+    int refused = 0;
+    int retried = 0;
+
+private:
+    struct request
+    {
+        routing::attempt_log log;
+        std::uint32_t total = 0;
+        int runs = 0;
+        std::size_t agent = 0;
+        std::uint64_t agent_incarnation = 0;
+        bool completed = false;
+        bool not_run = false;
+        base::mono_time ended_at{};
+    };
+
+    struct known_attempt
+    {
+        std::uint32_t attempt = 0;
+        bool tombstone = false;
+        bool has_started = false;
+    };
+
+    struct agent
+    {
+        std::uint64_t connection = 1;
+        std::uint64_t incarnation = 1;
+        bool connected = true;
+        std::map<std::size_t, known_attempt> ledger;
+    };
+
+    base::mono_time now = start;
+    std::mt19937_64 random;
+    std::multimap<base::mono_time, std::function<void()>> events;
+    std::vector<request> requests;
+    std::array<agent, 3> agents;
+    routing::retry_budget budget;
+
+    bool chance(int percent)
+    {
+        return random() % 100 < static_cast<unsigned>(percent);
+    }
+
+    routing::retry_means means()
+    {
+        return {budget, random};
+    }
+
+    void after(base::duration delay, std::function<void()> call)
+    {
+        events.emplace(now + delay, std::move(call));
+    }
+
+    /// Delivers a frame once or twice, unless the connection breaks in between.
+    void frame(std::size_t to, std::function<void()> const& deliver)
+    {
+        for (int copies = chance(10) ? 2 : 1; copies > 0; --copies)
+        {
+            after(base::duration(500 + (chance(20) ? random() % 50'000 : 0)),
+                  [this, to, deliver, connection = agents[to].connection]
+                  {
+                      if (agents[to].connected && agents[to].connection == connection)
+                      {
+                          deliver();
+                      }
+                  });
+        }
+    }
+
+    void place(std::size_t i)
+    {
+        auto& request = requests[i];
+        if (request.log.phase != routing::request_phase::queued)
+        {
+            return;
+        }
+        request.agent = random() % agents.size();
+        auto& agent = agents[request.agent];
+        if (!agent.connected)
+        {
+            if (chance(20))
+            {
+                act(i, routing::on_unplaced(request.log, result_code::no_upstream));
+                return;
+            }
+            after(20ms, [this, i] { place(i); });
+            return;
+        }
+        routing::note_request(budget);
+        request.agent_incarnation = agent.incarnation;
+        auto const attempt =
+            routing::on_sent(request.log, {static_cast<std::uint32_t>(request.agent), 0});
+        frame(request.agent,
+              [this, i, to = request.agent, attempt, resume = request.log.passed_tokens]
+              { receive_start(to, i, attempt, resume); });
+    }
+
+    void act(std::size_t i, routing::decision const& decision)
+    {
+        auto& request = requests[i];
+        switch (decision.kind)
+        {
+        case decision_kind::retry:
+            RC_ASSERT(decision.at < request.log.deadline);
+            after(decision.at - now, [this, i] { place(i); });
+            break;
+        case decision_kind::fence:
+            after(decision.at - now, [this, i] { act(i, routing::on_time(requests[i].log, now)); });
+            fence(i);
+            break;
+        case decision_kind::fail:
+            RC_ASSERT(decision.not_run || !base::info(decision.code).not_run);
+            request.not_run = decision.not_run;
+            request.ended_at = now;
+            break;
+        case decision_kind::complete:
+            RC_ASSERT(!request.log.stream || request.log.passed_tokens == request.total);
+            request.completed = true;
+            request.ended_at = now;
+            break;
+        case decision_kind::ignore:
+        case decision_kind::pass_on:
+            break;
+        }
+    }
+
+    void fence(std::size_t i)
+    {
+        auto& request = requests[i];
+        auto const to = request.agent;
+        if (request.log.phase != routing::request_phase::fencing || !agents[to].connected)
+        {
+            return;
+        }
+        if (agents[to].incarnation != request.agent_incarnation)
+        {
+            act(i, routing::on_fenced(request.log, request.log.attempt, true, now, means()));
+            return;
+        }
+        frame(to, [this, i, to, attempt = request.log.attempt] { receive_fence(to, i, attempt); });
+    }
+
+    void receive_start(std::size_t at, std::size_t i, std::uint32_t attempt, std::uint32_t resume)
+    {
+        auto& known = agents[at].ledger[i];
+        if (now >= requests[i].log.deadline)
+        {
+            return;
+        }
+        if (attempt <= known.attempt)
+        {
+            refuse(at, i, attempt, result_code::duplicate_attempt, known.tombstone);
+            return;
+        }
+        known = {attempt, chance(20), known.has_started};
+        if (known.tombstone)
+        {
+            refuse(at, i, attempt, chance(90) ? result_code::overloaded : result_code::bad_request,
+                   true);
+            return;
+        }
+        after(base::duration(random() % 100'000),
+              [this, at, i, attempt, resume, incarnation = agents[at].incarnation]
+              {
+                  auto const& queued = agents[at].ledger[i];
+                  if (agents[at].incarnation == incarnation && queued.attempt == attempt &&
+                      !queued.tombstone)
+                  {
+                      execute(at, i, attempt, resume);
+                  }
+              });
+    }
+
+    void execute(std::size_t at, std::size_t i, std::uint32_t attempt, std::uint32_t resume)
+    {
+        agents[at].ledger[i].has_started = true;
+        ++requests[i].runs;
+        auto const incarnation = agents[at].incarnation;
+        auto const emit = [&](base::duration delay, std::function<void()> const& deliver)
+        {
+            after(delay,
+                  [this, at, incarnation, deliver]
+                  {
+                      if (agents[at].incarnation == incarnation && agents[at].connected)
+                      {
+                          frame(at, deliver);
+                      }
+                  });
+        };
+        emit(0ms, [this, i, attempt] { act(i, routing::on_started(requests[i].log, attempt)); });
+        base::duration delay = 0ms;
+        auto const total = requests[i].total;
+        for (auto token = resume; requests[i].log.stream && token < total;)
+        {
+            auto const count = std::min<std::uint32_t>(1 + random() % 5, total - token);
+            delay += 60ms;
+            emit(delay,
+                 [this, i, attempt, token, count] { receive_chunk(i, attempt, token, count); });
+            token += count;
+            if (chance(3))
+            {
+                emit(delay, [this, at, i, attempt]
+                     { refuse(at, i, attempt, result_code::upstream_crashed, false); });
+                return;
+            }
+        }
+        emit(delay + 60ms, [this, i, attempt, total]
+             { act(i, routing::on_finished(requests[i].log, attempt, total, now, means())); });
+    }
+
+    void receive_chunk(std::size_t i, std::uint32_t attempt, std::uint32_t token,
+                       std::uint32_t count)
+    {
+        auto& log = requests[i].log;
+        auto const passed = log.passed_tokens;
+        auto const ended = log.phase == routing::request_phase::done;
+        auto const decision = routing::on_chunk(log, attempt, token, count, now, means());
+        if (decision.kind == decision_kind::pass_on)
+        {
+            RC_ASSERT(!ended);
+            RC_ASSERT(attempt == log.attempt);
+            RC_ASSERT(token == passed);
+            RC_ASSERT(log.passed_tokens == passed + count);
+        }
+        else
+        {
+            RC_ASSERT(log.passed_tokens == passed);
+        }
+        act(i, decision);
+    }
+
+    void receive_fence(std::size_t at, std::size_t i, std::uint32_t attempt)
+    {
+        auto& known = agents[at].ledger[i];
+        if (!known.has_started)
+        {
+            known = {std::max(known.attempt, attempt), true, false};
+        }
+        frame(at, [this, i, attempt, has_started = known.has_started]
+              { act(i, routing::on_fenced(requests[i].log, attempt, has_started, now, means())); });
+    }
+
+    void refuse(std::size_t at, std::size_t i, std::uint32_t attempt, result_code code,
+                bool not_run)
+    {
+        frame(at,
+              [this, i, attempt, code, not_run] {
+                  act(i, routing::on_refused(requests[i].log, attempt, code, not_run, start, now,
+                                             means()));
+              });
+    }
+
+    void disconnect(std::size_t at)
+    {
+        auto& agent = agents[at];
+        if (!agent.connected)
+        {
+            return;
+        }
+        agent.connected = false;
+        if (chance(30))
+        {
+            ++agent.incarnation;
+            agent.ledger.clear();
+        }
+        for (std::size_t i = 0; i < requests.size(); ++i)
+        {
+            if (requests[i].agent == at && requests[i].log.attempt > 0)
+            {
+                act(i, routing::on_connection_lost(requests[i].log, now, means()));
+            }
+        }
+        after(std::chrono::milliseconds(random() % 400),
+              [this, at]
+              {
+                  ++agents[at].connection;
+                  agents[at].connected = true;
+                  for (std::size_t i = 0; i < requests.size(); ++i)
+                  {
+                      if (requests[i].agent == at)
+                      {
+                          fence(i);
+                      }
+                  }
+              });
+    }
+};
+
+} // namespace
+
+SCENARIO("requests survive lost, late, duplicated and crossed frames, crashes and restarts")
+{
+    // Guards against a second run of an order, gaps and repetitions in a stream, a stream that ends
+    // short without an error, a false "not run", and requests that never end.
+    int completed = 0;
+    int refused = 0;
+    int retried = 0;
+    test::check_property("the invariants of a request hold",
+                         [&](std::uint64_t seed)
+                         {
+                             for (std::uint64_t i = 0; i < 100; ++i)
+                             {
+                                 simulation run(seed + i);
+                                 run.run();
+                                 completed += run.completed;
+                                 refused += run.refused;
+                                 retried += run.retried;
+                             }
+                         });
+    // Guards against a simulation whose faults leave nothing to check.
+    CHECK(completed > 1000);
+    CHECK(refused > 100);
+    CHECK(retried > 1000);
+}
+
+SCENARIO("a request that may have run never fails as not run")
+{
+    std::mt19937_64 random(1);
+    routing::retry_budget budget;
+    routing::retry_means const means{budget, random};
+    auto const deadline = start + 10s;
+    GIVEN("an idempotent request whose first attempt was lost")
+    {
+        auto log = routing::start_log(true, false, deadline);
+        (void)routing::on_sent(log, {});
+        REQUIRE(routing::on_connection_lost(log, start, means).kind == decision_kind::retry);
+        THEN("a refusal of the second attempt says nothing about the first")
+        {
+            auto const attempt = routing::on_sent(log, {});
+            auto const end = routing::on_refused(log, attempt, result_code::bad_request, true,
+                                                 start, start, means);
+            CHECK(end.code == result_code::outcome_unknown);
+            CHECK_FALSE(end.not_run);
+        }
+        THEN("a full queue says nothing about the first")
+        {
+            auto const end = routing::on_unplaced(log, result_code::team_queue_full);
+            CHECK(end.code == result_code::outcome_unknown);
+        }
+    }
+    GIVEN("a non-idempotent request")
+    {
+        auto log = routing::start_log(false, false, deadline);
+        auto const attempt = routing::on_sent(log, {});
+        SUBCASE("lost before it started: fence first, then retry")
+        {
+            auto const lost = routing::on_connection_lost(log, start, means);
+            CHECK(lost.kind == decision_kind::fence);
+            CHECK(lost.at == start + routing::fence_patience);
+            CHECK(routing::on_fenced(log, attempt, false, start, means).kind ==
+                  decision_kind::retry);
+        }
+        SUBCASE("lost before it started and the agent has restarted")
+        {
+            routing::on_connection_lost(log, start, means);
+            CHECK(routing::on_fenced(log, attempt, true, start, means).code ==
+                  result_code::outcome_unknown);
+        }
+        SUBCASE("lost after it started")
+        {
+            routing::on_started(log, attempt);
+            CHECK(routing::on_connection_lost(log, start, means).code ==
+                  result_code::outcome_unknown);
+        }
+        SUBCASE("refused as not run after it started")
+        {
+            routing::on_started(log, attempt);
+            auto const end = routing::on_refused(log, attempt, result_code::overloaded, true, start,
+                                                 start, means);
+            CHECK(end.code == result_code::outcome_unknown);
+        }
+        SUBCASE("refused as not run: retried until the budget is spent, which is not run as well")
+        {
+            budget.tokens = 0;
+            budget.refilled_at = start;
+            auto const end = routing::on_refused(log, attempt, result_code::overloaded, true, start,
+                                                 start, means);
+            CHECK(end.code == result_code::retry_budget_spent);
+            CHECK(end.not_run);
+        }
+        SUBCASE("a second copy of the Start is refused: the first one still counts")
+        {
+            auto const copy = routing::on_refused(log, attempt, result_code::duplicate_attempt,
+                                                  false, start, start, means);
+            CHECK(copy.kind == decision_kind::ignore);
+            CHECK(routing::on_finished(log, attempt, 0, start, means).kind ==
+                  decision_kind::complete);
+        }
+        SUBCASE("the deadline passes: the agent is told to cancel")
+        {
+            auto const end = routing::on_time(log, deadline);
+            CHECK(end.code == result_code::outcome_unknown);
+            CHECK(end.cancel_attempt);
+        }
+    }
+}
+
+SCENARIO("repeated and late frames change nothing")
+{
+    std::mt19937_64 random(1);
+    routing::retry_budget budget;
+    routing::retry_means const means{budget, random};
+    auto log = routing::start_log(true, true, start + 10s);
+    auto const first = routing::on_sent(log, {});
+    CHECK(routing::on_chunk(log, first, 0, 4, start, means).kind == decision_kind::pass_on);
+    // Guards against giving up a healthy attempt, which costs a retry, because of a copy.
+    CHECK(routing::on_chunk(log, first, 0, 4, start, means).kind == decision_kind::ignore);
+    CHECK(log.phase == routing::request_phase::started);
+    CHECK(routing::on_chunk(log, first, 5, 1, start, means).kind == decision_kind::retry);
+    CHECK(routing::on_chunk(log, first, 4, 1, start, means).kind == decision_kind::ignore);
+    CHECK(routing::on_finished(log, first, 4, start, means).kind == decision_kind::ignore);
+    CHECK(log.passed_tokens == 4);
+}
--- a/test/routing_choice_test.cpp
+++ b/test/routing_choice_test.cpp
@@ -175,6 +175,11 @@
                 CHECK(own.host_of(own.choose()) == "host-1");
                 routing::set_hosts_leaving(own.table, std::vector<std::string>{"host-1"});
                 CHECK_FALSE(own.choose());
+                // Guards against a leaving host that gets work again because it reconnects.
+                routing::remove_host(own.table, "host-1");
+                own.sessions[1] = own.connect(1, 2);
+                CHECK(own.report(1, {"u", 2, 8, 0, 0, 1000, true}));
+                CHECK_FALSE(own.choose());
             }
         }
         WHEN("upstreams were tried already")
@@ -295,6 +300,22 @@
             CHECK(own.host_of(own.choose()) == "host-0");
         }
     }
+    WHEN("requests that the report contains have ended since")
+    {
+        std::vector<routing::attempt_ticket> tickets;
+        routing::upstream_id const first{0, own.table.upstreams[0].epoch};
+        for (int i = 0; i < 9; ++i)
+        {
+            tickets.push_back(routing::begin_attempt(own.table, first));
+        }
+        own.report(0, {"u", 16, 8, 8, 8, 1000, true});
+        std::ranges::for_each(tickets,
+                              [&](auto const& ticket) { routing::end_attempt(own.table, ticket); });
+        THEN("they no longer count")
+        {
+            CHECK(own.host_of(own.choose()) == "host-0");
+        }
+    }
 }
 
 SCENARIO("prefixes and hints")
