--- /dev/null
+++ b/src/platform/orders.hpp
@@ -0,0 +1,25 @@
+#ifndef GOOSEBERRYWOOD_PLATFORM_ORDERS_HPP
+#define GOOSEBERRYWOOD_PLATFORM_ORDERS_HPP
+
+#include "base/time.hpp"
+#include "platform/done.hpp"
+#include "platform/upstream_order.hpp"
+
+#include <functional>
+
+namespace gooseberrywood::platform
+{
+
+/// \ingroup platform
+/// \brief The platform's interface that orders upstreams by failure domain.
+struct orders
+{
+    /// Sends an order on a connection that is aborted at the deadline. Errors: `fenced` (the
+    /// platform has seen a higher number), `outcome_unknown` (the order may have taken effect),
+    /// `platform_refused` (it has not).
+    std::function<void(upstream_order const& order, base::mono_time deadline, done<void>)> send;
+};
+
+} // namespace gooseberrywood::platform
+
+#endif
--- /dev/null
+++ b/src/platform/usage_line.hpp
@@ -0,0 +1,25 @@
+#ifndef GOOSEBERRYWOOD_PLATFORM_USAGE_LINE_HPP
+#define GOOSEBERRYWOOD_PLATFORM_USAGE_LINE_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace gooseberrywood::platform
+{
+
+/// \ingroup platform
+/// \brief Usage of one team on one route within a window.
+struct usage_line
+{
+    std::string team;
+    std::string route;
+    std::uint64_t requests = 0;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t generated_tokens = 0;
+
+    friend bool operator==(usage_line const&, usage_line const&) = default;
+};
+
+} // namespace gooseberrywood::platform
+
+#endif
--- /dev/null
+++ b/src/platform/usage_report.hpp
@@ -0,0 +1,27 @@
+#ifndef GOOSEBERRYWOOD_PLATFORM_USAGE_REPORT_HPP
+#define GOOSEBERRYWOOD_PLATFORM_USAGE_REPORT_HPP
+
+#include "base/time.hpp"
+#include "platform/usage_line.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace gooseberrywood::platform
+{
+
+/// \ingroup platform
+/// \brief The usage of one window. A window is reported with the same figures each time.
+struct usage_report
+{
+    base::wall_time begin{};
+    base::wall_time end{};
+    std::uint64_t fencing = 0;
+    std::vector<usage_line> lines;
+
+    friend bool operator==(usage_report const&, usage_report const&) = default;
+};
+
+} // namespace gooseberrywood::platform
+
+#endif
--- /dev/null
+++ b/src/platform/usage_sink.hpp
@@ -0,0 +1,24 @@
+#ifndef GOOSEBERRYWOOD_PLATFORM_USAGE_SINK_HPP
+#define GOOSEBERRYWOOD_PLATFORM_USAGE_SINK_HPP
+
+#include "base/time.hpp"
+#include "platform/done.hpp"
+#include "platform/usage_report.hpp"
+
+#include <functional>
+
+namespace gooseberrywood::platform
+{
+
+/// \ingroup platform
+/// \brief The platform's interface that accepts usage reports.
+struct usage_sink
+{
+    /// Reports a window. Errors: `fenced`, `outcome_unknown` (the report may have been taken),
+    /// `platform_refused` (it was not).
+    std::function<void(usage_report const& report, base::mono_time deadline, done<void>)> report;
+};
+
+} // namespace gooseberrywood::platform
+
+#endif
--- /dev/null
+++ b/src/platform/weight_store.hpp
@@ -0,0 +1,34 @@
+#ifndef GOOSEBERRYWOOD_PLATFORM_WEIGHT_STORE_HPP
+#define GOOSEBERRYWOOD_PLATFORM_WEIGHT_STORE_HPP
+
+#include "base/time.hpp"
+#include "platform/done.hpp"
+#include "platform/weight_version.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace gooseberrywood::platform
+{
+
+/// \ingroup platform
+/// \brief The platform's weight store. It limits the rate of calls and of bytes.
+struct weight_store
+{
+    /// Lists the versions of a model. Errors: `store_unavailable`, `platform_refused` (the rate is
+    /// exceeded).
+    std::function<void(std::string const& model, base::mono_time deadline,
+                       done<std::vector<weight_version>>)>
+        versions;
+
+    /// Reads a part of a version's bytes; shorter than asked at its end. Errors as above.
+    std::function<void(weight_version const& which, std::uint64_t offset, std::uint64_t size,
+                       base::mono_time deadline, done<std::string>)>
+        read;
+};
+
+} // namespace gooseberrywood::platform
+
+#endif
--- /dev/null
+++ b/src/platform/weight_version.hpp
@@ -0,0 +1,23 @@
+#ifndef GOOSEBERRYWOOD_PLATFORM_WEIGHT_VERSION_HPP
+#define GOOSEBERRYWOOD_PLATFORM_WEIGHT_VERSION_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace gooseberrywood::platform
+{
+
+/// \ingroup platform
+/// \brief A version of a model's weights.
+struct weight_version
+{
+    std::string model;
+    std::uint64_t version = 0;
+    std::uint64_t bytes = 0;
+
+    friend bool operator==(weight_version const&, weight_version const&) = default;
+};
+
+} // namespace gooseberrywood::platform
+
+#endif
