Add configuration records, deltas and their history

Ruled out: a delta by bytes (the bundle is TOML, and operators change whole lines); patience diff (the common start and end are cut off first, so that the part to match is small). Change: record and delta with JSON forms that refuse hostile input, the hash of the result checked after a delta, and a bounded history from which peers that are behind are answered.

--- /dev/null
+++ b/src/config.hpp
@@ -0,0 +1,14 @@
+#ifndef GOOSEBERRYWOOD_CONFIG_HPP
+#define GOOSEBERRYWOOD_CONFIG_HPP
+
+/// \defgroup config config
+/// \brief Which configuration is in effect, announcements, and freshness of keyed routes.
+///
+/// Pure policy: no sockets, no clock, no store. docs/configuration.md has the rules and the
+/// argument why a withdrawn key stops working in time.
+
+#include "config/delta.hpp"
+#include "config/history.hpp"
+#include "config/record.hpp"
+
+#endif
