Add the configuration in effect

Cause: versions must only rise, and a process that is behind must find a peer to ask. Ruled out: trusting the record's version alone. It is not signed, since taking a domain out keeps the bundle's signature; an old signed bundle could come back under a new version. The signed version in the text must not fall either. Change: in_force with offer (record or delta), heard and next_request. Requests go to one newer peer at a time, another one after each second, whole after a delta that did not fit.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -9,6 +9,10 @@
 
 #include "config/delta.hpp"
 #include "config/history.hpp"
+#include "config/in_force.hpp"
+#include "config/peer_frame.hpp"
 #include "config/record.hpp"
+#include "config/standing.hpp"
+#include "config/timing.hpp"
 
 #endif
--- /dev/null
+++ b/src/config/peer_frame.hpp
@@ -0,0 +1,31 @@
+#ifndef GOOSEBERRYWOOD_CONFIG_PEER_FRAME_HPP
+#define GOOSEBERRYWOOD_CONFIG_PEER_FRAME_HPP
+
+#include "base/time.hpp"
+#include "config/standing.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace gooseberrywood::config
+{
+
+/// \ingroup config
+/// \brief What a received frame says about the configuration.
+struct peer_frame
+{
+    std::string host;
+    std::string domain;
+    /// The version in effect at the sender.
+    std::uint64_t version = 0;
+    /// The highest announced version that the sender remembers; 0 if none.
+    std::uint64_t intent = 0;
+    standing sender = standing::none;
+    /// A time on the receiver's clock before which the frame was certainly not sent; see
+    /// `send_times`. The time of arrival would be wrong: a frame may have been delayed.
+    base::mono_time sent_after{};
+};
+
+} // namespace gooseberrywood::config
+
+#endif
