Add freshness of keyed routes and the memory of announcements

Cause: a withdrawn key must stop within 5 s of the write, also at an entry that is cut from the store. Ruled out: counting a domain after one process (the announced process and the one that is heard may be two that are cut from each other); counting by time of arrival (a frame may be delayed for longer than the window); passing announcements on between agents (a cleared one would come back); wall clocks. Change: agents are the witnesses. An operator needs two thirds of the listed agents of a domain, an entry more than half, so that the two sets share one. Frames count from a time that the sender echoed. A restarted agent vouches only after announcements from before its start are over. A fresh entry's frame clears announcements that are older than any write may be.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -7,12 +7,16 @@
 /// Pure policy: no sockets, no clock, no store. docs/configuration.md has the rules and the
 /// argument why a withdrawn key stops working in time.
 
+#include "config/announcements.hpp"
 #include "config/delta.hpp"
+#include "config/freshness.hpp"
 #include "config/history.hpp"
 #include "config/in_force.hpp"
 #include "config/peer_frame.hpp"
 #include "config/record.hpp"
+#include "config/send_times.hpp"
 #include "config/standing.hpp"
 #include "config/timing.hpp"
+#include "config/witness.hpp"
 
 #endif
--- /dev/null
+++ b/src/config/announcements.hpp
@@ -0,0 +1,70 @@
+#ifndef GOOSEBERRYWOOD_CONFIG_ANNOUNCEMENTS_HPP
+#define GOOSEBERRYWOOD_CONFIG_ANNOUNCEMENTS_HPP
+
+#include "base/time.hpp"
+#include "config/peer_frame.hpp"
+#include "config/standing.hpp"
+#include "wire/message.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace gooseberrywood::config
+{
+
+/// \ingroup config
+/// \brief Announcements that are remembered one by one; further ones are merged. Racing operators
+/// are few.
+inline constexpr std::size_t max_announcements = 16;
+
+/// \ingroup config
+/// \brief A version that an operator may still write.
+struct announcement
+{
+    std::uint64_t version = 0;
+    /// Who may withdraw it; empty for merged ones.
+    std::string announcer;
+    /// From then on a fresh peer's frame may clear it.
+    base::mono_time clear_after{};
+};
+
+/// \ingroup config
+/// \brief The agent's side of freshness: what it was told of versions that may be written.
+///
+/// Announcements are not passed on from agent to agent: a cleared one would come back from a
+/// process that has not cleared it yet.
+struct announcements
+{
+    /// Announcements before the start of the process are lost. From this time on a fresh peer's
+    /// frame proves that none of them matters any more.
+    base::mono_time remember_after{};
+    bool remembers = false;
+    std::vector<announcement> pending;
+};
+
+/// \brief Starts at process start: the process vouches for nothing yet.
+[[nodiscard]] announcements start_announcements(base::mono_time now);
+
+/// \brief Notes what an operator announced or withdrew. The answer is any later frame.
+/// \param in_force_version the version in effect here.
+void announced(announcements& of, wire::config_intent const& intent, std::uint64_t in_force_version,
+               base::mono_time now);
+
+/// \brief Uses the frame of a fresh entry to clear old announcements and, after a start, to begin
+/// to vouch.
+void heard(announcements& of, peer_frame const& frame, std::uint64_t in_force_version);
+
+/// \brief Drops announcements that the version in effect has overtaken.
+void version_changed(announcements& of, std::uint64_t in_force_version);
+
+/// \brief The highest version that may still be written; 0 if none. Goes out with each frame.
+[[nodiscard]] std::uint64_t highest_announced(announcements const& of);
+
+/// \brief What the process vouches for. Goes out with each frame.
+[[nodiscard]] standing standing_of(announcements const& of);
+
+} // namespace gooseberrywood::config
+
+#endif
