Add the view of upstream hosts and the agent's own state

Cause: a leaving host or a domain out gets no new work within 5 s of being known anywhere. Ruled out: following each answer of the host list (it lags, so an older 'live' may follow a newer 'leaving'); leaving lasts until the agent restarts. Change: membership::view for entries, with the domain's return and a new incarnation as start of the ramp, and membership::self for agents. must_tell_leaving asks for a flag on the frames to a leaving agent, which then refuses by itself whatever other entries know.

--- /dev/null
+++ b/src/membership.hpp
@@ -0,0 +1,16 @@
+#ifndef GOOSEBERRYWOOD_MEMBERSHIP_HPP
+#define GOOSEBERRYWOOD_MEMBERSHIP_HPP
+
+/// \defgroup membership membership
+/// \brief Which upstreams may receive new work.
+///
+/// Pure policy: no sockets, no clock. The entry keeps a `view` of all upstream hosts, the agent
+/// knows its own state as `self`.
+
+#include "membership/host_state.hpp"
+#include "membership/listed_host.hpp"
+#include "membership/self.hpp"
+#include "membership/view.hpp"
+#include "membership/work_state.hpp"
+
+#endif
--- /dev/null
+++ b/src/membership/self.hpp
@@ -0,0 +1,37 @@
+#ifndef GOOSEBERRYWOOD_MEMBERSHIP_SELF_HPP
+#define GOOSEBERRYWOOD_MEMBERSHIP_SELF_HPP
+
+#include "base/time.hpp"
+#include "membership/work_state.hpp"
+
+#include <span>
+#include <string>
+
+namespace gooseberrywood::membership
+{
+
+/// \ingroup membership
+/// \brief The agent's knowledge of itself. It refuses work that an entry sends in ignorance.
+struct self
+{
+    std::string domain;
+    /// Set by SIGTERM or when any entry says so; stays until the process ends.
+    bool leaving = false;
+    bool domain_out = false;
+    /// When the domain last returned; the ramps of all upstreams restart there.
+    base::mono_time fresh_since = base::mono_time::min();
+};
+
+/// \brief Notes that this host is leaving.
+void set_leaving(self& of);
+
+/// \brief Takes over the failure domains out of the configuration that has come into effect.
+/// \returns true when the own domain has just returned, so that the ramps restart.
+bool set_domains_out(self& of, std::span<std::string const> domains, base::mono_time now);
+
+/// \brief Whether new work is accepted, or why not. Work that runs or waits already is finished.
+[[nodiscard]] work_state state_of(self const& of);
+
+} // namespace gooseberrywood::membership
+
+#endif
--- /dev/null
+++ b/test/membership_view_test.cpp
@@ -0,0 +1,109 @@
+#include "membership.hpp"
+
+#include "property.hpp"
+
+#include <algorithm>
+
+using namespace gooseberrywood;
+using namespace std::chrono_literals;
+using membership::work_state;
+
+namespace
+{
+
+base::mono_time const start{1h};
+
+} // namespace
+
+SCENARIO("an entry sends work only to hosts that may have it")
+{
+    GIVEN("a listed and connected host in zabok")
+    {
+        membership::view view;
+        std::vector<membership::listed_host> listed = {{"h1", "zabok", false}};
+        membership::set_listed(view, listed);
+        CHECK(membership::state_of(view, "h1", start) == work_state::not_connected);
+        membership::connected(view, "h1", "zabok", 1, start);
+        REQUIRE(membership::accepting(view, start) == std::vector<std::string>{"h1"});
+        THEN("it gets none after three seconds of silence, and again after a frame")
+        {
+            CHECK(membership::state_of(view, "h1", start + 3s) == work_state::silent);
+            membership::heard(view, "h1", start + 3s);
+            CHECK(membership::state_of(view, "h1", start + 4s) == work_state::accepting);
+            CHECK(membership::fresh_since(view, "h1") == start);
+        }
+        THEN("it gets none as soon as it leaves, and an older list does not bring it back")
+        {
+            // Guards against the lag of the platform's list, which may answer older after newer.
+            listed.front().leaving = true;
+            membership::set_listed(view, listed);
+            CHECK(membership::state_of(view, "h1", start) == work_state::leaving);
+            CHECK(membership::must_tell_leaving(view, "h1"));
+            listed.front().leaving = false;
+            membership::set_listed(view, listed);
+            membership::disconnected(view, "h1");
+            membership::connected(view, "h1", "zabok", 1, start);
+            CHECK(membership::state_of(view, "h1", start) == work_state::leaving);
+            membership::connected(view, "h1", "zabok", 2, start + 1s);
+            CHECK(membership::state_of(view, "h1", start + 1s) == work_state::accepting);
+            CHECK(membership::fresh_since(view, "h1") == start + 1s);
+        }
+        THEN("it is leaving when it vanishes from the list")
+        {
+            membership::set_listed(view, {});
+            CHECK(membership::state_of(view, "h1", start) == work_state::leaving);
+            membership::disconnected(view, "h1");
+            CHECK(membership::state_of(view, "h1", start) == work_state::unknown);
+        }
+        THEN("it gets none while its domain is out, and is fresh when the domain returns")
+        {
+            // Guards against full load on upstreams that have become cold while they were out.
+            membership::set_domains_out(view, std::vector<std::string>{"zabok"}, start + 1s);
+            CHECK(membership::state_of(view, "h1", start + 1s) == work_state::domain_out);
+            membership::set_domains_out(view, {}, start + 2s);
+            CHECK(membership::state_of(view, "h1", start + 2s) == work_state::accepting);
+            CHECK(membership::fresh_since(view, "h1") == start + 2s);
+        }
+        THEN("it gets none while it refuses by itself")
+        {
+            membership::set_refusing(view, "h1", true);
+            CHECK(membership::state_of(view, "h1", start) == work_state::refusing);
+        }
+    }
+    GIVEN("a connected host that the list does not know yet")
+    {
+        membership::view view;
+        membership::connected(view, "h2", "zabok", 1, start);
+        membership::set_listed(view, {});
+        THEN("it may get work, since the list lags")
+        {
+            CHECK(membership::state_of(view, "h2", start) == work_state::accepting);
+        }
+    }
+}
+
+SCENARIO("an agent refuses work by itself")
+{
+    GIVEN("an agent in zabok")
+    {
+        membership::self self{"zabok"};
+        CHECK(membership::state_of(self) == work_state::accepting);
+        THEN("it refuses while its domain is out and restarts the ramps on return")
+        {
+            std::vector<std::string> const out = {"krapina", "zabok"};
+            CHECK_FALSE(membership::set_domains_out(self, out, start));
+            CHECK(membership::refusal_code(membership::state_of(self)) ==
+                  base::result_code::domain_out);
+            CHECK(membership::set_domains_out(self, {}, start + 1s));
+            CHECK(self.fresh_since == start + 1s);
+            CHECK(membership::state_of(self) == work_state::accepting);
+        }
+        THEN("once it leaves, it refuses for good")
+        {
+            membership::set_leaving(self);
+            CHECK_FALSE(membership::set_domains_out(self, {}, start));
+            CHECK(membership::refusal_code(membership::state_of(self)) ==
+                  base::result_code::upstream_leaving);
+        }
+    }
+}
