Serve keyed routes with restrictions when the store goes out during a change

Cause: a store that goes out while a change is announced leaves its outcome open, and no agent may vouch for the version in effect until the store is back. Ruled out: clearing announcements by age alone (the write may have been accepted and its answer lost); waiting for the store (an outage alone must not stop keyed routes). Change: announcements carry the delta and are named by version and hash in each frame. An entry that holds the announced records obeys them and the configuration in effect together, so that it is right whichever holds. Records are made only when the word of the store runs out. Changes of the domain list are excepted, since they move the majority. verify now also returns the domains.

--- a/src/config/announcements.cpp
+++ b/src/config/announcements.cpp
@@ -14,14 +14,14 @@
     return made;
 }
 
-void announced(announcements& of, wire::config_intent const& intent, std::uint64_t in_force_version,
+void announced(announcements& of, intent const& said, std::uint64_t in_force_version,
                base::mono_time now)
 {
     auto const same =
         std::find_if(of.pending.begin(), of.pending.end(),
                      [&](announcement const& at)
-                     { return at.version == intent.version && at.announcer == intent.announcer; });
-    if (intent.withdrawn)
+                     { return at.made.what == said.what && at.made.announcer == said.announcer; });
+    if (said.withdrawn)
     {
         if (same != of.pending.end())
         {
@@ -29,7 +29,7 @@
         }
         return;
     }
-    if (intent.version <= in_force_version)
+    if (said.what.version <= in_force_version)
     {
         return;
     }
@@ -41,14 +41,13 @@
     }
     if (of.pending.size() < max_announcements)
     {
-        of.pending.push_back({intent.version, intent.announcer, clear_after});
+        of.pending.push_back({said, clear_after});
         return;
     }
     // Too many: the last place stands for all of the rest, and nobody can withdraw it alone.
     auto& merged = of.pending.back();
-    merged.version = std::max(merged.version, intent.version);
-    merged.announcer.clear();
-    merged.clear_after = clear_after;
+    auto const highest = std::max(merged.made.what.version, said.what.version);
+    merged = {{{highest, 0}, {}, false, {}}, clear_after};
 }
 
 void heard(announcements& of, peer_frame const& frame, std::uint64_t in_force_version)
@@ -59,8 +58,9 @@
     }
     // The sender's evidence is younger than the longest life of the announcement. If the version
     // had been accepted, the sender would have met it there.
-    std::erase_if(of.pending, [&](announcement const& at)
-                  { return at.version > frame.version && frame.sent_after >= at.clear_after; });
+    std::erase_if(
+        of.pending, [&](announcement const& at)
+        { return at.made.what.version > frame.version && frame.sent_after >= at.clear_after; });
     if (frame.sent_after >= of.remember_after && in_force_version >= frame.version)
     {
         of.remembers = true;
@@ -70,17 +70,17 @@
 void version_changed(announcements& of, std::uint64_t in_force_version)
 {
     std::erase_if(of.pending,
-                  [&](announcement const& at) { return at.version <= in_force_version; });
+                  [&](announcement const& at) { return at.made.what.version <= in_force_version; });
 }
 
-std::uint64_t highest_announced(announcements const& of)
+std::vector<named_change> named(announcements const& of)
 {
-    std::uint64_t highest = 0;
+    std::vector<named_change> names;
     for (auto const& at : of.pending)
     {
-        highest = std::max(highest, at.version);
+        names.push_back(at.made.what);
     }
-    return highest;
+    return names;
 }
 
 standing standing_of(announcements const& of)
--- a/src/config/announcements.hpp
+++ b/src/config/announcements.hpp
@@ -2,13 +2,14 @@
 #define GOOSEBERRYWOOD_CONFIG_ANNOUNCEMENTS_HPP
 
 #include "base/time.hpp"
+#include "config/announcement.hpp"
+#include "config/intent.hpp"
+#include "config/named_change.hpp"
 #include "config/peer_frame.hpp"
 #include "config/standing.hpp"
-#include "wire/message.hpp"
 
 #include <cstddef>
 #include <cstdint>
-#include <string>
 #include <vector>
 
 namespace gooseberrywood::config
@@ -19,17 +20,6 @@
 /// are few.
 inline constexpr std::size_t max_announcements = 16;
 
-/// \ingroup config
-/// \brief A version that an operator may still write.
-struct announcement
-{
-    std::uint64_t version = 0;
-    /// Who may withdraw it; empty for merged ones.
-    std::string announcer;
-    /// From then on a fresh peer's frame may clear it.
-    base::mono_time clear_after{};
-};
-
 /// \ingroup config
 /// \brief The agent's side of freshness: what it was told of versions that may be written.
 ///
@@ -47,9 +37,10 @@
 /// \brief Starts at process start: the process vouches for nothing yet.
 [[nodiscard]] announcements start_announcements(base::mono_time now);
 
-/// \brief Notes what an operator announced or withdrew. The answer is any later frame.
+/// \brief Notes what an operator announced or withdrew. The agent then returns the intent without
+/// its content.
 /// \param in_force_version the version in effect here.
-void announced(announcements& of, wire::config_intent const& intent, std::uint64_t in_force_version,
+void announced(announcements& of, intent const& said, std::uint64_t in_force_version,
                base::mono_time now);
 
 /// \brief Uses the frame of a fresh entry to clear old announcements and, after a start, to begin
@@ -59,8 +50,9 @@
 /// \brief Drops announcements that the version in effect has overtaken.
 void version_changed(announcements& of, std::uint64_t in_force_version);
 
-/// \brief The highest version that may still be written; 0 if none. Goes out with each frame.
-[[nodiscard]] std::uint64_t highest_announced(announcements const& of);
+/// \brief The changes that may still be written. They go out with each frame, and their intents
+/// with the answer to each `config_request`.
+[[nodiscard]] std::vector<named_change> named(announcements const& of);
 
 /// \brief What the process vouches for. Goes out with each frame.
 [[nodiscard]] standing standing_of(announcements const& of);
--- a/src/config/freshness.cpp
+++ b/src/config/freshness.cpp
@@ -1,6 +1,8 @@
 #include "config/freshness.hpp"
 
 #include "base/invariant.hpp"
+#include "config/announcements.hpp"
+#include "config/delta.hpp"
 #include "config/timing.hpp"
 
 #include <algorithm>
@@ -12,10 +14,14 @@
 namespace
 {
 
+/// Announced changes are made into records when the word of the store is this close to its end, so
+/// that they are ready when it lapses.
+constexpr base::duration prepare_ahead = std::chrono::seconds(2);
+
 /// The time at or after which `needed` of the times lie; the minimum if there are fewer.
 base::mono_time reached_by(std::vector<base::mono_time>& times, std::size_t needed)
 {
-    if (needed == 0 || times.size() < needed)
+    if (times.size() < needed)
     {
         return base::mono_time::min();
     }
@@ -24,20 +30,108 @@
     return *at;
 }
 
-base::mono_time domain_heard_at(freshness const& of, std::string const& domain)
+/// The time at or after which a majority of domains was heard, judged by one kind of evidence.
+base::mono_time majority_heard_at(freshness const& of, base::mono_time evidence::*kind)
 {
-    auto const listed = of.agents.find(domain);
-    if (listed == of.agents.end())
+    std::vector<base::mono_time> domains;
+    std::vector<base::mono_time> agents;
+    for (auto const& domain : of.domains)
     {
-        return base::mono_time::min();
+        agents.clear();
+        if (auto const listed = of.agents.find(domain); listed != of.agents.end())
+        {
+            for (auto const& [host, known] : listed->second)
+            {
+                agents.push_back(known.*kind);
+            }
+        }
+        domains.push_back(reached_by(agents, heard_quorum(agents.size())));
+    }
+    return reached_by(domains, domain_majority(domains.size()));
+}
+
+void raise(base::mono_time& at, base::mono_time to)
+{
+    at = std::max(at, to);
+}
+
+bool names_nothing_above(evidence const& known, std::uint64_t version)
+{
+    return known.latest_version <= version &&
+           std::all_of(known.latest_announced.begin(), known.latest_announced.end(),
+                       [&](named_change const& what) { return what.version <= version; });
+}
+
+void use_latest(evidence& known, std::uint64_t version)
+{
+    if (names_nothing_above(known, version))
+    {
+        raise(known.full_at, known.latest_at);
+        raise(known.restricted_at, known.latest_at);
+    }
+}
+
+held_change const* find_held(freshness const& of, named_change const& what)
+{
+    auto const found =
+        std::find_if(of.held.begin(), of.held.end(),
+                     [&](held_change const& at) { return at.announced.made.what == what; });
+    return found == of.held.end() ? nullptr : &*found;
+}
+
+bool holds_all(freshness const& of, evidence const& known)
+{
+    return known.latest_version <= of.version &&
+           std::all_of(known.latest_announced.begin(), known.latest_announced.end(),
+                       [&](named_change const& what)
+                       {
+                           auto const* held = find_held(of, what);
+                           return what.version <= of.version ||
+                                  (held != nullptr && held->whole.has_value());
+                       });
+}
+
+/// The record that a change leads to, if it starts from the one in effect or from another
+/// announced one.
+std::optional<record> make_whole(freshness const& of, in_force const& current,
+                                 announcement const& from)
+{
+    auto const change = decode_delta(from.made.content);
+    if (!change || !current.current || change->to_hash != from.made.what.hash ||
+        change->to_version != from.made.what.version)
+    {
+        return std::nullopt;
+    }
+    auto made = apply(*current.current, current.current_hash, *change);
+    for (auto const& other : of.held)
+    {
+        if (!made && other.whole)
+        {
+            made = apply(*other.whole, other.announced.made.what.hash, *change);
+        }
     }
-    std::vector<base::mono_time> times;
-    times.reserve(listed->second.size());
-    for (auto const& [host, known] : listed->second)
+    if (!made)
     {
-        times.push_back(known.good_at);
+        return std::nullopt;
     }
-    return reached_by(times, heard_quorum(times.size()));
+    auto const stated = current.verify(made->bundle_text, made->bundle_signature);
+    // With other domains the next change would be announced to another majority than the one that
+    // is judged here.
+    if (!stated || stated->domains != current.bundle.domains)
+    {
+        return std::nullopt;
+    }
+    return std::move(*made);
+}
+
+void drop_dead(freshness& of)
+{
+    std::erase_if(of.held,
+                  [&](held_change const& at)
+                  {
+                      return at.announced.made.what.version <= of.version ||
+                             of.store_good_at >= at.announced.clear_after;
+                  });
 }
 
 } // namespace
@@ -70,18 +164,16 @@
     of.version = version;
     if (of.store_version <= version)
     {
-        of.store_good_at = std::max(of.store_good_at, of.store_asked_at);
+        raise(of.store_good_at, of.store_asked_at);
     }
     for (auto& [domain, agents] : of.agents)
     {
         for (auto& [host, known] : agents)
         {
-            if (known.latest_named <= version)
-            {
-                known.good_at = std::max(known.good_at, known.latest_at);
-            }
+            use_latest(known, version);
         }
     }
+    drop_dead(of);
 }
 
 void heard(freshness& of, peer_frame const& frame)
@@ -106,11 +198,35 @@
         // From an earlier connection, or from one that has no echo yet.
         return;
     }
-    known.latest_named = std::max(frame.version, frame.intent);
     known.latest_at = frame.sent_after;
-    if (known.latest_named <= of.version)
+    known.latest_version = frame.version;
+    known.latest_announced = frame.announced;
+    use_latest(known, of.version);
+}
+
+void announced(freshness& of, intent const& said, base::mono_time now)
+{
+    auto const same = std::find_if(of.held.begin(), of.held.end(),
+                                   [&](held_change const& at) {
+                                       return at.announced.made.what == said.what &&
+                                              at.announced.made.announcer == said.announcer;
+                                   });
+    if (said.withdrawn)
+    {
+        if (same != of.held.end())
+        {
+            of.held.erase(same);
+        }
+        return;
+    }
+    auto const clear_after = now + announcement_clear_age;
+    if (same != of.held.end())
     {
-        known.good_at = std::max(known.good_at, known.latest_at);
+        same->announced.clear_after = clear_after;
+    }
+    else if (said.what.version > of.version && of.held.size() < max_announcements)
+    {
+        of.held.push_back({{said, clear_after}, std::nullopt});
     }
 }
 
@@ -125,30 +241,113 @@
     if (store_version <= of.version)
     {
         of.store_good_at = asked_at;
+        drop_dead(of);
     }
 }
 
-base::mono_time fresh_until(freshness const& of)
+void prepare(freshness& of, in_force const& current, base::mono_time now)
 {
-    std::vector<base::mono_time> times;
-    times.reserve(of.domains.size());
-    for (auto const& domain : of.domains)
+    if (now + prepare_ahead < full_until(of))
+    {
+        return;
+    }
+    // One pass may make a record that the next change starts from.
+    bool made_one = true;
+    while (made_one)
+    {
+        made_one = false;
+        for (auto& at : of.held)
+        {
+            if (!at.whole)
+            {
+                at.whole = make_whole(of, current, at.announced);
+                made_one = made_one || at.whole.has_value();
+            }
+        }
+    }
+    for (auto& [domain, agents] : of.agents)
+    {
+        for (auto& [host, known] : agents)
+        {
+            if (holds_all(of, known))
+            {
+                raise(known.restricted_at, known.latest_at);
+            }
+        }
+    }
+}
+
+base::mono_time full_until(freshness const& of)
+{
+    auto const at = std::max(majority_heard_at(of, &evidence::full_at), of.store_good_at);
+    return at + freshness_window;
+}
+
+base::mono_time restricted_until(freshness const& of)
+{
+    auto const at = std::max(majority_heard_at(of, &evidence::restricted_at), of.store_good_at);
+    return at + freshness_window;
+}
+
+serving_state state_of(freshness const& of, base::mono_time now)
+{
+    if (of.version == 0)
+    {
+        return serving_state::stopped;
+    }
+    if (now < full_until(of))
+    {
+        return serving_state::full;
+    }
+    return now < restricted_until(of) ? serving_state::restricted : serving_state::stopped;
+}
+
+std::vector<std::reference_wrapper<record const>> restrictions(freshness const& of)
+{
+    std::vector<std::reference_wrapper<record const>> found;
+    for (auto const& at : of.held)
     {
-        times.push_back(domain_heard_at(of, domain));
+        if (at.whole)
+        {
+            found.emplace_back(*at.whole);
+        }
     }
-    auto const needed = domain_majority(times.size());
-    auto const word_at = std::max(reached_by(times, needed), of.store_good_at);
-    return word_at + freshness_window;
+    return found;
 }
 
-bool may_serve_keyed(freshness const& of, base::mono_time now)
+std::optional<due_request> next_request(freshness& of, base::mono_time now)
 {
-    return of.version != 0 && now < fresh_until(of);
+    if (now < of.asked_until)
+    {
+        return std::nullopt;
+    }
+    std::vector<std::string const*> knowing;
+    for (auto const& [domain, agents] : of.agents)
+    {
+        for (auto const& [host, known] : agents)
+        {
+            bool const unknown_here =
+                std::any_of(known.latest_announced.begin(), known.latest_announced.end(),
+                            [&](named_change const& what) {
+                                return what.version > of.version && find_held(of, what) == nullptr;
+                            });
+            if (unknown_here)
+            {
+                knowing.push_back(&host);
+            }
+        }
+    }
+    if (knowing.empty())
+    {
+        return std::nullopt;
+    }
+    of.asked_until = now + request_timeout;
+    return due_request{*knowing[of.requests++ % knowing.size()], of.version};
 }
 
 standing standing_of(freshness const& of, base::mono_time now)
 {
-    return may_serve_keyed(of, now) ? standing::fresh : standing::none;
+    return state_of(of, now) == serving_state::full ? standing::fresh : standing::none;
 }
 
 } // namespace gooseberrywood::config
--- a/src/config/in_force.cpp
+++ b/src/config/in_force.cpp
@@ -43,21 +43,21 @@
         return base::fail(base::result_code::version_conflict,
                           fmt::format("version {} is in effect with other content", before));
     }
-    auto const signed_version = of.verify(offered.bundle_text, offered.bundle_signature);
-    if (!signed_version)
+    auto stated = of.verify(offered.bundle_text, offered.bundle_signature);
+    if (!stated)
     {
-        return tl::unexpected(signed_version.error());
+        return tl::unexpected(stated.error());
     }
-    if (*signed_version < of.bundle_version)
+    if (stated->version < of.bundle.version)
     {
         return base::fail(base::result_code::version_too_old,
                           fmt::format("version {} holds the older bundle {}; {} is in effect",
-                                      offered.version, *signed_version, of.bundle_version));
+                                      offered.version, stated->version, of.bundle.version));
     }
     base::check_invariant(offered.version > before, "the configuration in effect never reverts");
     of.current = offered;
     of.current_hash = hash;
-    of.bundle_version = *signed_version;
+    of.bundle = std::move(*stated);
     of.want_whole = false;
     // A further version that a peer already has can be asked for at once.
     of.asked_until = now;
--- a/src/config/in_force.hpp
+++ b/src/config/in_force.hpp
@@ -6,6 +6,7 @@
 #include "config/delta.hpp"
 #include "config/peer_frame.hpp"
 #include "config/record.hpp"
+#include "config/signed_bundle.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -17,14 +18,6 @@
 namespace gooseberrywood::config
 {
 
-/// \ingroup config
-/// \brief Checks the signature of a bundle's text and reads the version that the text states.
-///
-/// The record's own version is not signed. The signed version keeps a recorded older bundle from
-/// being sent again under a new record version.
-using verify_function = std::function<base::result<std::uint64_t>(std::string_view bundle_text,
-                                                                  std::string_view signature)>;
-
 /// \ingroup config
 /// \brief The configuration that a process uses, and what it knows of newer ones.
 struct in_force
@@ -33,8 +26,8 @@
     /// Empty until the first record is accepted.
     std::optional<record> current;
     std::uint64_t current_hash = 0;
-    /// The version that the signed text of `current` states.
-    std::uint64_t bundle_version = 0;
+    /// What the signed text of `current` states.
+    signed_bundle bundle;
     /// The version that each connected peer has in effect.
     std::map<std::string, std::uint64_t, std::less<>> peer_versions;
     /// Until then the answer to the last request is awaited.
--- a/src/config/peer_frame.hpp
+++ b/src/config/peer_frame.hpp
@@ -2,10 +2,12 @@
 #define GOOSEBERRYWOOD_CONFIG_PEER_FRAME_HPP
 
 #include "base/time.hpp"
+#include "config/named_change.hpp"
 #include "config/standing.hpp"
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace gooseberrywood::config
 {
@@ -18,8 +20,8 @@
     std::string domain;
     /// The version in effect at the sender.
     std::uint64_t version = 0;
-    /// The highest announced version that the sender remembers; 0 if none.
-    std::uint64_t intent = 0;
+    /// The announced changes that the sender remembers.
+    std::vector<named_change> announced;
     standing sender = standing::none;
     /// A time on the receiver's clock before which the frame was certainly not sent; see
     /// `send_times`. The time of arrival would be wrong: a frame may have been delayed.
--- a/test/config_in_force_test.cpp
+++ b/test/config_in_force_test.cpp
@@ -13,13 +13,13 @@
 base::mono_time const start{1h};
 
 /// Texts of the form "bundle N" signed with "ok".
-base::result<std::uint64_t> verify(std::string_view text, std::string_view signature)
+base::result<config::signed_bundle> verify(std::string_view text, std::string_view signature)
 {
     if (signature != "ok")
     {
         return base::fail(base::result_code::signature_invalid, "signature");
     }
-    return std::stoull(std::string(text.substr(7)));
+    return config::signed_bundle{std::stoull(std::string(text.substr(7))), {"zabok"}};
 }
 
 config::record at(std::uint64_t version, std::uint64_t bundle)
@@ -29,7 +29,7 @@
 
 config::peer_frame from(std::string host, std::uint64_t version)
 {
-    return {std::move(host), "zabok", version, 0, config::standing::none, start};
+    return {std::move(host), "zabok", version, {}, config::standing::none, start};
 }
 
 } // namespace
@@ -77,10 +77,10 @@
                              for (auto const& [version, bundle] : offers)
                              {
                                  auto const before =
-                                     std::pair(config::version(held), held.bundle_version);
+                                     std::pair(config::version(held), held.bundle.version);
                                  (void)config::offer(held, at(version, bundle), start);
                                  RC_ASSERT(config::version(held) >= before.first);
-                                 RC_ASSERT(held.bundle_version >= before.second);
+                                 RC_ASSERT(held.bundle.version >= before.second);
                              }
                          });
 }
