Add the ledger of attempts and the claims

Cause: an agent must never run an attempt twice, and a refusal that says "not run" must be true. Ruled out: an ordered index of horizons (O(log n) and three pointers an entry), and evicting the oldest entries when full, since a forgotten entry lets a late copy run. Change: `ledger` with admit, write_tombstone, mark_running, mark_done, fence; `claims`; both expire by a timing wheel of one-second slots. Part of the ledger's room is for tombstones only, so that a full ledger can still say "not run". A fence carries no deadline, so its tombstone is kept for the longest request and the margin. Before: nothing. Conclusion: refusals may rely on the returned `not_run`.

--- /dev/null
+++ b/src/admission/claims.hpp
@@ -0,0 +1,57 @@
+#ifndef GOOSEBERRYWOOD_ADMISSION_CLAIMS_HPP
+#define GOOSEBERRYWOOD_ADMISSION_CLAIMS_HPP
+
+#include "admission/detail/expiry_wheel.hpp"
+#include "base/request_id.hpp"
+#include "base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+namespace gooseberrywood::admission
+{
+
+/// \ingroup admission
+/// \brief Answer to a claim.
+enum class claim_answer : std::uint8_t
+{
+    /// Nobody claimed this id before its horizon.
+    is_new,
+    /// The same claimer claimed it before; its first answer may have been lost.
+    same_token,
+    /// Another claimer has it.
+    taken,
+    /// Not recorded: no room, or the deadline has passed. Nothing is known about the id.
+    refused,
+};
+
+/// \ingroup admission
+/// \brief One claim.
+struct claim_record
+{
+    std::uint64_t token = 0;
+    base::mono_time horizon{};
+};
+
+/// \ingroup admission
+/// \brief Claims of request ids for one execution each. A full table refuses rather than forget.
+struct claims
+{
+    /// About 80 bytes each.
+    std::size_t max_claims = 100'000;
+    std::unordered_map<base::request_id, claim_record> records;
+    detail::expiry_wheel<base::request_id> wheel;
+};
+
+/// \brief Claims a request id; it is kept for 60 s beyond the deadline.
+/// \param token names the claimer.
+[[nodiscard]] claim_answer claim(claims& table, base::request_id const& id, std::uint64_t token,
+                                 base::mono_time deadline, base::mono_time now);
+
+/// \brief Drops claims past their horizon, in amortised O(1).
+void expire(claims& table, base::mono_time now);
+
+} // namespace gooseberrywood::admission
+
+#endif
--- /dev/null
+++ b/src/admission/ledger.hpp
@@ -0,0 +1,95 @@
+#ifndef GOOSEBERRYWOOD_ADMISSION_LEDGER_HPP
+#define GOOSEBERRYWOOD_ADMISSION_LEDGER_HPP
+
+#include "admission/detail/expiry_wheel.hpp"
+#include "admission/ledger_entry.hpp"
+#include "base/request_id.hpp"
+#include "base/result_code.hpp"
+#include "base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+namespace gooseberrywood::admission
+{
+
+/// \ingroup admission
+/// \brief How long after its deadline a request is remembered: time for late frames to arrive.
+inline constexpr base::duration horizon_margin = std::chrono::seconds(60);
+
+/// \ingroup admission
+/// \brief Bounds of a ledger.
+struct ledger_settings
+{
+    /// About 100 bytes each; 200 requests/s for 3 min need 36,000.
+    std::size_t max_entries = 100'000;
+    /// Entries that only tombstones may use, so that a ledger that refuses new work can still say
+    /// "not run" truthfully.
+    std::size_t tombstone_reserve = 10'000;
+    /// Longest time from a start's sending to its deadline. A fence carries no deadline, so its
+    /// tombstone is kept for this time and the margin.
+    base::duration longest_request = std::chrono::seconds(600);
+};
+
+/// \ingroup admission
+/// \brief Remembers each request until its horizon, so that no attempt runs twice and a refusal
+/// that says "not run" is true.
+struct ledger
+{
+    ledger_settings settings;
+    std::unordered_map<base::request_id, ledger_entry> entries;
+    detail::expiry_wheel<base::request_id> wheel;
+};
+
+/// \ingroup admission
+/// \brief Whether an attempt may be queued, or why not.
+struct ledger_verdict
+{
+    /// `ok`, `duplicate_attempt`, `fenced`, `deadline_passed`, `ledger_full`, or
+    /// `bad_request` for the reserved attempt number `ledger_entry::none`.
+    base::result_code code = base::result_code::ok;
+    /// True when the attempt has not run and never will; its tombstone is written.
+    bool not_run = false;
+};
+
+/// \brief Records a new attempt as queued.
+/// \param idempotent a request that is not idempotent is refused once any attempt of it started.
+/// \param deadline the request's deadline; the horizon follows from it.
+[[nodiscard]] ledger_verdict admit(ledger& attempts, base::request_id const& id,
+                                   std::uint32_t attempt, bool idempotent, base::mono_time deadline,
+                                   base::mono_time now);
+
+/// \brief Writes the tombstone of an attempt, if that is true and there is room.
+/// \returns whether a refusal of this attempt may say "not run".
+[[nodiscard]] bool write_tombstone(ledger& attempts, base::request_id const& id,
+                                   std::uint32_t attempt, base::mono_time deadline,
+                                   base::mono_time now);
+
+/// \brief Records that a queued attempt is about to be sent to the upstream.
+/// \returns false if it must not be: it is unknown, fenced, superseded or started already.
+[[nodiscard]] bool mark_running(ledger& attempts, base::request_id const& id,
+                                std::uint32_t attempt);
+
+/// \brief Records the end of a running attempt, whatever its outcome.
+void mark_done(ledger& attempts, base::request_id const& id, std::uint32_t attempt);
+
+/// \brief Writes a tombstone on an attempt and all before it, unless one of them has started. A
+/// queued attempt must then be taken out of the queue.
+/// \returns whether one has started, or a full ledger can't rule it out.
+[[nodiscard]] bool fence(ledger& attempts, base::request_id const& id, std::uint32_t attempt,
+                         base::mono_time now);
+
+/// \brief Drops entries past their horizon, in amortised O(1). Queued and running attempts are
+/// kept.
+void expire(ledger& attempts, base::mono_time now);
+
+/// \brief The entry of a request, or nullptr.
+[[nodiscard]] ledger_entry const* find(ledger const& attempts, base::request_id const& id);
+
+/// \brief Whether new work is refused for lack of room.
+[[nodiscard]] bool is_full(ledger const& attempts);
+
+} // namespace gooseberrywood::admission
+
+#endif
