Add the fair queue

Cause: one team that sends many requests must not take the service from the others, at agents and at entries alike. Ruled out: deficit round robin (needs a quantum that suits both lookups and long answers), one heap of all items (removal of a key's items and passing over a blocked route would search it), and an unbounded refund (an overestimated request from before an idle time would be a credit afterwards). Change: `fair_queue`, a template over the item with virtual token counters by team, an ordered set of active teams, lanes within a team so that an item whose route is busy holds up nothing else, bounds by count and bytes, deadlines, cost correction, removal by id, key, team and condition. Before: nothing. Conclusion: entries and agents can use the same structure.

--- /dev/null
+++ b/src/admission/fair_queue.hpp
@@ -0,0 +1,311 @@
+#ifndef GOOSEBERRYWOOD_ADMISSION_FAIR_QUEUE_HPP
+#define GOOSEBERRYWOOD_ADMISSION_FAIR_QUEUE_HPP
+
+#include "admission/detail/team_queue.hpp"
+#include "admission/queue_tag.hpp"
+#include "admission/rejected_item.hpp"
+#include "admission/team_limits.hpp"
+#include "base/request_id.hpp"
+#include "base/result_code.hpp"
+#include "base/time.hpp"
+
+#include <algorithm>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace gooseberrywood::admission
+{
+
+/// \ingroup admission
+/// \brief Weighted fair queue over teams by virtual token counters.
+///
+/// The team with the smallest counter among those that wait is served next and charged the item's
+/// cost divided by its weight. Choosing costs O(log teams); each lane that the caller passes over
+/// costs one step more. Move-only, since positions are iterators.
+template <queue_item Item>
+struct fair_queue
+{
+    using team_type = detail::team_queue<Item>;
+
+    fair_queue() = default;
+    fair_queue(fair_queue&&) noexcept = default;
+    fair_queue& operator=(fair_queue&&) noexcept = default;
+    fair_queue(fair_queue const&) = delete;
+    fair_queue& operator=(fair_queue const&) = delete;
+    ~fair_queue() = default;
+
+    /// Limits of teams that were not set.
+    team_limits default_limits;
+    std::map<std::string, team_type, std::less<>> teams;
+    /// Teams with waiting items.
+    std::set<team_type*, detail::by_counter> active;
+    std::unordered_map<base::request_id, detail::queue_position<Item>> positions;
+    std::set<std::pair<base::mono_time, base::request_id>> deadlines;
+    std::uint64_t next_sequence = 0;
+    std::uint64_t next_order = 0;
+    /// Counter of the team served last; stands in for the smallest one while nobody waits.
+    double last_served = 0;
+};
+
+namespace detail
+{
+
+template <class Item>
+team_queue<Item>& team_of(fair_queue<Item>& queue, std::string_view name)
+{
+    auto found = queue.teams.find(name);
+    if (found == queue.teams.end())
+    {
+        found = queue.teams.emplace(std::string(name), team_queue<Item>{}).first;
+        found->second.name = found->first;
+        found->second.order = queue.next_order++;
+        found->second.limits = queue.default_limits;
+    }
+    return found->second;
+}
+
+/// Changes a counter and the team's place among the active ones.
+template <class Item>
+void set_counter(fair_queue<Item>& queue, team_queue<Item>& team, double counter)
+{
+    // The set must not hold the team while its sort key changes.
+    auto node = queue.active.extract(&team);
+    team.counter = counter;
+    if (!node.empty())
+    {
+        queue.active.insert(std::move(node));
+    }
+}
+
+template <class Item>
+double charge_of(team_queue<Item> const& team, std::uint32_t cost)
+{
+    return static_cast<double>(std::max(cost, 1U)) /
+           static_cast<double>(std::max(team.limits.weight, 1U));
+}
+
+template <class Item>
+Item take(fair_queue<Item>& queue, queue_position<Item> const at)
+{
+    auto& team = *at.team;
+    auto const tag = queue_tag_of(at.node->item);
+    queue.deadlines.erase({tag.deadline, tag.id});
+    queue.positions.erase(tag.id);
+    --team.count;
+    team.bytes -= tag.bytes;
+    Item item = std::move(at.node->item);
+    at.lane->second.erase(at.node);
+    if (at.lane->second.empty())
+    {
+        team.lanes.erase(at.lane);
+    }
+    if (team.count == 0)
+    {
+        queue.active.erase(&team);
+    }
+    return item;
+}
+
+} // namespace detail
+
+/// \brief Sets the weight and bounds of a team; waiting items stay even above new bounds.
+template <queue_item Item>
+void set_team(fair_queue<Item>& queue, std::string_view name, team_limits const& limits)
+{
+    detail::team_of(queue, name).limits = limits;
+}
+
+/// \brief Number of waiting items.
+template <queue_item Item>
+[[nodiscard]] std::size_t size(fair_queue<Item> const& queue)
+{
+    return queue.positions.size();
+}
+
+/// \brief Number of waiting items of one team.
+template <queue_item Item>
+[[nodiscard]] std::size_t size(fair_queue<Item> const& queue, std::string_view team)
+{
+    auto const found = queue.teams.find(team);
+    return found == queue.teams.end() ? 0 : found->second.count;
+}
+
+/// \brief Adds an item.
+/// \returns nothing when the item was accepted, otherwise the item.
+template <queue_item Item>
+[[nodiscard]] std::optional<rejected_item<Item>> push(fair_queue<Item>& queue,
+                                                      std::type_identity_t<Item> item)
+{
+    auto const tag = queue_tag_of(item);
+    if (queue.positions.contains(tag.id))
+    {
+        return rejected_item<Item>{base::result_code::duplicate_attempt, std::move(item)};
+    }
+    auto& team = detail::team_of(queue, tag.team);
+    if (team.count >= team.limits.max_queued ||
+        team.bytes + tag.bytes > team.limits.max_queued_bytes)
+    {
+        return rejected_item<Item>{base::result_code::team_queue_full, std::move(item)};
+    }
+    if (team.count == 0)
+    {
+        // Idling must earn no credit against the teams that waited meanwhile.
+        auto const smallest =
+            queue.active.empty() ? queue.last_served : (*queue.active.begin())->counter;
+        team.counter = std::max(team.counter, smallest);
+        team.lifted_to = team.counter;
+        queue.active.insert(&team);
+    }
+    ++team.count;
+    team.bytes += tag.bytes;
+    queue.deadlines.insert({tag.deadline, tag.id});
+    auto lane = team.lanes.find(tag.lane);
+    if (lane == team.lanes.end())
+    {
+        lane =
+            team.lanes.emplace(std::string(tag.lane), std::list<detail::queue_node<Item>>{}).first;
+    }
+    auto const id = tag.id;
+    lane->second.push_back({std::move(item), queue.next_sequence++});
+    queue.positions.emplace(
+        id, detail::queue_position<Item>{&team, lane, std::prev(lane->second.end())});
+    return std::nullopt;
+}
+
+/// \brief Takes the next item and charges its team the estimated cost.
+/// \param eligible whether an item can be served now; asked for the first item of each lane only.
+/// \returns the oldest eligible item of the team with the smallest counter that has one.
+template <queue_item Item, std::predicate<Item const&> Eligible>
+[[nodiscard]] std::optional<Item> pick(fair_queue<Item>& queue, Eligible&& eligible)
+{
+    for (auto* const team : queue.active)
+    {
+        std::optional<detail::queue_position<Item>> oldest;
+        for (auto lane = team->lanes.begin(); lane != team->lanes.end(); ++lane)
+        {
+            auto const first = lane->second.begin();
+            if ((!oldest || first->sequence < oldest->node->sequence) &&
+                eligible(std::as_const(first->item)))
+            {
+                oldest = {team, lane, first};
+            }
+        }
+        if (oldest)
+        {
+            auto const cost = queue_tag_of(oldest->node->item).cost;
+            queue.last_served = std::max(queue.last_served, team->counter);
+            detail::set_counter(queue, *team, team->counter + detail::charge_of(*team, cost));
+            return detail::take(queue, *oldest);
+        }
+    }
+    return std::nullopt;
+}
+
+/// \brief Replaces the estimated cost of a served item by the true one.
+template <queue_item Item>
+void correct(fair_queue<Item>& queue, std::string_view name, std::uint32_t estimated,
+             std::uint32_t actual)
+{
+    auto const found = queue.teams.find(name);
+    if (found == queue.teams.end())
+    {
+        return;
+    }
+    auto& team = found->second;
+    auto const corrected =
+        team.counter + detail::charge_of(team, actual) - detail::charge_of(team, estimated);
+    // A refund of a charge from before the lift would be a credit for idling.
+    detail::set_counter(queue, team, std::max(corrected, team.lifted_to));
+}
+
+/// \brief Removes an item without charge.
+template <queue_item Item>
+[[nodiscard]] std::optional<Item> remove(fair_queue<Item>& queue, base::request_id const& id)
+{
+    auto const found = queue.positions.find(id);
+    if (found == queue.positions.end())
+    {
+        return std::nullopt;
+    }
+    return detail::take(queue, found->second);
+}
+
+/// \brief The waiting item with an id, or nullptr.
+template <queue_item Item>
+[[nodiscard]] Item const* find(fair_queue<Item> const& queue, base::request_id const& id)
+{
+    auto const found = queue.positions.find(id);
+    return found == queue.positions.end() ? nullptr : &found->second.node->item;
+}
+
+/// \brief Removes all items that fulfil a condition, without charge. O(n).
+/// \returns the items by team, lane and arrival.
+template <queue_item Item, std::predicate<Item const&> Condition>
+[[nodiscard]] std::vector<Item> remove_if(fair_queue<Item>& queue, Condition&& condition)
+{
+    std::vector<base::request_id> ids;
+    for (auto const& [name, team] : queue.teams)
+    {
+        for (auto const& [lane, nodes] : team.lanes)
+        {
+            for (auto const& node : nodes)
+            {
+                if (condition(node.item))
+                {
+                    ids.push_back(queue_tag_of(node.item).id);
+                }
+            }
+        }
+    }
+    std::vector<Item> removed;
+    removed.reserve(ids.size());
+    for (auto const& id : ids)
+    {
+        removed.push_back(*remove(queue, id));
+    }
+    return removed;
+}
+
+/// \brief Removes all items of a key, without charge. O(n).
+template <queue_item Item>
+[[nodiscard]] std::vector<Item> remove_key(fair_queue<Item>& queue, std::string_view key_hash)
+{
+    return remove_if(queue,
+                     [&](Item const& item) { return queue_tag_of(item).key_hash == key_hash; });
+}
+
+/// \brief Removes all items of a team, without charge.
+template <queue_item Item>
+[[nodiscard]] std::vector<Item> remove_team(fair_queue<Item>& queue, std::string_view team)
+{
+    return remove_if(queue, [&](Item const& item) { return queue_tag_of(item).team == team; });
+}
+
+/// \brief Removes the items whose deadlines have passed, without charge.
+/// \returns the items, earliest deadline first.
+template <queue_item Item>
+[[nodiscard]] std::vector<Item> expire(fair_queue<Item>& queue, base::mono_time now)
+{
+    std::vector<Item> expired;
+    while (!queue.deadlines.empty() && queue.deadlines.begin()->first <= now)
+    {
+        expired.push_back(*remove(queue, base::request_id(queue.deadlines.begin()->second)));
+    }
+    return expired;
+}
+
+} // namespace gooseberrywood::admission
+
+#endif
