Add the concurrency limit and the credit shares

Cause: a fresh upstream must receive no more than it can bear, and entries need to know how much they may have under way at an upstream. Change: `limiter` with the envelope, slow start, additive increase, multiplicative decrease, restart after a crash and when a warm upstream turns cold; `latency_signal` with geometric averages of time a token and time to the first token; `credit_shares` with a max-min fair split and hysteresis. Before: nothing.

--- /dev/null
+++ b/src/admission/credit_shares.cpp
@@ -0,0 +1,180 @@
+#include "admission/credit_shares.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+
+namespace gooseberrywood::admission
+{
+
+namespace
+{
+
+/// Weight of the last interval in the demand.
+constexpr double demand_weight = 0.5;
+
+/// Room above the recent peak, so that an entry whose demand grows shows it before it is held back.
+constexpr double headroom_part = 0.25;
+constexpr double headroom = 1;
+
+/// Hysteresis: shares stay while none is off by more than one and this part of itself, since each
+/// change costs a frame to every entry.
+constexpr double tolerated_part = 0.1;
+
+struct wanted_share
+{
+    entry_share* entry = nullptr;
+    std::uint64_t number = 0;
+    double ideal = 1;
+    std::uint32_t share = 1;
+};
+
+void update_demand(credit_shares& shares)
+{
+    for (auto& [number, entry] : shares.entries)
+    {
+        // What an entry that used up its share would have used is unknown, so it competes for all.
+        auto const recent = entry.peak >= entry.share
+                                ? static_cast<double>(std::max(shares.total, entry.peak))
+                                : headroom + (1 + headroom_part) * static_cast<double>(entry.peak);
+        entry.demand += demand_weight * (recent - entry.demand);
+        entry.peak = entry.outstanding;
+    }
+}
+
+/// Max-min fair shares: small demands are met, the larger ones get equal parts of the rest. A split
+/// in proportion to demand would keep the ratio of entries that are held back by their shares.
+std::vector<wanted_share> ideal_shares(credit_shares& shares, std::uint32_t total)
+{
+    std::vector<wanted_share> wanted;
+    wanted.reserve(shares.entries.size());
+    for (auto& [number, entry] : shares.entries)
+    {
+        wanted.push_back({&entry, number, 1, 1});
+    }
+    if (total <= wanted.size())
+    {
+        return wanted;
+    }
+    std::sort(wanted.begin(), wanted.end(),
+              [](wanted_share const& left, wanted_share const& right)
+              {
+                  return left.entry->demand != right.entry->demand
+                             ? left.entry->demand < right.entry->demand
+                             : left.number < right.number;
+              });
+    // Each has its floor of one; the spare part is filled up to the demands.
+    auto spare = static_cast<double>(total - wanted.size());
+    auto open = static_cast<double>(wanted.size());
+    for (auto& one : wanted)
+    {
+        auto const part = std::min(std::max(one.entry->demand - 1, 0.0), spare / open);
+        one.ideal += part;
+        spare -= part;
+        open -= 1;
+    }
+    // Credit that nobody asked for is spread evenly, for entries that become busy.
+    for (auto& one : wanted)
+    {
+        one.ideal += spare / static_cast<double>(wanted.size());
+    }
+    return wanted;
+}
+
+bool is_close(std::vector<wanted_share> const& wanted)
+{
+    return std::all_of(wanted.begin(), wanted.end(),
+                       [](wanted_share const& one)
+                       {
+                           auto const share = static_cast<double>(one.entry->share);
+                           return std::abs(one.ideal - share) <= 1 + tolerated_part * share;
+                       });
+}
+
+/// Largest remainders; ties go to the lower number, so that the result is reproducible.
+void round_shares(std::vector<wanted_share>& wanted, std::uint32_t total)
+{
+    std::uint32_t sum = 0;
+    for (auto& one : wanted)
+    {
+        one.share = static_cast<std::uint32_t>(one.ideal);
+        sum += one.share;
+    }
+    if (sum >= total)
+    {
+        return;
+    }
+    std::sort(wanted.begin(), wanted.end(),
+              [](wanted_share const& left, wanted_share const& right)
+              {
+                  auto const left_rest = left.ideal - std::floor(left.ideal);
+                  auto const right_rest = right.ideal - std::floor(right.ideal);
+                  return left_rest != right_rest ? left_rest > right_rest
+                                                 : left.number < right.number;
+              });
+    for (std::size_t i = 0; sum < total; ++i, ++sum)
+    {
+        ++wanted[i % wanted.size()].share;
+    }
+}
+
+} // namespace
+
+void connect(credit_shares& shares, std::uint64_t entry)
+{
+    shares.membership_changed |= shares.entries.try_emplace(entry).second;
+}
+
+void disconnect(credit_shares& shares, std::uint64_t entry)
+{
+    shares.membership_changed |= shares.entries.erase(entry) > 0;
+}
+
+void count_offer(credit_shares& shares, std::uint64_t entry)
+{
+    auto const found = shares.entries.find(entry);
+    if (found != shares.entries.end())
+    {
+        ++found->second.outstanding;
+        found->second.peak = std::max(found->second.peak, found->second.outstanding);
+    }
+}
+
+void count_end(credit_shares& shares, std::uint64_t entry)
+{
+    auto const found = shares.entries.find(entry);
+    if (found != shares.entries.end() && found->second.outstanding > 0)
+    {
+        --found->second.outstanding;
+    }
+}
+
+std::vector<share_change> rebalance(credit_shares& shares, std::uint32_t limit)
+{
+    if (shares.entries.empty())
+    {
+        return {};
+    }
+    update_demand(shares);
+    auto const total = 2 * limit;
+    auto wanted = ideal_shares(shares, total);
+    if (total == shares.total && !shares.membership_changed && is_close(wanted))
+    {
+        return {};
+    }
+    shares.total = total;
+    shares.membership_changed = false;
+    round_shares(wanted, total);
+    std::vector<share_change> changes;
+    for (auto const& one : wanted)
+    {
+        if (one.entry->share != one.share)
+        {
+            one.entry->share = one.share;
+            changes.push_back({one.number, one.share});
+        }
+    }
+    return changes;
+}
+
+} // namespace gooseberrywood::admission
--- /dev/null
+++ b/src/admission/latency_signal.hpp
@@ -0,0 +1,51 @@
+#ifndef GOOSEBERRYWOOD_ADMISSION_LATENCY_SIGNAL_HPP
+#define GOOSEBERRYWOOD_ADMISSION_LATENCY_SIGNAL_HPP
+
+#include "base/time.hpp"
+
+#include <cstdint>
+
+namespace gooseberrywood::admission
+{
+
+/// \ingroup admission
+/// \brief One kind of normalised latency: its moving average, its baseline and its spread.
+///
+/// All values are natural logarithms of microseconds a unit. Answers from a prefix cache are many
+/// times faster than others; on a linear scale such a mix would look like a permanent overload.
+struct latency_signal
+{
+    /// Average of the samples since the last decrease of the limit.
+    double average = 0;
+    std::uint32_t samples = 0;
+    /// Usual average while the upstream is neither overloaded nor cold.
+    double baseline = 0;
+    /// Mean distance of a sample from the baseline.
+    double spread = 0;
+    bool has_baseline = false;
+    base::mono_time observed_at{};
+};
+
+/// \brief Adds a sample.
+/// \param us microseconds a unit (a token, a thousand prompt tokens, or a whole answer).
+/// \param overload_multiple see `exceeds`; the baseline hardly follows an overloaded upstream.
+void observe(latency_signal& signal, double us, double overload_multiple, base::mono_time now);
+
+/// \brief Starts a new average and keeps the baseline.
+void restart_average(latency_signal& signal);
+
+/// \brief Whether the average exceeds a multiple of the baseline, on enough samples to tell.
+[[nodiscard]] bool exceeds(latency_signal const& signal, double multiple);
+
+/// \brief Whether a sample exceeds a multiple of the baseline by more than the usual spread.
+[[nodiscard]] bool is_outlier(latency_signal const& signal, double us, double multiple);
+
+/// \brief The average in microseconds a unit, or zero without samples.
+[[nodiscard]] double average_us(latency_signal const& signal);
+
+/// \brief The baseline in microseconds a unit, or zero without samples.
+[[nodiscard]] double baseline_us(latency_signal const& signal);
+
+} // namespace gooseberrywood::admission
+
+#endif
--- /dev/null
+++ b/src/admission/limiter.cpp
@@ -0,0 +1,211 @@
+#include "admission/limiter.hpp"
+
+#include "base/invariant.hpp"
+
+#include <algorithm>
+
+namespace gooseberrywood::admission
+{
+
+namespace
+{
+
+/// Factor of a decrease; with an increase of one a round it is the usual compromise between
+/// reacting within a few rounds and not halving the service for a small overload.
+constexpr double decrease_factor = 0.7;
+
+/// Prompt tokens that an engine processes in about the time of its fixed cost a request. The time
+/// to the first token is divided by one plus the prompt in these units.
+constexpr double prompt_unit = 1024;
+
+/// Prompt tokens processed in the time of one generated token; prompts run in parallel.
+constexpr double prompt_tokens_per_token = 16;
+
+/// Fixed cost of an answer that is not streamed, in generated tokens.
+constexpr double answer_overhead_tokens = 16;
+
+double micros(base::duration time)
+{
+    return static_cast<double>(std::max<std::int64_t>(time.count(), 1));
+}
+
+/// Adds a value and says whether it is as slow as that of a cold upstream.
+bool observe_and_compare(latency_signal& signal, double us, limiter_settings const& settings,
+                         base::mono_time now)
+{
+    bool const slow = is_outlier(signal, us, settings.cold_multiple);
+    observe(signal, us, settings.overload_multiple, now);
+    return slow;
+}
+
+/// Adds a completion to the signals of its kind.
+/// \returns whether it is as slow as that of a cold upstream.
+bool observe_completion(limiter& concurrency, latency_sample const& sample, base::mono_time now)
+{
+    auto const& settings = concurrency.settings;
+    auto const prompt = static_cast<double>(sample.prompt_tokens);
+    if (sample.first_token > base::duration::zero())
+    {
+        bool slow = observe_and_compare(concurrency.first_token,
+                                        micros(sample.first_token) / (1 + prompt / prompt_unit),
+                                        settings, now);
+        if (sample.generated_tokens > 1)
+        {
+            auto const later_tokens = static_cast<double>(sample.generated_tokens - 1);
+            slow |= observe_and_compare(concurrency.token,
+                                        micros(sample.total - sample.first_token) / later_tokens,
+                                        settings, now);
+        }
+        return slow;
+    }
+    // Plain services report no tokens, so their unit is the whole answer.
+    auto const tokens = static_cast<double>(sample.generated_tokens);
+    auto const units = sample.generated_tokens == 0
+                           ? 1.0
+                           : answer_overhead_tokens + tokens + prompt / prompt_tokens_per_token;
+    return observe_and_compare(concurrency.answer, micros(sample.total) / units, settings, now);
+}
+
+void restart_averages(limiter& concurrency)
+{
+    restart_average(concurrency.first_token);
+    restart_average(concurrency.token);
+    restart_average(concurrency.answer);
+}
+
+bool is_overloaded(limiter const& concurrency)
+{
+    auto const multiple = concurrency.settings.overload_multiple;
+    return exceeds(concurrency.first_token, multiple) || exceeds(concurrency.token, multiple) ||
+           exceeds(concurrency.answer, multiple);
+}
+
+bool is_warm(limiter const& concurrency, base::mono_time now)
+{
+    return now - concurrency.serving_since >= concurrency.settings.warm_up;
+}
+
+void decrease(limiter& concurrency, base::mono_time now)
+{
+    // The wanted limit may lie above the envelope, where lowering it would change nothing.
+    auto const effective =
+        std::min(concurrency.wanted, static_cast<double>(envelope(concurrency, now)));
+    concurrency.wanted = std::max(1.0, effective * decrease_factor);
+    concurrency.slow_start = false;
+    concurrency.decreased_at = now;
+    restart_averages(concurrency);
+}
+
+} // namespace
+
+limiter make_limiter(limiter_settings const& settings, base::mono_time now)
+{
+    limiter made;
+    apply(made, settings);
+    restart(made, now);
+    return made;
+}
+
+void apply(limiter& concurrency, limiter_settings const& settings)
+{
+    concurrency.settings = settings;
+    // Zero would stop the upstream for good: nothing completes, so nothing raises the limit.
+    concurrency.settings.fresh_limit = std::max(settings.fresh_limit, 1U);
+    concurrency.settings.max_limit = std::max(settings.max_limit, concurrency.settings.fresh_limit);
+    concurrency.wanted =
+        std::min(concurrency.wanted, static_cast<double>(concurrency.settings.max_limit));
+}
+
+std::uint32_t envelope(limiter const& concurrency, base::mono_time now)
+{
+    auto const& settings = concurrency.settings;
+    auto const age = std::max(now - concurrency.serving_since, base::duration::zero());
+    if (age >= settings.warm_up)
+    {
+        return settings.max_limit;
+    }
+    auto const part =
+        static_cast<double>(age.count()) / static_cast<double>(settings.warm_up.count());
+    auto const room = static_cast<double>(settings.max_limit - settings.fresh_limit);
+    return settings.fresh_limit + static_cast<std::uint32_t>(room * part);
+}
+
+std::uint32_t limit(limiter const& concurrency, base::mono_time now)
+{
+    auto const wanted = static_cast<std::uint32_t>(concurrency.wanted);
+    return std::max(1U, std::min(wanted, envelope(concurrency, now)));
+}
+
+bool can_start(limiter const& concurrency, base::mono_time now)
+{
+    return concurrency.running < limit(concurrency, now);
+}
+
+void start(limiter& concurrency, base::mono_time now)
+{
+    ++concurrency.running;
+    base::check_invariant(concurrency.running <= envelope(concurrency, now),
+                          "running requests stay within the envelope of a fresh upstream");
+}
+
+limit_change finish(limiter& concurrency, latency_sample const& sample, attempt_outcome outcome,
+                    base::mono_time now)
+{
+    base::check_invariant(concurrency.running > 0, "a request that ends was running");
+    // An upstream that was not busy says nothing about a higher limit.
+    bool const was_busy = 2 * concurrency.running >= limit(concurrency, now);
+    --concurrency.running;
+
+    // Attempts that started before the last decrease show the load that it was the answer to.
+    bool const counts = sample.started_at >= concurrency.decreased_at;
+    if (outcome == attempt_outcome::overloaded && counts)
+    {
+        decrease(concurrency, now);
+        return limit_change::decreased;
+    }
+    if (outcome != attempt_outcome::completed)
+    {
+        return limit_change::none;
+    }
+    // Slow completions from before a restart must not restart it again.
+    if (sample.started_at < concurrency.serving_since)
+    {
+        return limit_change::none;
+    }
+    bool const slow = observe_completion(concurrency, sample, now);
+    concurrency.slow_run = slow ? concurrency.slow_run + 1 : 0;
+    if (concurrency.slow_run >= concurrency.settings.cold_completions && is_warm(concurrency, now))
+    {
+        restart(concurrency, now);
+        return limit_change::restarted;
+    }
+    if (!counts)
+    {
+        return limit_change::none;
+    }
+    if (is_overloaded(concurrency))
+    {
+        decrease(concurrency, now);
+        return limit_change::decreased;
+    }
+    if (!was_busy)
+    {
+        return limit_change::none;
+    }
+    concurrency.wanted += concurrency.slow_start ? 1.0 : 1.0 / concurrency.wanted;
+    concurrency.wanted =
+        std::min(concurrency.wanted, static_cast<double>(concurrency.settings.max_limit));
+    return limit_change::increased;
+}
+
+void restart(limiter& concurrency, base::mono_time now)
+{
+    concurrency.serving_since = now;
+    concurrency.wanted = concurrency.settings.fresh_limit;
+    concurrency.slow_start = true;
+    concurrency.decreased_at = now;
+    concurrency.slow_run = 0;
+    restart_averages(concurrency);
+}
+
+} // namespace gooseberrywood::admission
