Check names and references of a bundle in linear time

Cause: a bundle with 41,711 teams took 4.2 s to check, since each name was compared with all earlier ones; a process has one thread, and a bundle is to be in effect within 10 s. Ruled out: a limit on the number of teams below what 1 MB holds. Change: names, references and their uniqueness are kept in hash sets; a reference stores its line and path in place of a copy of the reader.

--- a/src/base/toml_reader.cpp
+++ b/src/base/toml_reader.cpp
@@ -25,12 +25,6 @@
     return line;
 }
 
-std::uint32_t line_of(toml_reader const& from, std::string_view key)
-{
-    auto const* node = from.table->get(key);
-    return node != nullptr ? node->source().begin.line : from.table->source().begin.line;
-}
-
 std::string_view type_name(toml::node const& node)
 {
     switch (node.type())
@@ -207,6 +201,12 @@
     faults.found.push_back({std::max(line, 1U), on_one_line(fmt::format("{}: {}", key, what))});
 }
 
+std::uint32_t line_of(toml_reader const& from, std::string_view key)
+{
+    auto const* node = from.table->get(key);
+    return node != nullptr ? node->source().begin.line : from.table->source().begin.line;
+}
+
 void add_fault(toml_reader const& from, std::string_view key, std::string_view what)
 {
     add_fault(*from.faults, line_of(from, key), from.path + std::string(key), what);
--- a/src/base/toml_reader.hpp
+++ b/src/base/toml_reader.hpp
@@ -63,6 +63,9 @@
 void add_fault(toml_faults& faults, std::uint32_t line, std::string_view key,
                std::string_view what);
 
+/// \brief Line of a key, or of the table when it lacks the key.
+[[nodiscard]] std::uint32_t line_of(toml_reader const& from, std::string_view key);
+
 /// \brief Notes a fault at a key of the table, or at the table when it lacks the key.
 void add_fault(toml_reader const& from, std::string_view key, std::string_view what);
 
--- a/src/bundle/parse.cpp
+++ b/src/bundle/parse.cpp
@@ -5,7 +5,8 @@
 #include <fmt/format.h>
 
 #include <array>
-#include <map>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace gooseberrywood::bundle
 {
@@ -40,30 +41,39 @@
     return std::find(in.begin(), in.end(), value) != in.end();
 }
 
+using names = std::unordered_set<std::string>;
+
 /// References are checked once everything is read, since they may point forward.
 struct reference
 {
-    toml_reader at;
+    std::uint32_t line = 0;
     std::string key;
     std::string name;
 };
 
+/// What must be unique or exist, in sets: a bundle of 1 MB has room for 40,000 teams.
 struct references
 {
     std::vector<reference> teams;
     std::vector<reference> routes;
-    std::map<std::string, std::string, std::less<>> team_of_key;
-    std::map<std::string, std::string, std::less<>> route_of_prefix;
+    names team_names;
+    names route_names;
+    names trainer_names;
+    std::unordered_map<std::string, std::string> team_of_key;
+    std::unordered_map<std::string, std::string> route_of_prefix;
 };
 
-template <class T>
-void check_new_name(toml_reader const& from, std::vector<T> const& earlier, std::string const& name)
+reference reference_to(toml_reader const& from, std::string_view key, std::string name)
+{
+    return {line_of(from, key), fmt::format("{}{}", from.path, key), std::move(name)};
+}
+
+void read_new_name(toml_reader& from, names& earlier, std::string& into)
 {
-    bool const used =
-        std::any_of(earlier.begin(), earlier.end(), [&](T const& one) { return one.name == name; });
-    if (!name.empty() && used)
+    read_name(from, "name", into, presence::required);
+    if (!into.empty() && !earlier.insert(into).second)
     {
-        add_fault(from, "name", fmt::format("\"{}\" is used twice", name));
+        add_fault(from, "name", fmt::format("\"{}\" is used twice", into));
     }
 }
 
@@ -74,7 +84,7 @@
     for (std::size_t i = 0; i < into.key_hashes.size(); ++i)
     {
         auto const key = fmt::format("key_hashes[{}]", i);
-        auto const line = from.table->get("key_hashes")->source().begin.line;
+        auto const line = line_of(from, "key_hashes");
         if (!base::is_hex(into.key_hashes[i], sha256_digits))
         {
             add_fault(*from.faults, line, from.path + key,
@@ -93,7 +103,7 @@
 team read_team(toml_reader& from, references& later)
 {
     team one;
-    read_name(from, "name", one.name, presence::required);
+    read_new_name(from, later.team_names, one.name);
     read_number(from, "weight", 1U, max_weight, one.weight);
     read_key_hashes(from, one, later);
     base::read(from, "routes", one.routes);
@@ -103,7 +113,7 @@
                 one.max_queued_bytes);
     for (auto const& name : one.routes)
     {
-        later.routes.push_back({from, "routes", name});
+        later.routes.push_back(reference_to(from, "routes", name));
     }
     return one;
 }
@@ -199,7 +209,7 @@
 route read_route(toml_reader& from, references& later)
 {
     route one;
-    read_name(from, "name", one.name, presence::required);
+    read_new_name(from, later.route_names, one.name);
     bool const kind_known = read_kind(from, one);
     read_service_keys(from, one, kind_known, later);
     base::read(from, "open", one.open);
@@ -211,7 +221,7 @@
     }
     if (!one.open_team.empty())
     {
-        later.teams.push_back({from, "open_team", one.open_team});
+        later.teams.push_back(reference_to(from, "open_team", one.open_team));
     }
     read_number(from, "fresh_limit", 1U, max_upstream_limit, one.fresh_limit);
     read_number(from, "max_limit", 1U, max_upstream_limit, one.max_limit);
@@ -228,17 +238,17 @@
 trainer read_trainer(toml_reader& from, references& later)
 {
     trainer one;
-    read_name(from, "name", one.name, presence::required);
+    read_new_name(from, later.trainer_names, one.name);
     base::read(from, "team", one.team, presence::required);
     base::read(from, "route", one.route, presence::required);
     read_number(from, "max_staleness_versions", 0U, max_staleness, one.max_staleness_versions);
     if (!one.team.empty())
     {
-        later.teams.push_back({from, "team", one.team});
+        later.teams.push_back(reference_to(from, "team", one.team));
     }
     if (!one.route.empty())
     {
-        later.routes.push_back({from, "route", one.route});
+        later.routes.push_back(reference_to(from, "route", one.route));
     }
     return one;
 }
@@ -263,20 +273,15 @@
     }
 }
 
-void check_references(bundle const& in, references const& later)
+void check_references(std::vector<reference> const& references, names const& existing,
+                      std::string_view what, base::toml_faults& faults)
 {
-    for (auto const& one : later.teams)
-    {
-        if (find_team(in, one.name) == nullptr)
-        {
-            add_fault(one.at, one.key, fmt::format("there is no team \"{}\"", one.name));
-        }
-    }
-    for (auto const& one : later.routes)
+    for (auto const& one : references)
     {
-        if (find_route(in, one.name) == nullptr)
+        if (!existing.contains(one.name))
         {
-            add_fault(one.at, one.key, fmt::format("there is no route \"{}\"", one.name));
+            base::add_fault(faults, one.line, one.key,
+                            fmt::format("there is no {} \"{}\"", what, one.name));
         }
     }
 }
@@ -304,28 +309,17 @@
     read_name(from, "deployment", into.deployment, presence::required);
     read_domains(from, into);
     read_tables(from, "teams",
-                [&](toml_reader& one)
-                {
-                    auto made = read_team(one, later);
-                    check_new_name(one, into.teams, made.name);
-                    into.teams.push_back(std::move(made));
-                });
+                [&](toml_reader& one) { into.teams.push_back(read_team(one, later)); });
     read_tables(from, "routes",
-                [&](toml_reader& one)
-                {
-                    auto made = read_route(one, later);
-                    check_new_name(one, into.routes, made.name);
-                    into.routes.push_back(std::move(made));
-                });
+                [&](toml_reader& one) { into.routes.push_back(read_route(one, later)); });
     read_tables(from, "trainers",
                 [&](toml_reader& one)
                 {
-                    auto made = read_trainer(one, later);
-                    check_new_name(one, into.trainers, made.name);
-                    check_trainer(one, into, made);
-                    into.trainers.push_back(std::move(made));
+                    into.trainers.push_back(read_trainer(one, later));
+                    check_trainer(one, into, into.trainers.back());
                 });
-    check_references(into, later);
+    check_references(later.teams, later.team_names, "team", *from.faults);
+    check_references(later.routes, later.route_names, "route", *from.faults);
     check_unknown_keys(from);
 }
 
