--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -75,7 +75,7 @@
 
 base::result<void> read_model_body(json const& body, caller_request& out)
 {
-    if (auto const options = check_options(body); !options)
+    if (auto options = check_options(body); !options)
     {
         return options;
     }
--- a/src/process/configuration.cpp
+++ b/src/process/configuration.cpp
@@ -59,7 +59,7 @@
 base::result<bool> offer_update(configuration& of, Update const& update, std::string_view from)
 {
     auto const before = of.in_force.current;
-    auto const taken = config::offer(of.in_force, update, base::mono_now());
+    auto taken = config::offer(of.in_force, update, base::mono_now());
     if (!taken)
     {
         base::log_line(base::log_level::warning, "configuration_refused",
