Test a leader over HTTP and the overload of the stand-in

The leadership was tested only against a simulated store, and nothing showed that the stand-in's overload count tells a refused request from an executed one.

A leader now meets the stand-in of the platform: the answer to its acquisition is dropped, then the stand-in is stopped for longer than the lease. A separate program for the holder was ruled out, since the state machine takes the time as an argument and pauses are part of the simulated runs.

--- a/test/process/platform_test.cpp
+++ b/test/process/platform_test.cpp
@@ -1,3 +1,4 @@
+#include "lease.hpp"
 #include "platform.hpp"
 #include "process/support/http_client.hpp"
 #include "process/support/process.hpp"
@@ -304,3 +305,43 @@
         }
     }
 }
+
+// Guards against a leader that acts on while the store is silent, or that misses a grant whose
+// answer was lost.
+TEST_CASE_FIXTURE(fixture, "Scenario: a leader whose store fails")
+{
+    auto const leader = std::make_shared<lease::leadership>();
+    leader->options = {"leader", "host-1/77", 2s, 1s};
+    auto const may_act = [&leader]
+    {
+        return lease::may_act(*leader, base::mono_now());
+    };
+    auto const run_until = [&](bool wanted)
+    {
+        return test::eventually(
+            [&]
+            {
+                lease::advance(leader, services.store, base::mono_now);
+                g_main_context_iteration(nullptr, FALSE);
+                return may_act() == wanted;
+            });
+    };
+    fault("lease_acquire", "drop");
+    REQUIRE(run_until(true));
+    CHECK(leader->fencing == 1);
+    CHECK(leader->acquisitions == 1);
+
+    WHEN("the store stands still for longer than the lease")
+    {
+        test::send_signal(standin, SIGSTOP);
+        auto const last_deadline = leader->deadline;
+        REQUIRE(run_until(false));
+        THEN("the leader stops at its deadline, and leads again once the store is back")
+        {
+            CHECK(base::mono_now() >= last_deadline);
+            test::send_signal(standin, SIGCONT);
+            no_faults();
+            CHECK(run_until(true));
+        }
+    }
+}
--- a/test/process/standin_test.cpp
+++ b/test/process/standin_test.cpp
@@ -5,6 +5,8 @@
 
 #include <signal.h>
 
+#include <thread>
+
 using namespace gooseberrywood;
 
 namespace
@@ -94,3 +96,34 @@
         }
     }
 }
+
+// Guards against an overload that a test can't see.
+SCENARIO("the stand-in of a service that bears one request")
+{
+    test::process service("standin_upstream",
+                          {"--kind=service", "--bears_fresh=1", "--bears_warm=1"});
+    auto const url = address(test::wait_listening(service));
+    GIVEN("a request that does not end")
+    {
+        test::post_json(url + "/standin/faults", {{"freeze", true}});
+        std::jthread waiting(
+            [&url] {
+                std::ignore = test::fetch({url + "/orders", "POST", "one"});
+            });
+        auto const running = [&url]
+        {
+            return test::get_json(url + "/standin/stats").at("running");
+        };
+        auto const started = test::eventually([&] { return running() == 1; });
+        auto const refused = test::fetch({url + "/orders", "POST", "two"});
+        test::post_json(url + "/standin/faults", {{"freeze", false}});
+        waiting.join();
+        THEN("the next one is refused, counted and not executed")
+        {
+            CHECK(started);
+            CHECK(refused->status == 503);
+            CHECK(test::get_json(url + "/standin/stats").at("overload") == 1);
+            CHECK(test::get_json(url + "/standin/executions").size() == 1);
+        }
+    }
+}
