--- a/test/routing_choice_test.cpp
+++ b/test/routing_choice_test.cpp
@@ -290,6 +290,7 @@
     WHEN("requests were sent since the report")
     {
         auto const other = own.choose()->upstream;
+        tickets.reserve(9);
         for (int i = 0; i < 9; ++i)
         {
             (void)routing::begin_attempt(own.table, other);
@@ -304,6 +305,7 @@
     {
         std::vector<routing::attempt_ticket> tickets;
         routing::upstream_id const first{0, own.table.upstreams[0].epoch};
+        tickets.reserve(9);
         for (int i = 0; i < 9; ++i)
         {
             tickets.push_back(routing::begin_attempt(own.table, first));
