Forget teams that left the bundle; rename the apply functions

Cause: teams that are no longer in the bundle added up in the queues over the life of a process, and `apply(point, teams)` with a vector did not compile, since the lookup also found std::apply. Ruled out: forgetting a team with waiting requests (they are still to be served or refused). Change: `forget_idle_teams`; `apply_route`, `apply_teams` and `apply_settings`; tests for a new bundle under way and for `latest_handover`. Before: no test of either. Conclusion: bundles may change while requests run.

--- a/src/admission/admission_point.cpp
+++ b/src/admission/admission_point.cpp
@@ -148,24 +148,32 @@
     return made;
 }
 
-void apply(admission_point& point, bundle::route const& limits)
+void apply_route(admission_point& point, bundle::route const& limits)
 {
     auto settings = point.concurrency.settings;
     settings.fresh_limit = limits.fresh_limit;
     settings.max_limit = limits.max_limit;
     settings.warm_up = limits.warm_up;
-    apply(point.concurrency, settings);
+    apply_settings(point.concurrency, settings);
     // Tombstones of fences must outlast every start frame that may still be under way.
     point.attempts.settings.longest_request =
         std::max(point.attempts.settings.longest_request, limits.timeout);
 }
 
-void apply(admission_point& point, std::span<bundle::team const> teams)
+void apply_teams(admission_point& point, std::span<bundle::team const> teams)
 {
     for (auto const& team : teams)
     {
         set_team(point.queue, team.name, {team.weight, team.max_queued, team.max_queued_bytes});
     }
+    // Teams that are no longer in the bundle would otherwise add up over the life of the process.
+    forget_idle_teams(point.queue,
+                      [&](std::string_view name)
+                      {
+                          return std::none_of(teams.begin(), teams.end(),
+                                              [&](bundle::team const& team)
+                                              { return team.name == name; });
+                      });
 }
 
 offer_answer offer(admission_point& point, queued_start item, base::mono_time now)
--- a/src/admission/admission_point.hpp
+++ b/src/admission/admission_point.hpp
@@ -110,10 +110,11 @@
                                                    base::mono_time now);
 
 /// \brief Puts the limits of a route into effect.
-void apply(admission_point& point, bundle::route const& limits);
+void apply_route(admission_point& point, bundle::route const& limits);
 
-/// \brief Puts the weights and bounds of the teams into effect.
-void apply(admission_point& point, std::span<bundle::team const> teams);
+/// \brief Puts the weights and bounds of all teams into effect and forgets other teams that are
+/// idle.
+void apply_teams(admission_point& point, std::span<bundle::team const> teams);
 
 /// \brief Queues a start or refuses it.
 [[nodiscard]] offer_answer offer(admission_point& point, queued_start item, base::mono_time now);
--- a/src/admission/fair_queue.hpp
+++ b/src/admission/fair_queue.hpp
@@ -143,6 +143,15 @@
     detail::team_of(queue, name).limits = limits;
 }
 
+/// \brief Forgets the teams that fulfil a condition and have nothing waiting. A team that comes
+/// back starts like one that was idle.
+template <queue_item Item, std::predicate<std::string_view> Condition>
+void forget_idle_teams(fair_queue<Item>& queue, Condition&& condition)
+{
+    std::erase_if(queue.teams, [&](auto const& entry)
+                  { return entry.second.count == 0 && condition(std::string_view(entry.first)); });
+}
+
 /// \brief Number of waiting items.
 template <queue_item Item>
 [[nodiscard]] std::size_t size(fair_queue<Item> const& queue)
--- a/src/admission/limiter.cpp
+++ b/src/admission/limiter.cpp
@@ -109,12 +109,12 @@
 limiter make_limiter(limiter_settings const& settings, base::mono_time now)
 {
     limiter made;
-    apply(made, settings);
+    apply_settings(made, settings);
     restart(made, now);
     return made;
 }
 
-void apply(limiter& concurrency, limiter_settings const& settings)
+void apply_settings(limiter& concurrency, limiter_settings const& settings)
 {
     concurrency.settings = settings;
     // Zero would stop the upstream for good: nothing completes, so nothing raises the limit.
--- a/src/admission/limiter.hpp
+++ b/src/admission/limiter.hpp
@@ -65,7 +65,7 @@
 [[nodiscard]] limiter make_limiter(limiter_settings const& settings, base::mono_time now);
 
 /// \brief Puts new settings into effect; the envelope keeps its start.
-void apply(limiter& concurrency, limiter_settings const& settings);
+void apply_settings(limiter& concurrency, limiter_settings const& settings);
 
 /// \brief Most requests that the upstream can bear by its age, whatever its latency.
 [[nodiscard]] std::uint32_t envelope(limiter const& concurrency, base::mono_time now);
--- a/test/admission_fair_queue_test.cpp
+++ b/test/admission_fair_queue_test.cpp
@@ -1,4 +1,5 @@
 #include "admission/fair_queue.hpp"
+#include "admission/latest_handover.hpp"
 
 #include "property.hpp"
 
@@ -234,6 +235,18 @@
     }
 }
 
+SCENARIO("an entry hands requests over while there is time to run them")
+{
+    auto const handover = [](base::duration patience, base::duration latency)
+    {
+        return admission::latest_handover(start_time + patience, start_time, latency) - start_time;
+    };
+    CHECK(handover(100s, 10s) == 60s);
+    // Guards against refusing all requests of a route with short deadlines or a wrong latency.
+    CHECK(handover(10s, 10s) == 5s);
+    CHECK(handover(-1s, 10s) == -1s);
+}
+
 SCENARIO("a queue is bounded and gives its items back")
 {
     job_queue queue;
--- a/test/admission_limiter_test.cpp
+++ b/test/admission_limiter_test.cpp
@@ -90,7 +90,7 @@
     }
     GIVEN("settings that would stop it for good")
     {
-        apply(upstream.limiter, {.fresh_limit = 0, .max_limit = 0});
+        apply_settings(upstream.limiter, {.fresh_limit = 0, .max_limit = 0});
         THEN("one request may run, so that completions can raise the limit")
         {
             CHECK(upstream.current() == 1);
@@ -121,7 +121,7 @@
     }
     WHEN("six streams are the capacity, and more share it, for days")
     {
-        apply(upstream.limiter, {.fresh_limit = 2, .max_limit = 64, .warm_up = 10s});
+        apply_settings(upstream.limiter, {.fresh_limit = 2, .max_limit = 64, .warm_up = 10s});
         auto const shared = [](std::uint32_t streams)
         {
             return 10'000.0 * std::max(1.0, streams / 6.0);
--- a/test/admission_point_test.cpp
+++ b/test/admission_point_test.cpp
@@ -159,6 +159,49 @@
     }
 }
 
+SCENARIO("a new bundle changes limits and teams under way")
+{
+    auto point = warm_point(4);
+    std::vector<bundle::team> teams(2);
+    teams[0].name = "zlatar";
+    teams[0].weight = 3;
+    teams[0].max_queued = 2;
+    teams[1].name = "staklar";
+    apply_teams(point, teams);
+    REQUIRE_FALSE(offer(point, make_start(1), start_time).refused.has_value());
+    REQUIRE_FALSE(offer(point, make_start(2), start_time).refused.has_value());
+    CHECK(offer(point, make_start(3), start_time).refused->code == result_code::team_queue_full);
+    CHECK(offer(point, make_start(3), start_time).refused->not_run);
+    WHEN("the limit falls below what runs")
+    {
+        CHECK(start_all(point, start_time) == numbers{1, 2});
+        bundle::route limits;
+        limits.max_limit = 1;
+        apply_route(point, limits);
+        REQUIRE_FALSE(offer(point, make_start(4), start_time).refused.has_value());
+        THEN("nothing is cut off, and nothing starts before there is room")
+        {
+            CHECK(start_all(point, start_time).empty());
+            finished(point, {1, 0}, 1, {.total = 1s}, start_time + 1s);
+            CHECK(start_all(point, start_time + 1s).empty());
+            finished(point, {2, 0}, 1, {.total = 1s}, start_time + 1s);
+            CHECK(start_all(point, start_time + 1s) == numbers{4});
+        }
+    }
+    WHEN("teams leave the bundle")
+    {
+        apply_teams(point, {});
+        THEN("one with waiting requests is kept until it is idle")
+        {
+            CHECK(point.queue.teams.size() == 1);
+            CHECK(start_all(point, start_time).size() == 2);
+            apply_teams(point, {});
+            CHECK(point.queue.teams.empty());
+            finished(point, {1, 0}, 1, {.generated_tokens = 9, .total = 1s}, start_time + 1s);
+        }
+    }
+}
+
 SCENARIO("deadlines that can't be met are refused at once")
 {
     auto point = warm_point(1);
