Let a request return to upstreams it has tried on a small route

Cause: after as many refusals as the route has upstreams, the exclusion list left no candidate, and the request waited until its deadline. Ruled out: dropping the exclusion as soon as no untried candidate has credit, since an untried one usually gets credit within a report interval. Change: once all candidates of the route were tried, only the last one stays excluded. A test for a suspect whose connection was lost is added: no other suspect is placed there until its deadline. Before: the fourth choice on a route of three upstreams yields nothing. Conclusion: retries work on routes with few upstreams.

--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -174,6 +174,18 @@
     return first;
 }
 
+/// Whether earlier attempts have used every candidate.
+bool are_all_tried(route_candidates const& route, std::span<upstream_id const> tried)
+{
+    // Few upstreams were tried, so that a large route is told apart by its size alone.
+    return route.ring.size() <= tried.size() &&
+           std::ranges::all_of(route.ring,
+                               [&](ring_point const& candidate) {
+                                   return std::ranges::find(tried, candidate.upstream,
+                                                            &upstream_id::index) != tried.end();
+                               });
+}
+
 } // namespace
 
 std::optional<choice> choose(upstream_table const& table, choice_request const& request,
@@ -184,16 +196,22 @@
     {
         return std::nullopt;
     }
+    auto allowed = request;
+    if (are_all_tried(*route, request.tried))
+    {
+        // On a small route a refused request would otherwise wait for an upstream that isn't there.
+        allowed.tried = route->ring.size() > 1 ? request.tried.last(1) : request.tried.first(0);
+    }
     bool by_prefix = false;
     std::optional<std::uint32_t> index;
-    if (request.prefix)
+    if (allowed.prefix)
     {
-        index = choose_by_prefix(table, *route, request, now);
+        index = choose_by_prefix(table, *route, allowed, now);
         by_prefix = index.has_value();
     }
     if (!index)
     {
-        index = choose_by_wait(table, *route, request, now, random);
+        index = choose_by_wait(table, *route, allowed, now, random);
     }
     if (!index)
     {
--- a/src/routing/choose.hpp
+++ b/src/routing/choose.hpp
@@ -51,7 +51,8 @@
     std::optional<std::uint64_t> prefix{};
     /// Upstreams that reported the prefix as cached; they rank higher.
     std::span<upstream_id const> hinted{};
-    /// Upstreams that earlier attempts of the request used.
+    /// Upstreams that earlier attempts of the request used, the last one at the end. They are
+    /// excluded; once all candidates were tried, only the last one is.
     std::span<upstream_id const> tried{};
     /// True when equal requests crashed an upstream: such a request is not placed beside another.
     bool suspect = false;
--- a/test/routing_choice_test.cpp
+++ b/test/routing_choice_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 using namespace gooseberrywood;
 using namespace std::chrono_literals;
@@ -194,6 +195,49 @@
                 }
             }
         }
+        WHEN("all upstreams were tried already")
+        {
+            std::vector<routing::upstream_id> tried;
+            tried.reserve(3);
+            for (int i = 0; i < 3; ++i)
+            {
+                auto const next = own.choose({.tried = tried})->upstream;
+                CHECK(std::ranges::find(tried, next) == tried.end());
+                tried.push_back(next);
+            }
+            // Guards against a request on a small route that waits in vain until its deadline.
+            THEN("only the last one stays excluded")
+            {
+                auto const again = own.choose({.prefix = 1, .tried = tried});
+                REQUIRE(again);
+                CHECK(again->upstream != tried.back());
+            }
+        }
+        WHEN("the connection of an agent is lost while a suspect runs there")
+        {
+            auto const first = own.choose({.suspect = true})->upstream;
+            (void)routing::begin_attempt(own.table, first, start + 10s);
+            for (std::size_t i = 0; i < 3; ++i)
+            {
+                own.sessions[i] = own.connect(i, 1);
+                own.report(i, {"u", 2, 8, 0, 0, 1000, true});
+            }
+            THEN("no other suspect is placed there until its deadline")
+            {
+                for (int i = 0; i < 20; ++i)
+                {
+                    CHECK(own.choose({.suspect = true})->upstream.index != first.index);
+                }
+                routing::choice_request const later{.route = "lm", .tried = {}, .suspect = true};
+                std::set<std::uint32_t> used;
+                for (int i = 0; i < 50; ++i)
+                {
+                    used.insert(
+                        routing::choose(own.table, later, start + 10s, own.random)->upstream.index);
+                }
+                CHECK(used.contains(first.index));
+            }
+        }
         WHEN("a suspect runs on each of two upstreams")
         {
             auto const first = own.choose({.suspect = true})->upstream;
