Tell a caller when its suspect request crashed an upstream

Cause: an idempotent request that crashed an upstream and is then refused as a suspect ended with outcome_unknown, since crash_suspect says "not run". The caller learned nothing about the reason. Ruled out: always answering upstream_crashed; the mark may come from an equal request, and then the lost attempt is not known to have crashed anything. Change: after a refusal with upstream_crashed, the refusal as a suspect ends with upstream_crashed. The simulation counts a request in the retry budget once, as an entry does. Before: outcome_unknown. Conclusion: no code claims more than is known.

--- a/src/routing/attempt_log.cpp
+++ b/src/routing/attempt_log.cpp
@@ -41,13 +41,22 @@
     }
 }
 
+/// What a request that may have run ends with in place of a code that says "not run".
+rc code_after_run(attempt_log const& log, rc code)
+{
+    if (code == rc::crash_suspect && log.crashed)
+    {
+        return rc::upstream_crashed;
+    }
+    return log.idempotent && log.passed_tokens > 0 ? rc::stream_incomplete : rc::outcome_unknown;
+}
+
 decision end(attempt_log& log, rc code, bool cancel_attempt)
 {
     auto const open = log.attempt_open || log.earlier_open;
     if (open && base::info(code).not_run)
     {
-        code =
-            log.idempotent && log.passed_tokens > 0 ? rc::stream_incomplete : rc::outcome_unknown;
+        code = code_after_run(log, code);
     }
     base::check_invariant(log.passed_tokens == 0 || open, "passed tokens come from a run");
     base::check_invariant(!open || !base::info(code).not_run,
@@ -202,6 +211,7 @@
         log.attempt_open = false;
         return is_permanent(code) ? end(log, code, false) : retry(log, retry_at, false, now, means);
     }
+    log.crashed = log.crashed || code == rc::upstream_crashed;
     switch (code)
     {
     case rc::key_withdrawn:
--- a/src/routing/attempt_log.hpp
+++ b/src/routing/attempt_log.hpp
@@ -62,6 +62,8 @@
     bool earlier_open = false;
     /// The last attempt has shown that it ran: a later claim of the contrary is not believed.
     bool attempt_ran = false;
+    /// An agent has said that the upstream crashed under an attempt.
+    bool crashed = false;
     base::mono_time fence_until{};
 };
 
--- a/test/routing_attempt_test.cpp
+++ b/test/routing_attempt_test.cpp
@@ -160,7 +160,10 @@
             after(20ms, [this, i] { place(i); });
             return;
         }
-        routing::note_request(budget);
+        if (request.log.attempt == 0)
+        {
+            routing::note_request(budget);
+        }
         request.agent_incarnation = agent.incarnation;
         auto const attempt =
             routing::on_sent(request.log, {static_cast<std::uint32_t>(request.agent), 0});
@@ -411,6 +414,20 @@
             auto const end = routing::on_unplaced(log, result_code::team_queue_full);
             CHECK(end.code == result_code::outcome_unknown);
         }
+        THEN("the refusal of a suspect says that it ran")
+        {
+            auto const second = routing::on_sent(log, {});
+            routing::on_refused(log, second, result_code::upstream_crashed, false, start, start,
+                                means);
+            auto const end = routing::on_unplaced(log, result_code::crash_suspect);
+            CHECK(end.code == result_code::upstream_crashed);
+            CHECK_FALSE(end.not_run);
+        }
+        THEN("a suspect that is not known to have crashed anything ends as unknown")
+        {
+            CHECK(routing::on_unplaced(log, result_code::crash_suspect).code ==
+                  result_code::outcome_unknown);
+        }
     }
     GIVEN("a non-idempotent request")
     {
