Avoid a growing vector in the choice test

Cause: clang-tidy reports performance-inefficient-vector-operation. Ruled out: nothing. Change: the vector of tickets has its size from the start. Before: one lint error. Conclusion: none.

--- a/test/routing_choice_test.cpp
+++ b/test/routing_choice_test.cpp
@@ -350,7 +350,6 @@
     WHEN("requests were sent since the report")
     {
         auto const other = own.choose()->upstream;
-        tickets.reserve(9);
         for (int i = 0; i < 9; ++i)
         {
             (void)routing::begin_attempt(own.table, other);
@@ -363,12 +362,11 @@
     }
     WHEN("requests that the report contains have ended since")
     {
-        std::vector<routing::attempt_ticket> tickets;
+        std::vector<routing::attempt_ticket> tickets(9);
         routing::upstream_id const first{0, own.table.upstreams[0].epoch};
-        tickets.reserve(9);
-        for (int i = 0; i < 9; ++i)
+        for (auto& ticket : tickets)
         {
-            tickets.push_back(routing::begin_attempt(own.table, first));
+            ticket = routing::begin_attempt(own.table, first);
         }
         own.report(0, {"u", 16, 8, 8, 8, 1000, true});
         std::ranges::for_each(tickets,
