Choose the homes of a claim in one pass

Cause: two passes over 2,400 agents cost 33-37 us, 12 % of a core if all 3,300 requests/s carry an Idempotency-Key. Ruled out: one pass with all comparisons for each agent (31-32 us; three ranks are compared for each agent although nearly all rank below them), and a kept order of agents, since the order depends on the request id. Change: one pass that skips agents below both second places by their score alone. Before: 33-37 us. After: 6.7-7.8 us (`bench_routing_cost`, three runs). The second home is tested against a list without the domain of the first. Conclusion: 2.5 % of a core at the peak when every request has a key.

--- a/bench/routing_cost.cpp
+++ b/bench/routing_cost.cpp
@@ -3,6 +3,7 @@
 // scale).
 
 #include "routing/choose.hpp"
+#include "routing/claim_home.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -143,5 +144,22 @@
         fmt::print("{:>10}{:>16.0f}{:>16.0f}{:>14.0f}{:>18.1f}{:>18.1f}{:>16.0f}\n", upstreams,
                    prefix, plain, report, reconnect / 1000, domain / 1000, bytes);
     }
+
+    constexpr std::size_t agent_count = 2'400;
+    std::vector<routing::claim_home> agents;
+    agents.reserve(agent_count);
+    for (std::size_t i = 0; i < agent_count; ++i)
+    {
+        agents.push_back(
+            routing::make_claim_home(fmt::format("host-{}", i), fmt::format("domain-{}", i % 9)));
+    }
+    std::size_t found = 0;
+    auto const claim = nanoseconds_each(
+        1000,
+        [&](std::size_t) {
+            found += routing::choose_claim_homes(agents, {random(), random()}).size();
+        });
+    fmt::print("homes of a claim among {} agents: {:.1f} us, {} found\n", agent_count, claim / 1000,
+               found);
     return 0;
 }
--- a/src/routing/claim_home.cpp
+++ b/src/routing/claim_home.cpp
@@ -3,12 +3,32 @@
 #include "base/hash.hpp"
 #include "routing/detail/mix.hpp"
 
-#include <tuple>
 #include <utility>
 
 namespace gooseberrywood::routing
 {
 
+namespace
+{
+
+struct ranked_home
+{
+    claim_home const* home = nullptr;
+    std::uint64_t score = 0;
+};
+
+/// Equal scores are ordered by host, so that all entries choose alike.
+bool is_better(ranked_home const& a, ranked_home const& b)
+{
+    if (b.home == nullptr || a.score != b.score)
+    {
+        return b.home == nullptr || a.score > b.score;
+    }
+    return a.home->host > b.home->host;
+}
+
+} // namespace
+
 claim_home make_claim_home(std::string host, std::string domain)
 {
     auto const hash = base::hash64(host);
@@ -18,46 +38,47 @@
 std::vector<claim_home> choose_claim_homes(std::span<claim_home const> agents,
                                            base::request_id const& id)
 {
-    auto const score = [&](claim_home const& home)
+    auto const id_hash = detail::mix(id.high ^ detail::mix(id.low));
+    ranked_home first;
+    // The best one in another domain than the first, and the best one but the first.
+    ranked_home other_domain;
+    ranked_home runner_up;
+    for (auto const& agent : agents)
     {
-        return detail::mix(home.host_hash ^ detail::mix(id.high ^ detail::mix(id.low)));
-    };
-    auto const best_of = [&](auto const& allowed) -> claim_home const*
-    {
-        claim_home const* best = nullptr;
-        std::uint64_t best_score = 0;
-        for (auto const& agent : agents)
+        auto const score = detail::mix(agent.host_hash ^ id_hash);
+        // Most agents rank below both second places; this keeps them cheap.
+        if (score < runner_up.score && score < other_domain.score)
         {
-            if (!allowed(agent))
-            {
-                continue;
-            }
-            // Equal scores are ordered by host, so that all entries choose alike.
-            auto const own = score(agent);
-            if (best == nullptr || std::tie(own, agent.host) > std::tie(best_score, best->host))
+            continue;
+        }
+        ranked_home const own{&agent, score};
+        if (is_better(own, first))
+        {
+            if (first.home != nullptr && first.home->domain != agent.domain)
             {
-                best = &agent;
-                best_score = own;
+                other_domain = first;
             }
+            runner_up = first;
+            first = own;
+            continue;
+        }
+        if (is_better(own, runner_up) && agent.host != first.home->host)
+        {
+            runner_up = own;
+        }
+        if (is_better(own, other_domain) && agent.domain != first.home->domain)
+        {
+            other_domain = own;
         }
-        return best;
-    };
-    std::vector<claim_home> homes;
-    auto const* first = best_of([](claim_home const&) { return true; });
-    if (first == nullptr)
-    {
-        return homes;
-    }
-    homes.push_back(*first);
-    auto const* second =
-        best_of([&](claim_home const& agent) { return agent.domain != first->domain; });
-    if (second == nullptr)
-    {
-        second = best_of([&](claim_home const& agent) { return agent.host != first->host; });
     }
-    if (second != nullptr)
+    std::vector<claim_home> homes;
+    auto const& second = other_domain.home != nullptr ? other_domain : runner_up;
+    for (auto const* home : {first.home, second.home})
     {
-        homes.push_back(*second);
+        if (home != nullptr)
+        {
+            homes.push_back(*home);
+        }
     }
     return homes;
 }
--- a/test/routing_claim_test.cpp
+++ b/test/routing_claim_test.cpp
@@ -140,9 +140,22 @@
         std::ranges::reverse(all);
         CHECK(routing::choose_claim_homes(all, {i, i})[1].host == homes[1].host);
     }
+    // Guards against a second home that depends on the order in which the agents are seen: when the
+    // first home goes, all others keep their rank.
+    for (std::uint64_t i = 0; i < 200; ++i)
+    {
+        auto const homes = routing::choose_claim_homes(all, {i, i});
+        auto rest = all;
+        std::erase_if(rest, [&](auto const& agent) { return agent.domain == homes[0].domain; });
+        CHECK(routing::choose_claim_homes(rest, {i, i})[0].host == homes[1].host);
+    }
     auto const single = routing::choose_claim_homes(agents(4, 1), id);
     REQUIRE(single.size() == 2);
     CHECK(single[0].host != single[1].host);
+    // Guards against a list that names a host twice, as while it is replaced.
+    auto twice = agents(4, 1);
+    twice.insert(twice.end(), single.begin(), single.end());
+    CHECK(routing::choose_claim_homes(twice, id)[1].host == single[1].host);
     CHECK(routing::choose_claim_homes(agents(1, 1), id).size() == 1);
     CHECK(routing::choose_claim_homes({}, id).empty());
 }
