Say nothing of "not run" while an Idempotency-Key is not claimed

Cause: the log of a request with an Idempotency-Key knows only its own attempts. While the claim is open, or when it was lost to another claimer, an earlier request with the key may have run; yet the deadline gave deadline_passed, and on_unplaced(outcome_unknown) set not_run. Ruled out: leaving it to the caller of the log, which has several places that end a request. Change: on_claiming and on_claimed tell the log of the claim; until it has succeeded, the request counts as one that may have run, and no attempt may be sent. outcome_unknown never sets not_run. Before: not_run with deadline_passed, with cancellation and with outcome_unknown during a claim. Conclusion: the entry has to call the two functions; until then its deadline can still be wrong.

--- a/src/routing/attempt_log.cpp
+++ b/src/routing/attempt_log.cpp
@@ -53,7 +53,9 @@
 
 decision end(attempt_log& log, rc code, bool cancel_attempt)
 {
-    auto const open = log.attempt_open || log.earlier_open;
+    // A caller of on_unplaced may know of an earlier run that this log has not seen.
+    auto const open =
+        log.attempt_open || log.earlier_open || log.claim_open || code == rc::outcome_unknown;
     if (open && base::info(code).not_run)
     {
         code = code_after_run(log, code);
@@ -124,6 +126,27 @@
     return log;
 }
 
+void on_claiming(attempt_log& log)
+{
+    base::check_invariant(log.phase == request_phase::queued && log.attempt == 0,
+                          "a claim precedes the first attempt");
+    log.claim_open = true;
+}
+
+decision on_claimed(attempt_log& log, claim_outcome outcome)
+{
+    if (!log.claim_open || log.phase == request_phase::done || outcome == claim_outcome::pending)
+    {
+        return {};
+    }
+    if (outcome != claim_outcome::run)
+    {
+        return end(log, claim_result(outcome), false);
+    }
+    log.claim_open = false;
+    return {};
+}
+
 base::mono_time wake_at(attempt_log const& log)
 {
     return log.phase == request_phase::fencing ? std::min(log.fence_until, log.deadline)
@@ -133,6 +156,7 @@
 std::uint32_t on_sent(attempt_log& log, upstream_id upstream)
 {
     base::check_invariant(log.phase == request_phase::queued, "one attempt is out at a time");
+    base::check_invariant(!log.claim_open, "an attempt is sent only after the claim has succeeded");
     log.earlier_open = log.earlier_open || log.attempt_open;
     base::check_invariant(log.idempotent || !log.earlier_open,
                           "a non-idempotent request runs at most once");
--- a/src/routing/attempt_log.hpp
+++ b/src/routing/attempt_log.hpp
@@ -3,6 +3,7 @@
 
 #include "base/result_code.hpp"
 #include "base/time.hpp"
+#include "routing/claim_round.hpp"
 #include "routing/decision.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/upstream_id.hpp"
@@ -65,6 +66,9 @@
     /// An agent has said that the upstream crashed under an attempt.
     bool crashed = false;
     base::mono_time fence_until{};
+    /// The request id comes from an Idempotency-Key and is not claimed yet: an earlier request with
+    /// the same key may have run, so that nothing is said to be not run.
+    bool claim_open = false;
 };
 
 /// \ingroup routing
@@ -78,6 +82,13 @@
 /// \brief Starts the log of a request that has entered the queue.
 [[nodiscard]] attempt_log start_log(bool idempotent, bool stream, base::mono_time deadline);
 
+/// \brief A claim of the request's id has begun; no attempt is sent before it has succeeded.
+void on_claiming(attempt_log& log);
+
+/// \brief The claim was decided.
+/// \returns fail with `outcome_unknown` unless the request may run.
+decision on_claimed(attempt_log& log, claim_outcome outcome);
+
 /// \brief When `on_time` must be called next.
 [[nodiscard]] base::mono_time wake_at(attempt_log const& log);
 
--- a/test/routing_attempt_test.cpp
+++ b/test/routing_attempt_test.cpp
@@ -429,6 +429,39 @@
                   result_code::outcome_unknown);
         }
     }
+    GIVEN("a request whose Idempotency-Key is not claimed yet")
+    {
+        // Guards against "not run" for a key under which an earlier request ran.
+        auto log = routing::start_log(false, false, deadline);
+        routing::on_claiming(log);
+        SUBCASE("another claimer has it")
+        {
+            auto const end = routing::on_claimed(log, routing::claim_outcome::duplicate);
+            CHECK(end.code == result_code::outcome_unknown);
+            CHECK_FALSE(end.not_run);
+        }
+        SUBCASE("the deadline passes")
+        {
+            auto const end = routing::on_time(log, deadline);
+            CHECK(end.code == result_code::outcome_unknown);
+            CHECK_FALSE(end.not_run);
+        }
+        SUBCASE("the caller goes away")
+        {
+            CHECK_FALSE(routing::on_canceled(log).not_run);
+        }
+        SUBCASE("the entry gives up with a code of its own")
+        {
+            auto own = routing::start_log(false, false, deadline);
+            CHECK_FALSE(routing::on_unplaced(own, result_code::outcome_unknown).not_run);
+        }
+        SUBCASE("it may run: from then on a refusal is true again")
+        {
+            CHECK(routing::on_claimed(log, routing::claim_outcome::run).kind ==
+                  decision_kind::ignore);
+            CHECK(routing::on_unplaced(log, result_code::team_queue_full).not_run);
+        }
+    }
     GIVEN("a non-idempotent request")
     {
         auto log = routing::start_log(false, false, deadline);
