--- a/test/routing_attempt_test.cpp
+++ b/test/routing_attempt_test.cpp
@@ -160,7 +160,10 @@
             after(20ms, [this, i] { place(i); });
             return;
         }
-        routing::note_request(budget);
+        if (request.log.attempt == 0)
+        {
+            routing::note_request(budget);
+        }
         request.agent_incarnation = agent.incarnation;
         auto const attempt =
             routing::on_sent(request.log, {static_cast<std::uint32_t>(request.agent), 0});
@@ -411,6 +414,53 @@
             auto const end = routing::on_unplaced(log, result_code::team_queue_full);
             CHECK(end.code == result_code::outcome_unknown);
         }
+        THEN("the refusal of a suspect says that it ran")
+        {
+            auto const second = routing::on_sent(log, {});
+            routing::on_refused(log, second, result_code::upstream_crashed, false, start, start,
+                                means);
+            auto const end = routing::on_unplaced(log, result_code::crash_suspect);
+            CHECK(end.code == result_code::upstream_crashed);
+            CHECK_FALSE(end.not_run);
+        }
+        THEN("a suspect that is not known to have crashed anything ends as unknown")
+        {
+            CHECK(routing::on_unplaced(log, result_code::crash_suspect).code ==
+                  result_code::outcome_unknown);
+        }
+    }
+    GIVEN("a request whose Idempotency-Key is not claimed yet")
+    {
+        // Guards against "not run" for a key under which an earlier request ran.
+        auto log = routing::start_log(false, false, deadline);
+        routing::on_claiming(log);
+        SUBCASE("another claimer has it")
+        {
+            auto const end = routing::on_claimed(log, routing::claim_outcome::duplicate);
+            CHECK(end.code == result_code::outcome_unknown);
+            CHECK_FALSE(end.not_run);
+        }
+        SUBCASE("the deadline passes")
+        {
+            auto const end = routing::on_time(log, deadline);
+            CHECK(end.code == result_code::outcome_unknown);
+            CHECK_FALSE(end.not_run);
+        }
+        SUBCASE("the caller goes away")
+        {
+            CHECK_FALSE(routing::on_canceled(log).not_run);
+        }
+        SUBCASE("the entry gives up with a code of its own")
+        {
+            auto own = routing::start_log(false, false, deadline);
+            CHECK_FALSE(routing::on_unplaced(own, result_code::outcome_unknown).not_run);
+        }
+        SUBCASE("it may run: from then on a refusal is true again")
+        {
+            CHECK(routing::on_claimed(log, routing::claim_outcome::run).kind ==
+                  decision_kind::ignore);
+            CHECK(routing::on_unplaced(log, result_code::team_queue_full).not_run);
+        }
     }
     GIVEN("a non-idempotent request")
     {
