Test the spread of configurations on a simulated network

Cause: the argument for withdrawn keys rests on many parts that only fail together. Change: entries, agents, operators and a store on a virtual clock, with cuts, restarts, outages, lost answers, lost and late frames, slow writes, racing and dying operators; each process has a clock of its own. After each step of 50 ms it checks that no entry serves a key 5 s after its withdrawal was accepted, that no version reverts, and that versions are in effect everywhere after 10 s without faults. Further: a store outage alone never stops keyed routes, a domain that returns, an even split, and naive entries that trust the store's last answer, which are caught. The naive entries now run in a cut of 60 s, where they must fail. Conclusion: the rule holds in the model.

--- a/test/config_delta_test.cpp
+++ b/test/config_delta_test.cpp
@@ -83,7 +83,10 @@
             RC_ASSERT(config::apply(from, config::record_hash(from),
                                     std::get<config::delta>(*change)) == to);
         });
+}
 
+SCENARIO("a delta is small and fits only the record that it starts from")
+{
     GIVEN("a bundle of 1,000 teams in which one key is withdrawn")
     {
         std::string text;
--- a/test/config_in_force_test.cpp
+++ b/test/config_in_force_test.cpp
@@ -69,6 +69,10 @@
             CHECK(config::offer(held, out, start) == true);
         }
     }
+}
+
+SCENARIO("offers in any order never lower a version")
+{
     // Guards against a configuration that reverts when answers arrive late or crossed.
     test::check_property("versions only rise",
                          [](std::vector<std::pair<std::uint8_t, std::uint8_t>> const& offers)
--- /dev/null
+++ b/test/config_network.cpp
@@ -0,0 +1,589 @@
+#include "config_network.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <sstream>
+
+using namespace std::chrono_literals;
+
+namespace gooseberrywood::test
+{
+
+namespace
+{
+
+constexpr base::duration step_time = 50ms;
+constexpr int operator_base = 1000;
+
+bool chance(network& of, double share)
+{
+    return std::bernoulli_distribution(share)(of.random);
+}
+
+base::duration between(network& of, base::duration low, base::duration high)
+{
+    return base::duration(
+        std::uniform_int_distribution<std::int64_t>(low.count(), high.count())(of.random));
+}
+
+int below(network& of, std::size_t bound)
+{
+    return static_cast<int>(of.random() % bound);
+}
+
+int side(network const& of, int at)
+{
+    if (at >= operator_base)
+    {
+        return of.side_of_domain[of.operators[at - operator_base].domain];
+    }
+    auto const& process = of.processes[at];
+    return process.isolated ? -1 - at : of.side_of_domain[process.domain];
+}
+
+bool reaches_store(network const& of, int at)
+{
+    return of.store_up && side(of, at) == 0;
+}
+
+std::set<std::string> keys_of(config::record const& of)
+{
+    std::set<std::string> keys;
+    std::istringstream lines(of.bundle_text);
+    std::string line;
+    std::getline(lines, line);
+    while (std::getline(lines, line))
+    {
+        keys.insert(line);
+    }
+    return keys;
+}
+
+void restart(network& of, int index)
+{
+    auto& at = of.processes[index];
+    ++at.incarnation;
+    at.clock_offset = between(of, -30min, 30min);
+    auto const domains = of.domain_names;
+    at.current = config::start_in_force(
+        [domains](std::string_view text, std::string_view) -> base::result<config::signed_bundle> {
+            return config::signed_bundle{std::stoull(std::string(text.substr(7))), domains};
+        });
+    at.past = {};
+    at.peers.clear();
+    at.announcements = config::start_announcements(local(of, at));
+    at.freshness = {};
+    config::set_witnesses(at.freshness, of.domain_names, of.agents);
+}
+
+void send(network& of, int from, int to, decltype(packet::body) body)
+{
+    packet made;
+    made.from = from;
+    made.to = to;
+    made.body = std::move(body);
+    if (to < operator_base)
+    {
+        made.to_incarnation = of.processes[to].incarnation;
+    }
+    if (from < operator_base)
+    {
+        auto& sender = of.processes[from];
+        auto const clock = local(of, sender);
+        made.header.host = sender.host;
+        made.header.domain = of.domain_names[sender.domain];
+        made.header.version = config::version(sender.current);
+        made.header.announced = config::named(sender.announcements);
+        made.header.sender = sender.is_entry ? config::standing_of(sender.freshness, clock)
+                                             : config::standing_of(sender.announcements);
+        made.sent_us = base::micros(clock);
+        made.echo_us = sender.peers[to].to_echo_us;
+    }
+    auto delay = between(of, 500us, 40ms);
+    if (of.options.bad_frames && of.now < of.storm_until && chance(of, 0.02))
+    {
+        delay = between(of, 500us, 6s);
+    }
+    if (of.options.bad_frames && chance(of, 0.01))
+    {
+        return;
+    }
+    // Frames of one connection arrive in order.
+    auto& last = of.last_arrival[{from, to}];
+    last = std::max(last, of.now + delay);
+    of.packets.emplace(last, std::move(made));
+}
+
+void send_to_all(network& of, int from, decltype(packet::body) const& body)
+{
+    for (int to = 0; to < static_cast<int>(of.processes.size()); ++to)
+    {
+        bool const connected =
+            from >= operator_base || of.processes[from].is_entry != of.processes[to].is_entry;
+        if (connected)
+        {
+            send(of, from, to, body);
+        }
+    }
+}
+
+template <class Update>
+void offer(network& of, process& to, Update const& update)
+{
+    auto const before = to.current.current;
+    auto const taken = config::offer(to.current, update, local(of, to));
+    if (!taken || !*taken)
+    {
+        return;
+    }
+    auto const version = config::version(to.current);
+    if (before && before->version >= version)
+    {
+        of.violation =
+            fmt::format("{} went from version {} to {}", to.host, before->version, version);
+    }
+    if (before)
+    {
+        config::changed(to.past, *before, *to.current.current);
+    }
+    config::version_changed(to.announcements, version);
+    config::version_changed(to.freshness, version);
+    config::prepare(to.freshness, to.current, local(of, to));
+}
+
+void receive_body(network& of, packet const& got)
+{
+    auto& to = of.processes[got.to];
+    if (auto const* request = std::get_if<config_request>(&got.body); request && to.current.current)
+    {
+        auto const contents = config::answer(to.past, *to.current.current, request->above_version);
+        for (auto const& content : *contents)
+        {
+            send(of, got.to, got.from, content);
+        }
+        for (auto const& pending : to.announcements.pending)
+        {
+            send(of, got.to, got.from, pending.made);
+        }
+    }
+    else if (auto const* content = std::get_if<std::string>(&got.body))
+    {
+        auto const update = *config::decode_update(*content);
+        std::visit([&](auto const& any) { offer(of, to, any); }, update);
+    }
+    else if (auto const* said = std::get_if<config::intent>(&got.body))
+    {
+        if (to.is_entry)
+        {
+            config::announced(to.freshness, *said, local(of, to));
+        }
+        else
+        {
+            config::announced(to.announcements, *said, config::version(to.current), local(of, to));
+        }
+        if (got.from >= operator_base)
+        {
+            auto answer = *said;
+            answer.content.clear();
+            send(of, got.to, got.from, answer);
+        }
+    }
+}
+
+void receive(network& of, packet got)
+{
+    bool const from_operator = got.from >= operator_base;
+    if (side(of, got.from) != side(of, got.to))
+    {
+        return;
+    }
+    if (got.to >= operator_base)
+    {
+        auto& command = of.operators[got.to - operator_base];
+        if (command.alive)
+        {
+            config::acknowledged(command.round, got.header.host, std::get<config::intent>(got.body),
+                                 of.now);
+        }
+        return;
+    }
+    auto& to = of.processes[got.to];
+    if (got.to_incarnation != to.incarnation)
+    {
+        return;
+    }
+    if (!from_operator)
+    {
+        got.header.sent_after =
+            config::received(to.peers[got.from], got.sent_us, got.echo_us, local(of, to));
+        config::heard(to.current, got.header);
+        if (to.is_entry)
+        {
+            config::heard(to.freshness, got.header);
+        }
+        else
+        {
+            config::heard(to.announcements, got.header, config::version(to.current));
+        }
+    }
+    receive_body(of, got);
+}
+
+void accept(network& of, config::record const& written)
+{
+    auto const after = keys_of(written);
+    for (auto const& key : keys_of(of.stored))
+    {
+        if (!after.contains(key))
+        {
+            of.withdrawn_at.emplace(key, of.now);
+        }
+    }
+    of.stored = written;
+    of.accepted_at.emplace(written.version, of.now);
+}
+
+/// The call arrives; its answer may be lost on the way back.
+void arrive(network& of, store_call const& call)
+{
+    int const caller = call.caller >= 0 ? call.caller : operator_base - 1 - call.caller;
+    bool const aborted = of.now >= call.aborted_at;
+    if (!reaches_store(of, caller) || aborted)
+    {
+        return;
+    }
+    if (call.write)
+    {
+        bool const fits = call.write->version == of.stored.version + 1;
+        if (fits)
+        {
+            accept(of, *call.write);
+        }
+        auto& command = of.operators[caller - operator_base];
+        if (command.alive && !chance(of, 0.2))
+        {
+            config::store_written(
+                command.round, fits ? config::write_answer::written : config::write_answer::refused,
+                of.now);
+        }
+        return;
+    }
+    if (caller >= operator_base)
+    {
+        auto& command = of.operators[caller - operator_base];
+        if (command.alive)
+        {
+            config::store_read(command.round, std::optional(of.stored), of.domain_names, of.now);
+        }
+        return;
+    }
+    auto& process = of.processes[caller];
+    if (process.incarnation == call.incarnation)
+    {
+        offer(of, process, of.stored);
+        config::store_word(process.freshness, of.stored.version, call.asked_at);
+    }
+}
+
+void call_store(network& of, store_call call)
+{
+    auto delay = between(of, 500us, 40ms);
+    if (of.options.store_outages && of.now < of.storm_until && chance(of, 0.1))
+    {
+        delay = between(of, 500us, 8s);
+    }
+    of.calls.emplace(of.now + delay, std::move(call));
+}
+
+base::result<config::record> withdraw_some_key(network& of, config::record const& from)
+{
+    auto keys = keys_of(from);
+    keys.erase(std::next(keys.begin(), below(of, keys.size())));
+    keys.insert(fmt::format("key {}", of.random() % 1'000'000));
+    auto made = from;
+    made.bundle_text = fmt::format("bundle {}\n", from.version + 1);
+    for (auto const& key : keys)
+    {
+        made.bundle_text += key + "\n";
+    }
+    return made;
+}
+
+void start_operator(network& of)
+{
+    std::vector<std::string> hosts;
+    for (auto const& process : of.processes)
+    {
+        hosts.push_back(process.host);
+    }
+    operator_command command;
+    command.domain = below(of, of.domain_names.size());
+    command.round = config::start_round(
+        fmt::format("operator {}", of.operators.size()),
+        [&of](config::record const& from) { return withdraw_some_key(of, from); }, hosts, of.agents,
+        of.now);
+    of.operators.push_back(std::move(command));
+}
+
+void act(network& of, int index)
+{
+    auto& command = of.operators[index];
+    auto& round = command.round;
+    int const self = operator_base + index;
+    if (of.options.operators_die && chance(of, 0.02))
+    {
+        command.alive = false;
+    }
+    if (!command.alive)
+    {
+        return;
+    }
+    config::tick(round, of.now);
+    bool const entered = round.step != command.seen_step;
+    bool const again = of.now >= command.resend_at;
+    if (!entered && !again)
+    {
+        return;
+    }
+    command.seen_step = round.step;
+    command.resend_at = of.now + 1s;
+    switch (round.phase)
+    {
+    case config::apply_phase::reading:
+    case config::apply_phase::reading_back:
+        call_store(of, {-1 - index, 0, of.now, std::nullopt, base::mono_time::max()});
+        break;
+    case config::apply_phase::announcing:
+        send_to_all(of, self, config::intent_of(round));
+        break;
+    case config::apply_phase::writing:
+        if (entered)
+        {
+            call_store(of, {-1 - index, 0, of.now, round.proposed, round.write_until});
+        }
+        break;
+    case config::apply_phase::waiting:
+        for (auto const& process : of.processes)
+        {
+            config::heard(round, {process.host, {}, config::version(process.current), {}, {}, {}},
+                          of.now);
+        }
+        break;
+    case config::apply_phase::finished:
+        if (config::intent_of(round).withdrawn && round.proposed.version != 0)
+        {
+            send_to_all(of, self, config::intent_of(round));
+        }
+        command.alive = false;
+        break;
+    }
+}
+
+void act_process(network& of, int index)
+{
+    auto& at = of.processes[index];
+    auto const clock = local(of, at);
+    if ((of.now.time_since_epoch() / step_time + index) % (1s / step_time) == 0)
+    {
+        send_to_all(of, index, std::monostate{});
+        if (at.is_entry)
+        {
+            call_store(of, {index, at.incarnation, clock, std::nullopt, base::mono_time::max()});
+        }
+    }
+    auto due = config::next_request(at.current, clock);
+    if (at.is_entry)
+    {
+        config::prepare(at.freshness, at.current, clock);
+        due = due ? due : config::next_request(at.freshness, clock);
+    }
+    if (due)
+    {
+        auto const to = std::find_if(of.processes.begin(), of.processes.end(),
+                                     [&](process const& peer) { return peer.host == due->host; });
+        send(of, index, static_cast<int>(to - of.processes.begin()),
+             config_request{due->above_version});
+    }
+}
+
+void change_weather(network& of)
+{
+    auto const& options = of.options;
+    if (of.now >= of.storm_until + 30s)
+    {
+        of.storm_until = of.now + between(of, 5s, 40s);
+    }
+    if (of.now >= of.storm_until)
+    {
+        bool const was_calm = of.store_up && of.calm_since != base::mono_time::max();
+        std::fill(of.side_of_domain.begin(), of.side_of_domain.end(), 0);
+        std::for_each(of.processes.begin(), of.processes.end(),
+                      [](process& at) { at.isolated = false; });
+        of.store_up = true;
+        // Late frames of the storm are still on their way for a while.
+        of.calm_since = was_calm ? of.calm_since : of.now + 8s;
+        return;
+    }
+    of.calm_since = base::mono_time::max();
+    if (options.cuts && chance(of, 0.02))
+    {
+        of.side_of_domain[below(of, of.side_of_domain.size())] = below(of, 3);
+    }
+    if (options.cuts && chance(of, 0.02))
+    {
+        auto& at = of.processes[below(of, of.processes.size())];
+        at.isolated = !at.isolated;
+    }
+    if (options.store_outages && chance(of, 0.02))
+    {
+        of.store_up = !of.store_up;
+    }
+    if (options.restarts && chance(of, 0.02))
+    {
+        restart(of, below(of, of.processes.size()));
+    }
+}
+
+void check_withdrawals(network& of, process const& entry)
+{
+    auto const state = state_of(of, entry);
+    if (state == config::serving_state::stopped || !entry.current.current)
+    {
+        return;
+    }
+    auto served = keys_of(*entry.current.current);
+    if (state == config::serving_state::restricted)
+    {
+        for (config::record const& other : config::restrictions(entry.freshness))
+        {
+            auto const allowed = keys_of(other);
+            std::erase_if(served, [&](auto const& key) { return !allowed.contains(key); });
+        }
+    }
+    for (auto const& key : served)
+    {
+        auto const found = of.withdrawn_at.find(key);
+        if (found != of.withdrawn_at.end() && of.now >= found->second + config::withdrawal_target)
+        {
+            of.violation = fmt::format("{} serves {} at {}, withdrawn at {}", entry.host, key,
+                                       base::micros(of.now), base::micros(found->second));
+        }
+    }
+}
+
+void check_spread(network& of)
+{
+    for (auto const& [version, at] : of.accepted_at)
+    {
+        bool const due = of.now >= at + config::in_force_target &&
+                         of.now < at + config::in_force_target + step_time;
+        if (!due || at < of.calm_since)
+        {
+            continue;
+        }
+        for (auto const& process : of.processes)
+        {
+            if (config::version(process.current) < version)
+            {
+                of.violation = fmt::format("{} has version {} 10 s after {} was accepted",
+                                           process.host, config::version(process.current), version);
+            }
+        }
+    }
+}
+
+template <class Due>
+void take_due(network& of, std::multimap<base::mono_time, Due>& from,
+              void (*use)(network&, Due const&))
+{
+    while (!from.empty() && from.begin()->first <= of.now)
+    {
+        auto const next = from.extract(from.begin());
+        use(of, next.mapped());
+    }
+}
+
+} // namespace
+
+base::mono_time local(network const& of, process const& at)
+{
+    return of.now + at.clock_offset;
+}
+
+config::serving_state state_of(network const& of, process const& entry)
+{
+    if (of.options.naive)
+    {
+        return entry.current.current ? config::serving_state::full : config::serving_state::stopped;
+    }
+    return config::state_of(entry.freshness, local(of, entry));
+}
+
+network make_network(network_options const& options)
+{
+    network made;
+    made.options = options;
+    made.random.seed(options.seed);
+    made.side_of_domain.assign(options.domains, 0);
+    made.stored = {1, "bundle 1\nkey a\nkey b\nkey c\nkey d\n", "ok", {}};
+    for (int domain = 0; domain < options.domains; ++domain)
+    {
+        made.domain_names.push_back(fmt::format("domain {}", domain));
+        for (int at = 0; at < options.entries_each + options.agents_each; ++at)
+        {
+            process added;
+            added.is_entry = at < options.entries_each;
+            added.host = fmt::format("{} {}.{}", added.is_entry ? "entry" : "agent", domain, at);
+            added.domain = domain;
+            if (!added.is_entry)
+            {
+                made.agents.push_back({added.host, made.domain_names.back()});
+            }
+            made.processes.push_back(std::move(added));
+        }
+    }
+    for (int at = 0; at < static_cast<int>(made.processes.size()); ++at)
+    {
+        restart(made, at);
+    }
+    // Agents need a while before they vouch for anything.
+    made.storm_until = made.now - 5s;
+    made.calm_since = made.now;
+    made.next_operator = made.now + 5s;
+    return made;
+}
+
+void run(network& of, base::duration time)
+{
+    for (auto const end = of.now + time; of.now < end && of.violation.empty(); of.now += step_time)
+    {
+        change_weather(of);
+        take_due<packet>(of, of.packets, [](network& to, packet const& at) { receive(to, at); });
+        take_due<store_call>(of, of.calls, arrive);
+        if (of.options.operators && of.now >= of.next_operator)
+        {
+            start_operator(of);
+            // Sometimes two at once, which race each other.
+            of.next_operator = of.now + (chance(of, 0.3) ? step_time : between(of, 1s, 4s));
+        }
+        for (int at = 0; at < static_cast<int>(of.operators.size()); ++at)
+        {
+            act(of, at);
+        }
+        for (int at = 0; at < static_cast<int>(of.processes.size()); ++at)
+        {
+            act_process(of, at);
+        }
+        for (auto const& process : of.processes)
+        {
+            if (process.is_entry)
+            {
+                check_withdrawals(of, process);
+            }
+        }
+        check_spread(of);
+    }
+}
+
+} // namespace gooseberrywood::test
