Take announced changes into effect without a request, and add the store's head

Cause: an entry that answers 50 agents with a delta each change, or reads a record of up to 1 MB from the store each second, exceeds the 5 KB/s of a process by far. Ruled out: a second key that only names the version beside the record (the two can't be written at once); watching the record (each watch answer holds the whole value). Change: frames carry the hash of the record in effect, so that a process which remembers an announced change with this version and hash applies its own delta. The store holds a small head, which the CAS replaces, and each record under a key of its own, which is written before and never changes.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -16,6 +16,7 @@
 #include "config/edit.hpp"
 #include "config/evidence.hpp"
 #include "config/freshness.hpp"
+#include "config/head.hpp"
 #include "config/held_change.hpp"
 #include "config/history.hpp"
 #include "config/in_force.hpp"
--- a/src/config/announcements.cpp
+++ b/src/config/announcements.cpp
@@ -83,6 +83,13 @@
     return names;
 }
 
+intent const* find(announcements const& of, named_change const& what)
+{
+    auto const found = std::find_if(of.pending.begin(), of.pending.end(),
+                                    [&](announcement const& at) { return at.made.what == what; });
+    return found == of.pending.end() ? nullptr : &found->made;
+}
+
 standing standing_of(announcements const& of)
 {
     return of.remembers ? standing::witness : standing::none;
--- a/src/config/announcements.hpp
+++ b/src/config/announcements.hpp
@@ -54,6 +54,9 @@
 /// with the answer to each `config_request`.
 [[nodiscard]] std::vector<named_change> named(announcements const& of);
 
+/// \brief The announcement of a change, or nullptr if it is not known here.
+[[nodiscard]] intent const* find(announcements const& of, named_change const& what);
+
 /// \brief What the process vouches for. Goes out with each frame.
 [[nodiscard]] standing standing_of(announcements const& of);
 
--- a/src/config/freshness.cpp
+++ b/src/config/freshness.cpp
@@ -345,6 +345,12 @@
     return due_request{*knowing[of.requests++ % knowing.size()], of.version};
 }
 
+intent const* find(freshness const& of, named_change const& what)
+{
+    auto const* held = find_held(of, what);
+    return held == nullptr ? nullptr : &held->announced.made;
+}
+
 standing standing_of(freshness const& of, base::mono_time now)
 {
     return state_of(of, now) == serving_state::full ? standing::fresh : standing::none;
--- a/src/config/freshness.hpp
+++ b/src/config/freshness.hpp
@@ -6,6 +6,7 @@
 #include "config/held_change.hpp"
 #include "config/in_force.hpp"
 #include "config/intent.hpp"
+#include "config/named_change.hpp"
 #include "config/peer_frame.hpp"
 #include "config/serving_state.hpp"
 #include "config/standing.hpp"
@@ -92,6 +93,9 @@
 /// \returns a request for a `config_request`, whose answer holds the agent's announcements.
 [[nodiscard]] std::optional<due_request> next_request(freshness& of, base::mono_time now);
 
+/// \brief The announcement of a change, or nullptr if it is not known here.
+[[nodiscard]] intent const* find(freshness const& of, named_change const& what);
+
 /// \brief What the entry vouches for. Goes out with each frame.
 [[nodiscard]] standing standing_of(freshness const& of, base::mono_time now);
 
--- a/src/config/in_force.cpp
+++ b/src/config/in_force.cpp
@@ -85,6 +85,21 @@
     return taken;
 }
 
+base::result<bool> offer(in_force& of, intent const& said, base::mono_time now)
+{
+    auto const change = decode_delta(said.content);
+    if (!change)
+    {
+        return tl::unexpected(change.error());
+    }
+    if (change->from_version != version(of) || change->to_version != said.what.version ||
+        change->to_hash != said.what.hash)
+    {
+        return false;
+    }
+    return offer(of, *change, now);
+}
+
 void heard(in_force& of, peer_frame const& frame)
 {
     auto const at = of.peer_versions.find(frame.host);
--- a/src/config/in_force.hpp
+++ b/src/config/in_force.hpp
@@ -4,6 +4,7 @@
 #include "base/result.hpp"
 #include "base/time.hpp"
 #include "config/delta.hpp"
+#include "config/intent.hpp"
 #include "config/peer_frame.hpp"
 #include "config/record.hpp"
 #include "config/signed_bundle.hpp"
@@ -66,6 +67,13 @@
 /// the whole record.
 [[nodiscard]] base::result<bool> offer(in_force& of, delta const& offered, base::mono_time now);
 
+/// \brief Takes an announced change into effect that a peer's frame states to be in effect there.
+/// The delta came with the announcement, so that nothing has to be asked for.
+/// \param said the announcement of the frame's version and hash.
+/// \returns as for a delta; false when the change starts from another version than the one in
+/// effect.
+[[nodiscard]] base::result<bool> offer(in_force& of, intent const& said, base::mono_time now);
+
 /// \brief Notes the version that a peer states in a frame.
 void heard(in_force& of, peer_frame const& frame);
 
--- a/src/config/peer_frame.hpp
+++ b/src/config/peer_frame.hpp
@@ -20,6 +20,8 @@
     std::string domain;
     /// The version in effect at the sender.
     std::uint64_t version = 0;
+    /// `record_hash` of the record in effect at the sender; 0 if none.
+    std::uint64_t hash = 0;
     /// The announced changes that the sender remembers.
     std::vector<named_change> announced;
     standing sender = standing::none;
--- a/test/config_apply_round_test.cpp
+++ b/test/config_apply_round_test.cpp
@@ -96,7 +96,7 @@
             REQUIRE(round.phase == apply_phase::waiting);
             auto const states = [&](std::string const& host, std::uint64_t version)
             {
-                config::heard(round, {host, "a", version, {}, config::standing::none, start},
+                config::heard(round, {host, "a", version, 0, {}, config::standing::none, start},
                               start + 1s);
             };
             for (auto const& host : round.processes)
--- a/test/config_delta_test.cpp
+++ b/test/config_delta_test.cpp
@@ -32,6 +32,21 @@
             CHECK(std::get<config::record>(*update) == original);
         }
     }
+    GIVEN("the head of a small and of a large change")
+    {
+        auto const from = sample_record(7, "a\n");
+        auto const small = config::make_head(from, sample_record(8, "b\n"));
+        auto const large = config::make_head(from, sample_record(8, std::string(9000, 'b')));
+        THEN("both are read as they were written, and only the small one holds its delta")
+        {
+            CHECK(config::decode_head(*config::encode(small)) == small);
+            CHECK(config::decode_head(*config::encode(large)) == large);
+            CHECK_FALSE(small.delta.empty());
+            CHECK(large.delta.empty());
+            CHECK(config::record_key(small) != config::record_key(large));
+            CHECK_FALSE(config::decode_head(R"({"version":0,"hash":1,"delta":""})").has_value());
+        }
+    }
     GIVEN("records that the store can't hold")
     {
         THEN("they are refused when they are encoded")
--- a/test/config_freshness_test.cpp
+++ b/test/config_freshness_test.cpp
@@ -29,13 +29,13 @@
                                  base::mono_time sent_after,
                                  std::vector<config::named_change> announced = {})
 {
-    return {domain + std::to_string(agent), domain,    version, std::move(announced),
+    return {domain + std::to_string(agent), domain,    version, 0, std::move(announced),
             config::standing::witness,      sent_after};
 }
 
 config::peer_frame entry_frame(std::uint64_t version, base::mono_time sent_after)
 {
-    return {"entry", "a", version, {}, config::standing::fresh, sent_after};
+    return {"entry", "a", version, 0, {}, config::standing::fresh, sent_after};
 }
 
 config::record record_at(std::uint64_t version)
@@ -186,6 +186,7 @@
                 config::heard(entry, {agent.host,
                                       agent.domain,
                                       5,
+                                      0,
                                       {named.what},
                                       config::standing::witness,
                                       start + 2s});
--- a/test/config_in_force_test.cpp
+++ b/test/config_in_force_test.cpp
@@ -29,7 +29,7 @@
 
 config::peer_frame from(std::string host, std::uint64_t version)
 {
-    return {std::move(host), "zabok", version, {}, config::standing::none, start};
+    return {std::move(host), "zabok", version, 0, {}, config::standing::none, start};
 }
 
 } // namespace
@@ -124,6 +124,23 @@
             REQUIRE(config::offer(held, at(6, 4), start) == true);
             CHECK(config::next_request(held, start)->above_version == 6);
         }
+        THEN("an announced change is taken once a peer has it, and another one is not")
+        {
+            auto const to = at(6, 4);
+            config::intent said{{6, config::record_hash(to)},
+                                "operator",
+                                false,
+                                *config::encode(config::make_delta(at(4, 3), to))};
+            CHECK(config::offer(held, said, start) == false);
+            CHECK_FALSE(held.want_whole);
+            said.content = *config::encode(config::make_delta(at(5, 3), to));
+            ++said.what.hash;
+            CHECK(config::offer(held, said, start) == false);
+            --said.what.hash;
+            CHECK(config::offer(held, said, start) == true);
+            said.content = "not a delta";
+            CHECK_FALSE(config::offer(held, said, start).has_value());
+        }
         THEN("peers that have gone are not asked")
         {
             config::disconnected(held, "b");
--- a/test/config_network.cpp
+++ b/test/config_network.cpp
@@ -94,6 +94,7 @@
         made.header.host = sender.host;
         made.header.domain = of.domain_names[sender.domain];
         made.header.version = config::version(sender.current);
+        made.header.hash = sender.current.current_hash;
         made.header.announced = config::named(sender.announcements);
         made.header.sender = sender.is_entry ? config::standing_of(sender.freshness, clock)
                                              : config::standing_of(sender.announcements);
@@ -217,6 +218,14 @@
     {
         got.header.sent_after =
             config::received(to.peers[got.from], got.sent_us, got.echo_us, local(of, to));
+        config::named_change const stated{got.header.version, got.header.hash};
+        auto const* known = to.is_entry ? config::find(to.freshness, stated)
+                                        : config::find(to.announcements, stated);
+        if (known != nullptr)
+        {
+            auto const taken = *known;
+            offer(of, to, taken);
+        }
         config::heard(to.current, got.header);
         if (to.is_entry)
         {
@@ -366,8 +375,8 @@
     case config::apply_phase::waiting:
         for (auto const& process : of.processes)
         {
-            config::heard(round, {process.host, {}, config::version(process.current), {}, {}, {}},
-                          of.now);
+            config::heard(
+                round, {process.host, {}, config::version(process.current), 0, {}, {}, {}}, of.now);
         }
         break;
     case config::apply_phase::finished:
