Add the replica, which keeps the parts of the configuration together

Cause: entries and agents need the same order of calls on five structs, and the simulator held this order as test code. Change: config::replica with one function for each kind of event, used by the simulator instead of its own glue; receive_head for the small value that entries read each second.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -24,6 +24,7 @@
 #include "config/named_change.hpp"
 #include "config/peer_frame.hpp"
 #include "config/record.hpp"
+#include "config/replica.hpp"
 #include "config/send_times.hpp"
 #include "config/serving_state.hpp"
 #include "config/signed_bundle.hpp"
--- a/test/config_network.cpp
+++ b/test/config_network.cpp
@@ -71,15 +71,14 @@
     ++at.incarnation;
     at.clock_offset = between(of, -30min, 30min);
     auto const domains = of.domain_names;
-    at.current = config::start_in_force(
+    at.peers.clear();
+    at.replica = config::start_replica(
+        at.is_entry ? wire::peer_role::entry : wire::peer_role::agent,
         [domains](std::string_view text, std::string_view) -> base::result<config::signed_bundle> {
             return config::signed_bundle{std::stoull(std::string(text.substr(7))), domains};
-        });
-    at.past = {};
-    at.peers.clear();
-    at.announcements = config::start_announcements(local(of, at));
-    at.freshness = {};
-    config::set_witnesses(at.freshness, of.domain_names, of.agents);
+        },
+        local(of, at));
+    config::set_witnesses(at.replica.freshness, of.domain_names, of.agents);
 }
 
 void send(network& of, int from, int to, decltype(packet::body) body)
@@ -96,13 +95,9 @@
     {
         auto& sender = of.processes[from];
         auto const clock = local(of, sender);
+        made.header = config::outgoing(sender.replica, clock);
         made.header.host = sender.host;
         made.header.domain = of.domain_names[sender.domain];
-        made.header.version = config::version(sender.current);
-        made.header.hash = sender.current.current_hash;
-        made.header.announced = config::named(sender.announcements);
-        made.header.sender = sender.is_entry ? config::standing_of(sender.freshness, clock)
-                                             : config::standing_of(sender.announcements);
         made.sent_us = base::micros(clock);
         made.echo_us = sender.peers[to].to_echo_us;
     }
@@ -130,60 +125,29 @@
     }
 }
 
-template <class Update>
-void offer(network& of, process& to, Update const& update)
-{
-    auto const before = to.current.current;
-    auto const taken = config::offer(to.current, update, local(of, to));
-    if (!taken || !*taken)
-    {
-        return;
-    }
-    auto const version = config::version(to.current);
-    if (before && before->version >= version)
-    {
-        of.violation =
-            fmt::format("{} went from version {} to {}", to.host, before->version, version);
-    }
-    if (before)
-    {
-        config::changed(to.past, *before, *to.current.current);
-    }
-    config::version_changed(to.announcements, version);
-    config::version_changed(to.freshness, version);
-    config::prepare(to.freshness, to.current, local(of, to));
-}
-
 void receive_body(network& of, packet const& got)
 {
     auto& to = of.processes[got.to];
-    if (auto const* request = std::get_if<std::uint64_t>(&got.body); request && to.current.current)
+    auto const clock = local(of, to);
+    if (auto const* above_version = std::get_if<std::uint64_t>(&got.body))
     {
-        auto const contents = config::answer(to.past, *to.current.current, *request);
-        for (auto const& content : *contents)
+        auto const answer = config::answer(to.replica, *above_version);
+        for (auto const& content : answer.contents)
         {
             send(of, got.to, got.from, content);
         }
-        for (auto const& pending : to.announcements.pending)
+        for (auto const& pending : answer.announcements)
         {
-            send(of, got.to, got.from, pending.made);
+            send(of, got.to, got.from, pending);
         }
     }
     else if (auto const* content = std::get_if<std::string>(&got.body))
     {
-        auto const update = *config::decode_update(*content);
-        std::visit([&](auto const& any) { offer(of, to, any); }, update);
+        (void)config::receive_content(to.replica, *content, clock);
     }
     else if (auto const* said = std::get_if<config::intent>(&got.body))
     {
-        if (to.is_entry)
-        {
-            config::announced(to.freshness, *said, local(of, to));
-        }
-        else
-        {
-            config::announced(to.announcements, *said, config::version(to.current), local(of, to));
-        }
+        config::receive_intent(to.replica, *said, clock);
         if (got.from >= operator_base)
         {
             auto answer = *said;
@@ -219,23 +183,7 @@
     {
         got.header.sent_after =
             config::received(to.peers[got.from], got.sent_us, got.echo_us, local(of, to));
-        config::named_change const stated{got.header.version, got.header.hash};
-        auto const* known = to.is_entry ? config::find(to.freshness, stated)
-                                        : config::find(to.announcements, stated);
-        if (known != nullptr)
-        {
-            auto const taken = *known;
-            offer(of, to, taken);
-        }
-        config::heard(to.current, got.header);
-        if (to.is_entry)
-        {
-            config::heard(to.freshness, got.header);
-        }
-        else
-        {
-            config::heard(to.announcements, got.header, config::version(to.current));
-        }
+        config::receive_frame(to.replica, got.header, local(of, to));
     }
     receive_body(of, got);
 }
@@ -250,6 +198,7 @@
             of.withdrawn_at.emplace(key, of.now);
         }
     }
+    of.head = config::make_head(of.stored, written);
     of.stored = written;
     of.accepted_at.emplace(written.version, of.now);
 }
@@ -291,8 +240,11 @@
     auto& process = of.processes[caller];
     if (process.incarnation == call.incarnation)
     {
-        offer(of, process, of.stored);
-        config::store_word(process.freshness, of.stored.version, call.asked_at);
+        auto const clock = local(of, process);
+        if (config::receive_head(process.replica, of.head, call.asked_at, clock))
+        {
+            (void)config::receive_store(process.replica, of.stored, call.asked_at, clock);
+        }
     }
 }
 
@@ -373,7 +325,8 @@
         for (auto const& process : of.processes)
         {
             config::heard(
-                round, {process.host, {}, config::version(process.current), 0, {}, {}, {}}, of.now);
+                round, {process.host, {}, config::version(process.replica.current), 0, {}, {}, {}},
+                of.now);
         }
         break;
     case config::apply_phase::finished:
@@ -398,12 +351,11 @@
             call_store(of, {index, at.incarnation, clock, std::nullopt, base::mono_time::max()});
         }
     }
-    auto due = config::next_request(at.current, clock);
     if (at.is_entry)
     {
-        config::prepare(at.freshness, at.current, clock);
-        due = due ? due : config::next_request(at.freshness, clock);
+        config::prepare(at.replica.freshness, at.replica.current, clock);
     }
+    auto const due = config::next_request(at.replica, clock);
     if (due)
     {
         auto const to = std::find_if(of.processes.begin(), of.processes.end(),
@@ -454,14 +406,14 @@
 void check_withdrawals(network& of, process const& entry)
 {
     auto const state = state_of(of, entry);
-    if (state == config::serving_state::stopped || !entry.current.current)
+    if (state == config::serving_state::stopped || !entry.replica.current.current)
     {
         return;
     }
-    auto served = keys_of(*entry.current.current);
+    auto served = keys_of(*entry.replica.current.current);
     if (state == config::serving_state::restricted)
     {
-        for (config::record const& other : config::restrictions(entry.freshness))
+        for (config::record const& other : config::restrictions(entry.replica.freshness))
         {
             auto const allowed = keys_of(other);
             std::erase_if(served, [&](auto const& key) { return !allowed.contains(key); });
@@ -478,18 +430,28 @@
     }
 }
 
-void check_spread(network& of)
+void check_versions(network& of)
 {
+    for (auto& process : of.processes)
+    {
+        auto const now = std::pair(process.incarnation, config::version(process.replica.current));
+        if (now < process.last_version)
+        {
+            of.violation = fmt::format("{} went back to version {}", process.host, now.second);
+        }
+        process.last_version = now;
+    }
     for (auto const& [version, at] : of.accepted_at)
     {
         auto const late = of.now - at - config::in_force_target;
         bool const due = late >= 0s && late < step_time && at >= of.calm_since;
         for (auto const& process : of.processes)
         {
-            if (due && config::version(process.current) < version)
+            if (due && config::version(process.replica.current) < version)
             {
-                of.violation = fmt::format("{} has version {} 10 s after {} was accepted",
-                                           process.host, config::version(process.current), version);
+                of.violation =
+                    fmt::format("{} has version {} 10 s after {} was accepted", process.host,
+                                config::version(process.replica.current), version);
             }
         }
     }
@@ -517,9 +479,10 @@
 {
     if (of.options.naive)
     {
-        return entry.current.current ? config::serving_state::full : config::serving_state::stopped;
+        return entry.replica.current.current ? config::serving_state::full
+                                             : config::serving_state::stopped;
     }
-    return config::state_of(entry.freshness, local(of, entry));
+    return config::state_of(entry.replica.freshness, local(of, entry));
 }
 
 network make_network(network_options const& options)
@@ -529,6 +492,7 @@
     made.random.seed(options.seed);
     made.side_of_domain.assign(options.domains, 0);
     made.stored = {1, "bundle 1\nkey a\nkey b\nkey c\nkey d\n", "ok", {}};
+    made.head = config::make_head({}, made.stored);
     for (int domain = 0; domain < options.domains; ++domain)
     {
         made.domain_names.push_back(fmt::format("domain {}", domain));
@@ -584,7 +548,7 @@
                 check_withdrawals(of, process);
             }
         }
-        check_spread(of);
+        check_versions(of);
     }
 }
 
--- a/test/config_network.hpp
+++ b/test/config_network.hpp
@@ -53,10 +53,9 @@
     /// Clocks of processes have nothing to do with each other.
     base::duration clock_offset{};
     bool isolated = false;
-    config::in_force current;
-    config::history past;
-    config::announcements announcements;
-    config::freshness freshness;
+    config::replica replica;
+    /// Incarnation and version after the last step.
+    std::pair<std::uint64_t, std::uint64_t> last_version;
     std::map<int, config::send_times> peers;
 };
 
@@ -94,6 +93,7 @@
     std::vector<std::string> domain_names;
     bool store_up = true;
     config::record stored;
+    config::head head;
     std::multimap<base::mono_time, packet> packets;
     std::multimap<base::mono_time, store_call> calls;
     std::map<std::pair<int, int>, base::mono_time> last_arrival;
--- a/test/config_network_test.cpp
+++ b/test/config_network_test.cpp
@@ -151,7 +151,7 @@
         test::run(network, 20s);
         for (auto& at : network.processes)
         {
-            config::announced(at.announcements, {{2, 1}, "dead", false, {}}, 1,
+            config::announced(at.replica.announcements, {{2, 1}, "dead", false, {}}, 1,
                               test::local(network, at));
         }
         THEN("keyed routes go on, and the announcement is cleared")
@@ -162,7 +162,7 @@
             CHECK(count(network, serving_state::full) == 3);
             for (auto const& at : network.processes)
             {
-                CHECK((at.is_entry || at.announcements.pending.empty()));
+                CHECK((at.is_entry || at.replica.announcements.pending.empty()));
             }
         }
     }
