--- a/test/config_freshness_test.cpp
+++ b/test/config_freshness_test.cpp
@@ -2,6 +2,8 @@
 
 #include "property.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 using namespace gooseberrywood;
@@ -29,13 +31,13 @@
                                  base::mono_time sent_after,
                                  std::vector<config::named_change> announced = {})
 {
-    return {domain + std::to_string(agent), domain,    version, std::move(announced),
+    return {domain + std::to_string(agent), domain,    version, 0, std::move(announced),
             config::standing::witness,      sent_after};
 }
 
 config::peer_frame entry_frame(std::uint64_t version, base::mono_time sent_after)
 {
-    return {"entry", "a", version, {}, config::standing::fresh, sent_after};
+    return {"entry", "a", version, 0, {}, config::standing::fresh, sent_after};
 }
 
 config::record record_at(std::uint64_t version)
@@ -186,6 +188,7 @@
                 config::heard(entry, {agent.host,
                                       agent.domain,
                                       5,
+                                      0,
                                       {named.what},
                                       config::standing::witness,
                                       start + 2s});
@@ -197,6 +200,7 @@
         {
             config::announced(entry, change, start);
             REQUIRE(all_name(change) == config::serving_state::restricted);
+            CHECK(config::dump(entry, start + 3s)["state"] == "restricted");
             REQUIRE(config::restrictions(entry).size() == 1);
             CHECK(config::restrictions(entry).front().get() == record_at(6));
             CHECK(config::standing_of(entry, start + 3s) == config::standing::none);
--- a/test/config_in_force_test.cpp
+++ b/test/config_in_force_test.cpp
@@ -29,7 +29,7 @@
 
 config::peer_frame from(std::string host, std::uint64_t version)
 {
-    return {std::move(host), "zabok", version, {}, config::standing::none, start};
+    return {std::move(host), "zabok", version, 0, {}, config::standing::none, start};
 }
 
 } // namespace
@@ -69,6 +69,10 @@
             CHECK(config::offer(held, out, start) == true);
         }
     }
+}
+
+SCENARIO("offers in any order never lower a version")
+{
     // Guards against a configuration that reverts when answers arrive late or crossed.
     test::check_property("versions only rise",
                          [](std::vector<std::pair<std::uint8_t, std::uint8_t>> const& offers)
@@ -120,6 +124,23 @@
             REQUIRE(config::offer(held, at(6, 4), start) == true);
             CHECK(config::next_request(held, start)->above_version == 6);
         }
+        THEN("an announced change is taken once a peer has it, and another one is not")
+        {
+            auto const to = at(6, 4);
+            config::intent said{{6, config::record_hash(to)},
+                                "operator",
+                                false,
+                                *config::encode(config::make_delta(at(4, 3), to))};
+            CHECK(config::offer(held, said, start) == false);
+            CHECK_FALSE(held.want_whole);
+            said.content = *config::encode(config::make_delta(at(5, 3), to));
+            ++said.what.hash;
+            CHECK(config::offer(held, said, start) == false);
+            --said.what.hash;
+            CHECK(config::offer(held, said, start) == true);
+            said.content = "not a delta";
+            CHECK_FALSE(config::offer(held, said, start).has_value());
+        }
         THEN("peers that have gone are not asked")
         {
             config::disconnected(held, "b");
