--- a/bench/config_spread.cpp
+++ b/bench/config_spread.cpp
@@ -22,7 +22,7 @@
 {
 
 constexpr double seconds_a_day = 86'400;
-/// Fields that each frame gains: two times and a hash of 8 bytes and the standing.
+/// Fields of each frame that serve the configuration only: two times, the standing and a hash.
 constexpr double frame_field_bytes = 25;
 /// Time of one call to the store and of one frame, in seconds.
 constexpr double store_call_s = 0.005;
@@ -66,8 +66,8 @@
 template <class Body>
 double frame_bytes(Body body)
 {
-    auto const encoded = wire::encode({1, base::wall_time{}, std::move(body)});
-    return static_cast<double>(encoded ? encoded->size() : 0) + frame_field_bytes;
+    auto const encoded = wire::encode({{1, 2, false, {}}, base::wall_now(), 1, 1, std::move(body)});
+    return static_cast<double>(encoded ? encoded->size() : 0);
 }
 
 struct change_sizes
@@ -118,10 +118,10 @@
     wire::hello hello;
     hello.host = "operator-host";
     hello.domain = "medellin-a";
-    wire::config_content announcement;
+    wire::config_intent announcement{1, 1, "operator-host-12345678", false, {}};
     announcement.content = std::string(static_cast<std::size_t>(sizes.delta), 'x');
     return 2 * frame_bytes(hello) + frame_bytes(announcement) +
-           frame_bytes(wire::config_intent{1, "operator-host-12345678", false}) +
+           frame_bytes(wire::config_intent{1, 1, "operator-host-12345678", false, {}}) +
            4 * frame_bytes(wire::ping{});
 }
 
--- a/src/agent/configuration.cpp
+++ b/src/agent/configuration.cpp
@@ -49,9 +49,9 @@
     if (route != nullptr)
     {
         where.is_engine = route->kind == bundle::route_kind::model;
-        admission::apply(where.point, *route);
+        admission::apply_route(where.point, *route);
     }
-    admission::apply(where.point, agent.configuration.bundle.teams);
+    admission::apply_teams(where.point, agent.configuration.bundle.teams);
 }
 
 config::intent to_intent(wire::config_intent const& m)
--- a/src/entry/agents.cpp
+++ b/src/entry/agents.cpp
@@ -122,17 +122,17 @@
         return;
     }
     which.claim.reset();
+    auto const decided = routing::on_claimed(which.log, outcome);
     if (outcome == routing::claim_outcome::run)
     {
         enqueue(entry, which);
         return;
     }
-    fail_unplaced(
-        entry, which,
-        {routing::claim_result(outcome),
-         outcome == routing::claim_outcome::duplicate
-             ? "a request with this Idempotency-Key was sent before; it may have run"
-             : "it can't be told whether a request with this Idempotency-Key ran before"});
+    which.refusal_message =
+        outcome == routing::claim_outcome::duplicate
+            ? "a request with this Idempotency-Key was sent before; it may have run"
+            : "it can't be told whether a request with this Idempotency-Key ran before";
+    carry_out(entry, which, decided);
 }
 
 void handle(entry_process& entry, agent_link& link, wire::claimed& message)
@@ -277,6 +277,7 @@
     // A home that hangs is disconnected after the silence limit; then the other one decides.
     constexpr base::duration claim_patience = std::chrono::seconds(4);
     auto const now = mono_now();
+    routing::on_claiming(which.log);
     auto const homes = routing::choose_claim_homes(entry.claim_homes, which.id);
     auto const is_connected = [&](std::string_view host)
     {
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -189,14 +189,7 @@
     wanted.prefix = routing::prefix_hash(which.caller.prompt_prefix);
     wanted.tried = which.log.tried;
     wanted.suspect = is_suspect(entry, which, now);
-    auto chosen = routing::choose(entry.upstreams, wanted, now, entry.random);
-    if (!chosen && !wanted.tried.empty())
-    {
-        // Every other upstream is busy or gone: one that was tried before is better than none.
-        wanted.tried = {};
-        chosen = routing::choose(entry.upstreams, wanted, now, entry.random);
-    }
-    return chosen;
+    return routing::choose(entry.upstreams, wanted, now, entry.random);
 }
 
 void send_attempt(entry_process& entry, request& which, routing::choice const& chosen,
@@ -250,7 +243,7 @@
             offered.emplace_back(item.of->id, *chosen);
             return true;
         };
-        auto const item = admission::pick(entry.queue, eligible);
+        auto const item = admission::pick(entry.queue, now, eligible);
         if (!item)
         {
             return;
@@ -287,11 +280,8 @@
     auto const now = base::mono_now();
     if (routing::judge(entry.suspects, which.caller.fingerprint, now) == routing::verdict::refused)
     {
-        // An attempt of this very request may have been the one that crashed an upstream.
-        bool const ran = which.log.attempt > 0;
         fail_unplaced(entry, which,
-                      {ran ? base::result_code::upstream_crashed : base::result_code::crash_suspect,
-                       "equal requests crashed two upstreams"});
+                      {base::result_code::crash_suspect, "equal requests crashed two upstreams"});
         return;
     }
     auto lane = which.caller.route;
