--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -3,6 +3,7 @@
 #include "agent/configuration.hpp"
 #include "agent/dump.hpp"
 #include "agent/frames.hpp"
+#include "agent/measure.hpp"
 #include "agent/replies.hpp"
 #include "agent/reports.hpp"
 #include "agent/work.hpp"
@@ -87,12 +88,13 @@
         return tl::unexpected(listener.error());
     }
     agent.listener = std::move(*listener);
-    auto admin = process::serve_admin(agent.settings.listen_admin,
-                                      {[&agent] { return dump(agent); }, [] { return ""; },
-                                       [&agent]
-                                       {
-                                           return !agent.stopping;
-                                       }});
+    auto admin =
+        process::serve_admin(agent.settings.listen_admin, {[&agent] { return dump(agent); },
+                                                           [&agent] { return exposition(agent); },
+                                                           [&agent]
+                                                           {
+                                                               return !agent.stopping;
+                                                           }});
     if (!admin)
     {
         return tl::unexpected(admin.error());
--- a/src/agent/agent_process.hpp
+++ b/src/agent/agent_process.hpp
@@ -5,6 +5,7 @@
 #include "agent/peer.hpp"
 #include "agent/upstream.hpp"
 #include "base/event_source.hpp"
+#include "base/metrics.hpp"
 #include "base/result.hpp"
 #include "bundle/bundle.hpp"
 #include "config/announcements.hpp"
@@ -35,6 +36,7 @@
     wire::hello own;
     base::mono_time started_at{};
     process::main_loop loop;
+    base::metrics metrics;
     std::unique_ptr<wire::listener> listener;
     std::unique_ptr<http::server> admin;
     base::object_ptr<SoupSession> session;
--- a/src/agent/configuration.cpp
+++ b/src/agent/configuration.cpp
@@ -39,7 +39,7 @@
         send_lost(agent, a.entry, {a.id, a.attempt},
                   {base::result_code::key_withdrawn, "the key was withdrawn"});
     }
-    abort_attempts(where, ended.running);
+    abort_attempts(agent, where, ended.running);
 }
 
 void apply_to(agent_process& agent, upstream& where)
--- a/src/agent/frames.cpp
+++ b/src/agent/frames.cpp
@@ -91,7 +91,7 @@
             auto const at = where->point.running.find({message.id, message.attempt});
             // Copied: the end of the attempt removes it from the map.
             auto const running = at->second;
-            abort_attempts(*where, std::span(&running, 1));
+            abort_attempts(agent, *where, std::span(&running, 1));
         }
         if (answer.is_running || answer.refused)
         {
@@ -170,7 +170,7 @@
     for (auto const& [name, where] : agent.upstreams)
     {
         auto const ended = admission::disconnect(where->point, entry, base::mono_now());
-        abort_attempts(*where, ended.running);
+        abort_attempts(agent, *where, ended.running);
         pump(agent, *where);
     }
     stop_if_idle(agent);
--- a/src/agent/work.cpp
+++ b/src/agent/work.cpp
@@ -1,6 +1,7 @@
 #include "agent/work.hpp"
 
 #include "agent/health.hpp"
+#include "agent/measure.hpp"
 #include "agent/replies.hpp"
 #include "agent/reports.hpp"
 
@@ -59,7 +60,7 @@
 }
 
 // Takes an execution out of the upstream and counts its end.
-std::unique_ptr<execution> take_ended(upstream& where, attempt_key const& key,
+std::unique_ptr<execution> take_ended(agent_process& agent, upstream& where, attempt_key const& key,
                                       attempt_outcome outcome)
 {
     auto const at = where.executions.find(key);
@@ -69,6 +70,7 @@
     }
     auto ended = std::move(at->second);
     where.executions.erase(at);
+    count_end(agent, where, *ended, outcome);
     admission::finished(where.point, key.id, key.attempt, make_report(*ended, outcome),
                         base::mono_now());
     return ended;
@@ -77,7 +79,7 @@
 void on_finished(agent_process& agent, upstream& where, std::uint64_t entry, wire::finished message)
 {
     attempt_key const key{message.id, message.attempt};
-    auto const ended = take_ended(where, key, outcome_of(message.status));
+    auto const ended = take_ended(agent, where, key, outcome_of(message.status));
     if (!ended)
     {
         return;
@@ -106,7 +108,7 @@
         probe(agent, where);
         return;
     }
-    if (take_ended(where, key, attempt_outcome::failed))
+    if (take_ended(agent, where, key, attempt_outcome::failed))
     {
         send_lost(agent, entry, key, failure.why);
     }
@@ -176,12 +178,13 @@
     report_load(agent, where);
 }
 
-void abort_attempts(upstream& where, std::span<admission::running_attempt const> attempts)
+void abort_attempts(agent_process& agent, upstream& where,
+                    std::span<admission::running_attempt const> attempts)
 {
     for (auto const& a : attempts)
     {
         attempt_key const key{a.id, a.attempt};
-        if (!take_ended(where, key, attempt_outcome::canceled))
+        if (!take_ended(agent, where, key, attempt_outcome::canceled))
         {
             // Its connection broke already and a probe is under way.
             admission::finished(where.point, key.id, key.attempt,
@@ -208,7 +211,7 @@
                        {{"upstream", std::string_view(where.settings.name)},
                         {"request_id", std::string_view(base::to_string(key.id))}});
         // A stall says that the upstream is overloaded or hung, so the limit falls.
-        if (take_ended(where, key, attempt_outcome::overloaded))
+        if (take_ended(agent, where, key, attempt_outcome::overloaded))
         {
             send_lost(agent, entry, key,
                       {base::result_code::upstream_error, "the upstream stopped answering"});
--- a/src/agent/work.hpp
+++ b/src/agent/work.hpp
@@ -10,7 +10,8 @@
 void pump(agent_process& agent, upstream& where);
 
 /// \brief Aborts attempts at the upstream and accounts for them as canceled.
-void abort_attempts(upstream& where, std::span<admission::running_attempt const> attempts);
+void abort_attempts(agent_process& agent, upstream& where,
+                    std::span<admission::running_attempt const> attempts);
 
 /// \brief Ends attempts that ran past their deadline, and idempotent ones whose upstream sends
 /// nothing any more.
--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/agents.hpp"
 #include "entry/configuration.hpp"
+#include "entry/measure.hpp"
 #include "entry/requests.hpp"
 #include "http/error_answer.hpp"
 
@@ -44,6 +45,7 @@
     made.id = id;
     made.caller = std::move(caller);
     made.exchange = exchange;
+    made.arrived_at = base::mono_now();
     made.log =
         routing::start_log(made.caller.idempotent, made.caller.kind == bundle::route_kind::model,
                            base::mono_now() + timeout);
@@ -93,11 +95,13 @@
                         entry.configuration.bundle);
     if (!parsed)
     {
+        count_refused(entry, parsed.error().code);
         http::respond_error(*exchange, parsed.error());
         return;
     }
     if (auto const serving = check_serving(entry, *parsed); !serving)
     {
+        count_refused(entry, serving.error().code);
         http::respond_error(*exchange, serving.error(), base::mono_now());
         return;
     }
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -5,6 +5,7 @@
 #include "entry/callers.hpp"
 #include "entry/configuration.hpp"
 #include "entry/dump.hpp"
+#include "entry/measure.hpp"
 #include "http/limits.hpp"
 #include "process/admin.hpp"
 
@@ -28,12 +29,13 @@
         return tl::unexpected(callers.error());
     }
     entry.callers = std::move(*callers);
-    auto admin = process::serve_admin(entry.settings.listen_admin,
-                                      {[&entry] { return dump(entry); }, [] { return ""; },
-                                       [&entry]
-                                       {
-                                           return !entry.stopping;
-                                       }});
+    auto admin =
+        process::serve_admin(entry.settings.listen_admin, {[&entry] { return dump(entry); },
+                                                           [&entry] { return exposition(entry); },
+                                                           [&entry]
+                                                           {
+                                                               return !entry.stopping;
+                                                           }});
     if (!admin)
     {
         return tl::unexpected(admin.error());
--- a/src/entry/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -3,6 +3,7 @@
 
 #include "admission/fair_queue.hpp"
 #include "base/event_source.hpp"
+#include "base/metrics.hpp"
 #include "base/result.hpp"
 #include "bundle/bundle.hpp"
 #include "config/freshness.hpp"
@@ -38,6 +39,7 @@
     process::configuration configuration;
     wire::hello own;
     process::main_loop loop;
+    base::metrics metrics;
     std::unique_ptr<http::server> callers;
     std::unique_ptr<http::server> admin;
     std::map<std::string, std::shared_ptr<agent_link>, std::less<>> agents;
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -26,6 +26,7 @@
     base::request_id id;
     caller_request caller;
     std::shared_ptr<http::exchange> exchange;
+    base::mono_time arrived_at{};
     routing::attempt_log log;
     /// Set while the claim of an Idempotency-Key is undecided.
     std::optional<routing::claim_round> claim;
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "entry/answers.hpp"
 #include "entry/completion_answer.hpp"
+#include "entry/measure.hpp"
 #include "routing/choose.hpp"
 #include "routing/prefix_hash.hpp"
 
@@ -116,6 +117,7 @@
         base::info(why.code).not_run && !not_run ? base::result_code::outcome_unknown : why.code;
     auto const message = why.message.empty() ? std::string(base::info(code).meaning) : why.message;
     log_end(which, code, message);
+    count_end(entry, which, code);
     std::optional<base::mono_time> retry_at;
     constexpr std::uint16_t too_many_requests = 429;
     constexpr std::uint16_t service_unavailable = 503;
@@ -131,6 +133,7 @@
 void complete(entry_process& entry, request& which)
 {
     log_end(which, base::result_code::ok, "");
+    count_end(entry, which, base::result_code::ok);
     admission::correct(entry.queue, which.caller.team, which.caller.cost,
                        which.end.prompt_tokens + which.end.total_tokens);
     pass_end(which);
--- a/src/process/admin.cpp
+++ b/src/process/admin.cpp
@@ -1,5 +1,6 @@
 #include "process/admin.hpp"
 
+#include "base/metrics.hpp"
 #include "http/error_answer.hpp"
 
 #include <nlohmann/json.hpp>
@@ -25,7 +26,7 @@
     }
     else if (to.path == "/metrics")
     {
-        http::respond(to, 200, "text/plain; version=0.0.4", views.metrics());
+        http::respond(to, 200, base::exposition_content_type, views.metrics());
     }
     else if (to.path == "/healthz")
     {
--- a/test/process/request_path_test.cpp
+++ b/test/process/request_path_test.cpp
@@ -190,6 +190,22 @@
         auto const whole = fetch(completion(e, "zlatar-key", "saddle stitch", 12, false));
         REQUIRE(whole.has_value());
         CHECK(whole->status == 200);
+        THEN("it is counted on the entry's and the agents' metrics pages")
+        {
+            auto const metrics_of = [](std::uint16_t port)
+            {
+                return fetch({fmt::format("http://127.0.0.1:{}/metrics", port)})->body;
+            };
+            CHECK(metrics_of(e.admin_port)
+                      .find("gooseberrywood_generated_tokens_total{route=\"planner-lm\","
+                            "team=\"zlatar\"} 12") != std::string::npos);
+            std::string both;
+            for (auto const& a : d.processes.agents)
+            {
+                both += metrics_of(a->admin_port);
+            }
+            CHECK(both.find("outcome=\"completed\"") != std::string::npos);
+        }
         THEN("the streamed answer has the same text and an end mark")
         {
             auto const streamed =
