Pass the tokens of whole answers on in runs

Cause: the entry spent a frame on each token of an answer that its caller gets as a whole. Ruled out: holding the whole answer at the agent (all of it would be generated again after a crash) and runs for streamed answers (the caller would see its tokens late). Change: an agent passes such tokens on after 64 of them or 500 ms, and before the end.

--- a/src/agent/execution.cpp
+++ b/src/agent/execution.cpp
@@ -15,13 +15,50 @@
 
 constexpr std::uint16_t http_ok = 200;
 
+// Tokens of an answer that the caller gets as a whole are passed on in runs: a frame for each token
+// costs the entry more than the token itself. What is held is lost with the agent and is then
+// generated again, so the runs are short against an answer.
+constexpr std::uint32_t max_held_tokens = 64;
+constexpr base::duration longest_hold = std::chrono::milliseconds(500);
+
+void pass_on(execution& e, engine_tokens tokens)
+{
+    e.handlers.on_chunk({e.attempt.id, e.attempt.attempt, tokens.first_token, tokens.tokens,
+                         std::move(tokens.events)});
+}
+
+void flush_held(execution& e)
+{
+    if (e.held.tokens > 0)
+    {
+        pass_on(e, std::exchange(e.held, {}));
+    }
+}
+
 // The handler that ends an execution destroys it, so handlers are moved out first.
 void end_with_failure(execution& e, execution_failure const& failure)
 {
+    flush_held(e);
     auto const handlers = std::move(e.handlers);
     handlers.on_failed(failure);
 }
 
+void hold(execution& e, engine_tokens tokens)
+{
+    auto const now = base::mono_now();
+    if (e.held.tokens == 0)
+    {
+        e.held.first_token = tokens.first_token;
+        e.held_since = now;
+    }
+    e.held.tokens += tokens.tokens;
+    e.held.events += tokens.events;
+    if (e.held.tokens >= max_held_tokens || now >= e.held_since + longest_hold)
+    {
+        flush_held(e);
+    }
+}
+
 void receive_tokens(execution& e, std::string_view bytes)
 {
     auto tokens = read(e.stream, bytes);
@@ -38,8 +75,14 @@
     {
         e.first_token_at = base::mono_now();
     }
-    e.handlers.on_chunk({e.attempt.id, e.attempt.attempt, tokens->first_token, tokens->tokens,
-                         std::move(tokens->events)});
+    if (e.attempt.stream)
+    {
+        pass_on(e, std::move(*tokens));
+    }
+    else
+    {
+        hold(e, std::move(*tokens));
+    }
 }
 
 void receive(execution& e, std::string_view bytes)
@@ -71,6 +114,7 @@
                              true});
         return;
     }
+    flush_held(e);
     wire::finished message;
     message.id = e.attempt.id;
     message.attempt = e.attempt.attempt;
--- a/src/agent/execution.hpp
+++ b/src/agent/execution.hpp
@@ -46,6 +46,9 @@
     /// When the upstream last sent something.
     base::mono_time progress_at{};
     engine_stream stream;
+    /// Tokens that were read but not passed on yet, if the caller waits for a whole answer.
+    engine_tokens held;
+    base::mono_time held_since{};
     std::uint16_t status = 0;
     std::string content_type;
     std::string body;
