Make the random events of the admission point long enough

Cause: with two seeds in several thousand, a run of 2,000 events had exactly 200 starts, and the check that each run starts more than 200 attempts failed. The check guards the test, not the product: the bound came from a hundred seeds. Ruled out: a lower bound. Change: 3,000 events a run; the bound stays. Conclusion: a failure of this check now means that something refuses too much.

--- a/test/admission_point_test.cpp
+++ b/test/admission_point_test.cpp
@@ -354,7 +354,7 @@
             {
                 std::for_each(refusals.begin(), refusals.end(), check);
             };
-            for (std::uint64_t step = 0; step < 2000; ++step)
+            for (std::uint64_t step = 0; step < 3000; ++step)
             {
                 now += std::chrono::milliseconds(below(300));
                 auto const number = step / 20 * 4 + below(12);
