--- a/src/config/freshness.cpp
+++ b/src/config/freshness.cpp
@@ -124,7 +124,7 @@
     return std::move(*made);
 }
 
-void drop_dead(freshness& of)
+void drop_settled(freshness& of)
 {
     std::erase_if(of.held,
                   [&](held_change const& at)
@@ -173,7 +173,7 @@
             use_latest(known, version);
         }
     }
-    drop_dead(of);
+    drop_settled(of);
 }
 
 void heard(freshness& of, peer_frame const& frame)
@@ -241,7 +241,7 @@
     if (store_version <= of.version)
     {
         of.store_good_at = asked_at;
-        drop_dead(of);
+        drop_settled(of);
     }
 }
 
--- a/test/config_network.cpp
+++ b/test/config_network.cpp
@@ -32,9 +32,9 @@
     return static_cast<int>(of.random() % bound);
 }
 
-bool in_storm(network const& of)
+bool faults_active(network const& of)
 {
-    return of.options.faults && of.now < of.storm_until;
+    return of.options.faults && of.now < of.faults_until;
 }
 
 int side(network const& of, int at)
@@ -105,7 +105,7 @@
     {
         return;
     }
-    auto const delay = between(of, 500us, in_storm(of) && chance(of, 0.02) ? 6s : 40ms);
+    auto const delay = between(of, 500us, faults_active(of) && chance(of, 0.02) ? 6s : 40ms);
     // Frames of one connection arrive in order.
     auto& last = of.last_arrival[{from, to}];
     last = std::max(last, of.now + delay);
@@ -250,7 +250,7 @@
 
 void call_store(network& of, store_call call)
 {
-    auto const delay = between(of, 500us, in_storm(of) && chance(of, 0.1) ? 8s : 40ms);
+    auto const delay = between(of, 500us, faults_active(of) && chance(of, 0.1) ? 8s : 40ms);
     of.calls.emplace(of.now + delay, std::move(call));
 }
 
@@ -364,14 +364,14 @@
     }
 }
 
-/// Storms of faults take turns with calm times.
-void change_weather(network& of)
+/// Times with faults alternate with times without.
+void change_faults(network& of)
 {
-    if (of.now >= of.storm_until + 30s)
+    if (of.now >= of.faults_until + 30s)
     {
-        of.storm_until = of.now + between(of, 5s, 40s);
+        of.faults_until = of.now + between(of, 5s, 40s);
     }
-    if (of.now >= of.storm_until)
+    if (of.now >= of.faults_until)
     {
         std::fill(of.side_of_domain.begin(), of.side_of_domain.end(), 0);
         for (auto& process : of.processes)
@@ -381,8 +381,8 @@
         of.store_up = true;
         return;
     }
-    // Late frames of the storm are still on their way for a while.
-    of.calm_since = of.storm_until + 8s;
+    // Late frames of the faulty time are still on their way for a while.
+    of.fault_free_since = of.faults_until + 8s;
     if (!of.options.faults)
     {
         return;
@@ -444,7 +444,7 @@
     for (auto const& [version, at] : of.accepted_at)
     {
         auto const late = of.now - at - config::in_force_target;
-        bool const due = late >= 0s && late < step_time && at >= of.calm_since;
+        bool const due = late >= 0s && late < step_time && at >= of.fault_free_since;
         for (auto const& process : of.processes)
         {
             if (due && config::version(process.replica.current) < version)
@@ -514,8 +514,8 @@
         restart(made, at);
     }
     // Agents need a while before they vouch for anything.
-    made.storm_until = made.now - 5s;
-    made.calm_since = made.now;
+    made.faults_until = made.now - 5s;
+    made.fault_free_since = made.now;
     made.next_operator = made.now + 5s;
     return made;
 }
@@ -524,7 +524,7 @@
 {
     for (auto const end = of.now + time; of.now < end && of.violation.empty(); of.now += step_time)
     {
-        change_weather(of);
+        change_faults(of);
         take_due<packet>(of, of.packets, [](network& to, packet const& at) { receive(to, at); });
         take_due<store_call>(of, of.calls, arrive);
         if (of.options.operators && of.now >= of.next_operator)
--- a/test/config_network.hpp
+++ b/test/config_network.hpp
@@ -98,8 +98,8 @@
     std::multimap<base::mono_time, store_call> calls;
     std::map<std::pair<int, int>, base::mono_time> last_arrival;
     /// Faults occur only until then, and again later.
-    base::mono_time storm_until = base::mono_time::min();
-    base::mono_time calm_since{};
+    base::mono_time faults_until = base::mono_time::min();
+    base::mono_time fault_free_since{};
     base::mono_time next_operator{};
     /// When each key was withdrawn, and each version accepted.
     std::map<std::string, base::mono_time, std::less<>> withdrawn_at;
--- a/test/config_network_test.cpp
+++ b/test/config_network_test.cpp
@@ -33,8 +33,8 @@
 {
     for (auto const end = of.now + time; of.now < end && of.violation.empty();)
     {
-        // The fault ends by itself unless the storm goes on.
-        of.storm_until = of.now + 1s;
+        // Faults end by themselves unless this time is moved on.
+        of.faults_until = of.now + 1s;
         of.side_of_domain = {0, 0, 1};
         test::run(of, 50ms);
     }
@@ -86,10 +86,10 @@
                              auto network = test::make_network(options);
                              test::run(network, 20s + 1ms * (seed % 5000));
                              RC_ASSERT(count(network, serving_state::full) == 3);
-                             // The fault ends by itself unless the storm goes on.
+                             // Faults end by themselves unless this time is moved on.
                              for (int step = 0; step < 3000; ++step)
                              {
-                                 network.storm_until = network.now + 1s;
+                                 network.faults_until = network.now + 1s;
                                  network.store_up = false;
                                  test::run(network, 50ms);
                                  RC_ASSERT(count(network, serving_state::stopped) == 0);
@@ -114,7 +114,7 @@
             CHECK(count(network, serving_state::full) == 2);
             AND_THEN("after the return all serve and have the last version")
             {
-                network.storm_until = network.now;
+                network.faults_until = network.now;
                 test::run(network, 10s);
                 CHECK(count(network, serving_state::full) == 3);
                 CHECK(network.violation.empty());
@@ -130,7 +130,7 @@
         test::run(network, 20s);
         for (int step = 0; step < 100; ++step)
         {
-            network.storm_until = network.now + 1s;
+            network.faults_until = network.now + 1s;
             network.side_of_domain = {1, 1, 2, 2};
             test::run(network, 50ms);
         }
