Keep one copy of the bound on send times

wire and config each had a struct that bounds when a peer's frame was sent; connections use the one in wire, and config's tests do now, too.

--- a/src/config.hpp
+++ b/src/config.hpp
@@ -25,7 +25,6 @@
 #include "config/peer_frame.hpp"
 #include "config/record.hpp"
 #include "config/replica.hpp"
-#include "config/send_times.hpp"
 #include "config/serving_state.hpp"
 #include "config/signed_bundle.hpp"
 #include "config/standing.hpp"
--- a/src/config/peer_frame.hpp
+++ b/src/config/peer_frame.hpp
@@ -26,7 +26,7 @@
     std::vector<named_change> announced;
     standing sender = standing::none;
     /// A time on the receiver's clock before which the frame was certainly not sent; see
-    /// `send_times`. The time of arrival would be wrong: a frame may have been delayed.
+    /// `wire::send_times`. The time of arrival would be wrong: a frame may have been delayed.
     base::mono_time sent_after{};
 };
 
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -63,7 +63,7 @@
         return;
     }
     c.clock_offset = base::wall_now() - received->sent_at;
-    note_times(c.times, received->sent_mono_us, received->echo_mono_us, base::mono_now());
+    (void)note_times(c.times, received->sent_mono_us, received->echo_mono_us, base::mono_now());
     c.handlers.on_frame(*received);
 }
 
--- a/src/wire/send_times.hpp
+++ b/src/wire/send_times.hpp
@@ -25,8 +25,9 @@
 /// \param sent_us the sender's monotonic time.
 /// \param echo_us our own time as returned by the sender, 0 if it has none. One that lies after
 /// `now` is a fault of the sender and is ignored.
-inline void note_times(send_times& of, std::int64_t sent_us, std::int64_t echo_us,
-                       base::mono_time now)
+/// \returns a time on our clock before which the frame was certainly not sent.
+inline base::mono_time note_times(send_times& of, std::int64_t sent_us, std::int64_t echo_us,
+                                  base::mono_time now)
 {
     of.to_echo_us = sent_us;
     base::mono_time const echo{base::duration(echo_us)};
@@ -34,6 +35,7 @@
     {
         of.sent_after = echo;
     }
+    return of.sent_after;
 }
 
 } // namespace gooseberrywood::wire
--- a/test/config_network.cpp
+++ b/test/config_network.cpp
@@ -1,4 +1,5 @@
 #include "config_network.hpp"
+#include "wire/send_times.hpp"
 
 #include <fmt/format.h>
 
@@ -182,7 +183,7 @@
     if (!from_operator)
     {
         got.header.sent_after =
-            config::received(to.peers[got.from], got.sent_us, got.echo_us, local(of, to));
+            wire::note_times(to.peers[got.from], got.sent_us, got.echo_us, local(of, to));
         config::receive_frame(to.replica, got.header, local(of, to));
     }
     receive_body(of, got);
--- a/test/config_network.hpp
+++ b/test/config_network.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYWOOD_TEST_CONFIG_NETWORK_HPP
 
 #include "config.hpp"
+#include "wire/send_times.hpp"
 
 #include <cstdint>
 #include <map>
@@ -56,7 +57,7 @@
     config::replica replica;
     /// Incarnation and version after the last step.
     std::pair<std::uint64_t, std::uint64_t> last_version;
-    std::map<int, config::send_times> peers;
+    std::map<int, wire::send_times> peers;
 };
 
 /// An operator's command.
