Note in agents what the frames of entries say

Cause: agent::note_frame was defined but called from nowhere, so an agent never learnt that an entry has a newer configuration, and peer::config_version stayed 0. Without a bundle file no agent ever got a configuration, remembered announcements for certain, or saw that its host is leaving. Ruled out: the entry's side, which calls its note_frame for every frame. Change: each frame is noted before it is handled, since a Start is judged by the version of its sender. An agent without a public key asks for nothing, because it could verify nothing.

--- a/src/agent/configuration.cpp
+++ b/src/agent/configuration.cpp
@@ -123,11 +123,13 @@
 
 void note_frame(agent_process& agent, std::uint64_t entry, wire::frame const& received)
 {
-    auto const& connection = *agent.peers.at(entry).connection;
+    auto& peer = agent.peers.at(entry);
+    auto const& connection = *peer.connection;
     if (connection.peer->role != wire::peer_role::entry)
     {
         return;
     }
+    peer.config_version = received.stamp.config_version;
     auto const said = process::make_peer_frame(connection, received);
     config::heard(agent.announcements, said, process::version(agent.configuration));
     config::heard(agent.configuration.in_force, said);
@@ -144,6 +146,11 @@
 
 void ask_for_configuration(agent_process& agent)
 {
+    if (agent.settings.bundle_public_key.empty())
+    {
+        // With a bundle file there is no key, and no content could be verified.
+        return;
+    }
     auto const due = config::next_request(agent.configuration.in_force, base::mono_now());
     if (!due)
     {
--- a/src/agent/frames.cpp
+++ b/src/agent/frames.cpp
@@ -192,7 +192,12 @@
     };
     handlers.on_frame = [&agent, number](wire::frame& received)
     {
-        std::visit([&](auto& message) { handle(agent, number, message); }, received.body);
+        note_frame(agent, number, received);
+        // The connection is gone when an answer could not be queued.
+        if (agent.peers.contains(number))
+        {
+            std::visit([&](auto& message) { handle(agent, number, message); }, received.body);
+        }
     };
     handlers.on_closed = [&agent, number](base::error const& why)
     {
