Add bundle apply and domain out/in

Cause: the operator's round existed as a state machine without a command that drives it. Before: no command could change the configuration. Conclusion: examples/operator.toml shows the settings.

--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -11,6 +11,10 @@
 namespace gooseberrywood::cli
 {
 
+/// \ingroup cli
+/// \brief Result codes of a subcommand; unused elements are `ok`.
+using command_codes = std::array<base::result_code, 12>;
+
 /// \ingroup cli
 /// \brief One row of the table of subcommands.
 struct command
@@ -27,7 +31,7 @@
     /// gflags names of the flags that it takes; unused elements stay empty.
     std::array<std::string_view, 4> flags;
     /// Codes that it ends with besides `ok` and `usage`; unused elements stay `ok`.
-    std::array<base::result_code, 6> codes;
+    command_codes codes;
     /// \param args the arguments without the flags, exactly `arguments` of them.
     /// \returns the exit code of the process.
     int (*call)(std::span<char const* const> args);
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -8,6 +8,30 @@
 
 using rc = base::result_code;
 
+constexpr command_codes apply_codes = {rc::io_error,
+                                       rc::not_found,
+                                       rc::timeout,
+                                       rc::settings_invalid,
+                                       rc::bundle_invalid,
+                                       rc::signature_invalid,
+                                       rc::version_conflict,
+                                       rc::version_too_old,
+                                       rc::not_in_force_everywhere,
+                                       rc::store_unavailable,
+                                       rc::store_outcome_unknown,
+                                       rc::platform_refused};
+
+constexpr command_codes domain_codes = {rc::io_error,
+                                        rc::not_found,
+                                        rc::timeout,
+                                        rc::settings_invalid,
+                                        rc::bundle_invalid,
+                                        rc::version_conflict,
+                                        rc::not_in_force_everywhere,
+                                        rc::store_unavailable,
+                                        rc::store_outcome_unknown,
+                                        rc::platform_refused};
+
 // Columns: name, usage, summary, examples, arguments, flags, codes, function.
 constexpr std::array table = {
     command{"entry",
@@ -59,6 +83,35 @@
             {"json"},
             {rc::io_error, rc::not_found, rc::bundle_invalid},
             bundle_show_command},
+    command{"bundle apply",
+            "FILE --settings SETTINGS [--expect VERSION]",
+            "Makes a signed bundle the configuration: announces it to the agents, writes it to the "
+            "platform's store and waits until it is in effect. Reads FILE and FILE.sig. The "
+            "settings give platform_url and bundle_public_key; host and domain can both be "
+            "\"operator\".",
+            "bundle apply bundle.toml --settings examples/operator.toml\n"
+            "bundle apply bundle.toml --settings examples/operator.toml --expect 41",
+            1,
+            {"settings", "expect"},
+            apply_codes,
+            bundle_apply_command},
+    command{"domain out",
+            "NAME --settings SETTINGS [--expect VERSION] [--force]",
+            "Takes a failure domain out: it gets no new work, running requests finish. Settings as "
+            "for bundle apply.",
+            "domain out krapina --settings examples/operator.toml",
+            1,
+            {"settings", "expect", "force"},
+            domain_codes,
+            domain_out_command},
+    command{"domain in",
+            "NAME --settings SETTINGS [--expect VERSION]",
+            "Takes a failure domain back in. Settings as for bundle apply.",
+            "domain in krapina --settings examples/operator.toml",
+            1,
+            {"settings", "expect"},
+            domain_codes,
+            domain_in_command},
     command{"key new",
             "--team NAME",
             "Makes a key; prints the key and the line that adds it to the team in the bundle.",
--- a/test/bundle_examples_test.cpp
+++ b/test/bundle_examples_test.cpp
@@ -87,7 +87,8 @@
 
 SCENARIO("the example settings have no fault")
 {
-    for (auto const* file : {"examples/entry.toml", "examples/agent.toml"})
+    for (auto const* file :
+         {"examples/entry.toml", "examples/agent.toml", "examples/operator.toml"})
     {
         auto const read = settings::load(test::source_path(file));
         REQUIRE_MESSAGE(read.has_value(), read.error().message);
