Test the configuration across processes

Cause: neither the operators' commands nor entries and agents with a platform had run together. Agents show in their state dump whether they vouch, which tests wait for instead of a time.

--- a/src/agent/dump.cpp
+++ b/src/agent/dump.cpp
@@ -17,6 +17,8 @@
     out["config_version"] = process::version(agent.configuration);
     out["domains_out"] = agent.configuration.domains_out;
     out["announced_changes"] = agent.announcements.pending.size();
+    // Whether its frames count as evidence for keyed routes: not for 15 s after its start.
+    out["vouches"] = config::standing_of(agent.announcements) == config::standing::witness;
     out["stopping"] = agent.stopping;
     out["leaving"] = agent.self.leaving;
     out["domain_out"] = agent.self.domain_out;
--- a/test/process/support/http_client.cpp
+++ b/test/process/support/http_client.cpp
@@ -42,6 +42,30 @@
                        g_memory_output_stream_get_data_size(memory));
 }
 
+/// \returns nothing when the URL is none.
+base::object_ptr<SoupMessage> make_message(http_request const& request, SoupMessageFlags flags)
+{
+    base::object_ptr<SoupMessage> made(
+        soup_message_new(request.method.c_str(), request.url.c_str()));
+    if (!made)
+    {
+        return made;
+    }
+    soup_message_add_flags(made.get(), SoupMessageFlags(SOUP_MESSAGE_NO_REDIRECT | flags));
+    auto* const headers = soup_message_get_request_headers(made.get());
+    for (auto const& [name, value] : request.headers)
+    {
+        soup_message_headers_append(headers, name.c_str(), value.c_str());
+    }
+    if (!request.body.empty())
+    {
+        GBytes* const bytes = g_bytes_new(request.body.data(), request.body.size());
+        soup_message_set_request_body_from_bytes(made.get(), "application/json", bytes);
+        g_bytes_unref(bytes);
+    }
+    return made;
+}
+
 nlohmann::json must_succeed(http_request const& request)
 {
     auto const response = fetch(request);
@@ -77,26 +101,13 @@
     pushed_context const pushed(opened.context.get());
     opened.session.reset(soup_session_new());
     soup_session_set_timeout(opened.session.get(), request.silence_s);
-    opened.message.reset(soup_message_new(request.method.c_str(), request.url.c_str()));
+    // libsoup would send the request again on a connection that ended, which hides the fault.
+    opened.message = make_message(request, SOUP_MESSAGE_NEW_CONNECTION);
     if (!opened.message)
     {
         return base::fail(base::result_code::usage, "not a URL: " + request.url);
     }
     auto* const message = opened.message.get();
-    // libsoup would send the request again on a connection that ended, which hides the fault.
-    soup_message_add_flags(
-        message, SoupMessageFlags(SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_NEW_CONNECTION));
-    auto* const headers = soup_message_get_request_headers(message);
-    for (auto const& [name, value] : request.headers)
-    {
-        soup_message_headers_append(headers, name.c_str(), value.c_str());
-    }
-    if (!request.body.empty())
-    {
-        GBytes* const bytes = g_bytes_new(request.body.data(), request.body.size());
-        soup_message_set_request_body_from_bytes(message, "application/json", bytes);
-        g_bytes_unref(bytes);
-    }
     GError* failure = nullptr;
     base::object_ptr<GInputStream> const input(
         soup_session_send(opened.session.get(), message, nullptr, &failure));
@@ -160,6 +171,39 @@
     return response;
 }
 
+open_connection::open_connection() : context(g_main_context_new(), g_main_context_unref)
+{
+    pushed_context const pushed(context.get());
+    session.reset(soup_session_new_with_options("max-conns", 1, "max-conns-per-host", 1, nullptr));
+}
+
+open_connection::~open_connection()
+{
+    pushed_context const pushed(context.get());
+    soup_session_abort(session.get());
+    session.reset();
+}
+
+base::result<http_response> fetch(open_connection const& on, http_request const& request)
+{
+    pushed_context const pushed(on.context.get());
+    auto const message = make_message(request, SoupMessageFlags(0));
+    soup_session_set_timeout(on.session.get(), request.silence_s);
+    GError* failure = nullptr;
+    base::object_ptr<GInputStream> const input(
+        soup_session_send(on.session.get(), message.get(), nullptr, &failure));
+    if (!input)
+    {
+        base::glib_error_ptr const owned(failure);
+        return base::fail(base::result_code::connection_lost, failure->message);
+    }
+    return read_all(input.get())
+        .map(
+            [&](std::string const& body) {
+                return http_response{soup_message_get_status(message.get()), body, {}};
+            });
+}
+
 nlohmann::json get_json(std::string const& url)
 {
     return must_succeed({.url = url});
--- a/test/process/support/http_client.hpp
+++ b/test/process/support/http_client.hpp
@@ -38,6 +38,23 @@
 /// \returns `connection_lost` when the connection can't be made or ends early.
 [[nodiscard]] base::result<http_response> fetch(http_request const& request);
 
+/// Sends requests on one connection that stays open between them.
+struct open_connection
+{
+    std::unique_ptr<GMainContext, decltype(&g_main_context_unref)> context{nullptr,
+                                                                           g_main_context_unref};
+    base::object_ptr<SoupSession> session;
+
+    open_connection();
+    open_connection(open_connection const&) = delete;
+    open_connection& operator=(open_connection const&) = delete;
+    ~open_connection();
+};
+
+/// As `fetch`, on a connection that may be open already. Use it in the thread that made it.
+[[nodiscard]] base::result<http_response> fetch(open_connection const& on,
+                                                http_request const& request);
+
 /// GET that must succeed.
 /// \throws std::runtime_error
 [[nodiscard]] nlohmann::json get_json(std::string const& url);
