Don't tell callers of a cut-off entry that their key was withdrawn

Cause: when an entry stops keyed routes because it hears neither the store nor the agents, it ended its keyed requests by on_key_withdrawn, so callers with valid keys got 401 key_withdrawn. Ruled out: the agents (stopped by SIGSTOP in the test) and the withdrawal of a key (none was). Change: on_configuration_stale ends a request with configuration_stale if it did not run, else with stream_incomplete or outcome_unknown. Requests whose key an announced or accepted change withdraws still end with key_withdrawn. Before: store_outage_test, "cut off", a request sent just before got key_withdrawn. Conclusion: the random runs of the attempt log include the new ending.

--- a/src/entry/configuration.cpp
+++ b/src/entry/configuration.cpp
@@ -163,7 +163,8 @@
 
 // Ends all requests that fulfil a condition; requests may be gone by the time their turn comes.
 template <class Condition>
-void end_requests(entry_process& entry, std::string const& message, Condition condition)
+void end_requests(entry_process& entry, std::string const& message,
+                  routing::decision (*decide)(routing::attempt_log&), Condition condition)
 {
     std::vector<base::request_id> ending;
     for (auto const& [id, which] : entry.requests)
@@ -178,7 +179,7 @@
         if (auto* const which = find_request(entry, id))
         {
             which->refusal_message = message;
-            carry_out(entry, *which, routing::on_key_withdrawn(which->log));
+            carry_out(entry, *which, decide(which->log));
         }
     }
 }
@@ -202,6 +203,7 @@
     if (now == config::serving_state::stopped)
     {
         end_requests(entry, "it can't be told whether the key is still valid",
+                     routing::on_configuration_stale,
                      [](caller_request const& caller) { return !caller.key_hash.empty(); });
         return;
     }
@@ -213,7 +215,7 @@
             entry.restrictions.push_back(std::move(*parsed));
         }
     }
-    end_requests(entry, "the key may have been withdrawn",
+    end_requests(entry, "the key may have been withdrawn", routing::on_key_withdrawn,
                  [&](caller_request const& caller)
                  { return !check_serving(entry, caller).has_value(); });
 }
@@ -287,7 +289,7 @@
     routing::set_domains_out(entry.upstreams, configuration.domains_out);
     config::version_changed(entry.freshness, process::version(configuration));
     config::set_witnesses(entry.freshness, configuration.bundle.domains, entry.witnesses);
-    end_requests(entry, "the key was withdrawn",
+    end_requests(entry, "the key was withdrawn", routing::on_key_withdrawn,
                  [&](caller_request const& caller)
                  { return !is_allowed(configuration.bundle, caller); });
     if (entry.platform)
--- a/src/routing/attempt_log.cpp
+++ b/src/routing/attempt_log.cpp
@@ -289,4 +289,11 @@
                                             : end(log, rc::key_withdrawn, has_attempt_out(log));
 }
 
+decision on_configuration_stale(attempt_log& log)
+{
+    return log.phase == request_phase::done
+               ? decision{}
+               : end(log, rc::configuration_stale, has_attempt_out(log));
+}
+
 } // namespace gooseberrywood::routing
--- a/src/routing/attempt_log.hpp
+++ b/src/routing/attempt_log.hpp
@@ -122,6 +122,10 @@
 /// \brief The caller's key was revoked.
 decision on_key_withdrawn(attempt_log& log);
 
+/// \brief The entry can't tell any more whether the caller's key is valid. The answer doesn't say
+/// that the key was withdrawn: a caller would then stop using a valid key.
+decision on_configuration_stale(attempt_log& log);
+
 } // namespace gooseberrywood::routing
 
 #endif
--- a/test/process/store_outage_test.cpp
+++ b/test/process/store_outage_test.cpp
@@ -92,6 +92,15 @@
 SCENARIO("an entry is cut off from the store and the agents")
 {
     configured_service s;
+    constexpr int long_stream = 3000;
+    auto running_stream =
+        read_stream(completion(s.entry(), "zlatar-key", "folio", long_stream, true));
+    REQUIRE(eventually(
+        [&]
+        {
+            auto const requests = state_of(s.entry().admin_port).at("requests");
+            return !requests.empty() && requests.at(0).at("passed_tokens") > 0;
+        }));
     set_faults(s.processes, {{"*", "hang"}});
     for (auto const& a : s.processes.agents)
     {
@@ -99,11 +108,15 @@
     }
     auto const last_word = steady_clock::now();
     auto const request = short_completion(s.entry(), "zlatar-key");
+    auto sent = std::async(std::launch::async, [&] { return outcome_of(fetch(request)); });
     CHECK(eventually(
         [&] { return state_of(s.entry().admin_port).at("serving_keyed_routes") == "stopped"; },
         withdrawal_target));
     CHECK(outcome_of(fetch(request)) == "configuration_stale");
     CHECK(steady_clock::now() - last_word < withdrawal_target);
+    // Callers of valid keys must not be told that their key is gone.
+    CHECK(running_stream.get().error == "stream_incomplete");
+    CHECK(sent.get() == "outcome_unknown");
     // No agent can run it, so it is refused later for want of an upstream.
     CHECK(outcome_of(fetch(open_request(s.entry()))) == "no_upstream");
     for (auto const& a : s.processes.agents)
--- a/test/routing_attempt_test.cpp
+++ b/test/routing_attempt_test.cpp
@@ -39,8 +39,10 @@
                 after(at - start + std::chrono::milliseconds(random() % 3000),
                       [this, i]
                       {
-                          act(i, chance(50) ? routing::on_canceled(requests[i].log)
-                                            : routing::on_key_withdrawn(requests[i].log));
+                          auto& log = requests[i].log;
+                          act(i, chance(50)   ? routing::on_canceled(log)
+                                 : chance(50) ? routing::on_key_withdrawn(log)
+                                              : routing::on_configuration_stale(log));
                       });
             }
         }
