Report a conflict when the store has moved on after a refused write

Cause: after a CAS that the store refused, a round that read back a version above its own ended with store_outcome_unknown, although none of its writes can have taken effect. With three racing operators the loser got no clear conflict, and its announcement was not withdrawn. Ruled out: a lost earlier write of the same round; may_be_written tells it and keeps the old outcome. Change: one condition in read_back. Conclusion: the message names the version that the store holds.

--- a/src/config/apply_round.cpp
+++ b/src/config/apply_round.cpp
@@ -146,7 +146,7 @@
     {
         written(of, now);
     }
-    else if (held.version == of.proposed.version)
+    else if (held.version == of.proposed.version || !of.may_be_written)
     {
         of.may_be_written = false;
         finish_conflict(of, held.version);
--- a/test/config_apply_round_test.cpp
+++ b/test/config_apply_round_test.cpp
@@ -132,6 +132,16 @@
                 CHECK(config::intent_of(round).withdrawn);
             }
         }
+        // Guards against a loser that can't say that it wrote nothing.
+        WHEN("another operator was faster, and a third followed before this one read again")
+        {
+            acknowledge(round, majority);
+            config::store_written(round, write_answer::refused, start);
+            read(round, held_at(7, "third\n"));
+            CHECK(round.outcome.code == base::result_code::version_conflict);
+            CHECK(round.outcome.other_version == 7);
+            CHECK(config::intent_of(round).withdrawn);
+        }
         WHEN("the answer to the write is lost")
         {
             acknowledge(round, majority);
