Report latency for each token, so that a returned domain gets work again

Cause: a domain that was taken out and in again got no work while the others were idle. Its upstreams had last served long answers, and the entry compares the average time of a request; with no new work that average never changes. Ruled out: a lost report of the reopening (the entry listed the upstream as a candidate) and the ramp (one request at a time fits into a fresh limit).

--- a/src/admission/admission_point.cpp
+++ b/src/admission/admission_point.cpp
@@ -3,6 +3,7 @@
 #include "base/invariant.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace gooseberrywood::admission
@@ -295,6 +296,12 @@
     return finish(point.concurrency, sample, report.outcome, now);
 }
 
+void start_afresh(admission_point& point, base::mono_time now)
+{
+    restart(point.concurrency, now);
+    point.service = {};
+}
+
 ended_attempts crashed(admission_point& point, std::uint64_t crash_id, base::mono_time now)
 {
     ended_attempts ended;
@@ -309,7 +316,7 @@
     }
     point.running_suspects = 0;
     point.concurrency.running = 0;
-    restart(point.concurrency, now);
+    start_afresh(point, now);
     for (auto const& lost : ended.running)
     {
         if (lost.fingerprint != 0)
@@ -426,7 +433,8 @@
 {
     return {limit(point.concurrency, now), point.concurrency.running,
             static_cast<std::uint32_t>(size(point.queue)),
-            base::duration(static_cast<std::int64_t>(point.service.request)), !point.closed};
+            base::duration(static_cast<std::int64_t>(std::ceil(point.service.token))),
+            !point.closed};
 }
 
 } // namespace gooseberrywood::admission
--- a/src/admission/admission_point.hpp
+++ b/src/admission/admission_point.hpp
@@ -100,7 +100,9 @@
     std::uint32_t limit = 0;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
-    /// Average time of a request at the upstream.
+    /// Average time at the upstream for each token of cost; a request to a plain service costs one.
+    /// Not for each request: an upstream that last served long answers would look slow for ever,
+    /// since it would get no shorter ones that could correct the average.
     base::duration latency{0};
     bool accepting = false;
 };
@@ -131,6 +133,10 @@
 limit_change finished(admission_point& point, base::request_id const& id, std::uint32_t attempt,
                       finish_report const& report, base::mono_time now);
 
+/// \brief The upstream may be another one than before: the envelope, the limit and the estimate of
+/// its speed restart. What runs goes on.
+void start_afresh(admission_point& point, base::mono_time now);
+
 /// \brief The upstream crashed: forgets what was running, marks it, restarts the envelope.
 /// \param crash_id a new random number; the marks of each lost attempt contain it.
 [[nodiscard]] ended_attempts crashed(admission_point& point, std::uint64_t crash_id,
--- a/src/entry/agents.cpp
+++ b/src/entry/agents.cpp
@@ -274,7 +274,8 @@
 
 void begin_claim(entry_process& entry, request& which)
 {
-    // A home that hangs is disconnected after the silence limit; then the other one decides.
+    // Every home must answer: with the reachable ones alone, two entries that each reach only one
+    // of them during a cut would both run the request.
     constexpr base::duration claim_patience = std::chrono::seconds(4);
     auto const now = mono_now();
     routing::on_claiming(which.log);
@@ -284,9 +285,9 @@
         auto const at = entry.agents.find(host);
         return at != entry.agents.end() && is_up(*at->second);
     };
-    which.claim =
-        routing::start_claim(which.id, entry.random(), homes,
-                             std::min(which.log.deadline, now + claim_patience), is_connected);
+    which.claim = routing::start_claim(which.id, entry.random(), homes,
+                                       std::min(which.log.deadline, now + claim_patience),
+                                       is_connected, routing::claim_rule::every_home);
     auto const message = routing::claim_message(*which.claim, wire::to_wall(which.log.deadline));
     for (auto const& home : which.claim->homes)
     {
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -161,6 +161,7 @@
     std::uint32_t limit = 0;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
+    /// Average time for each token of cost; 0 if unknown. See `admission::load_report`.
     std::int64_t latency_us = 0;
     bool accepting = false;
 };
--- a/test/admission_point_test.cpp
+++ b/test/admission_point_test.cpp
@@ -466,3 +466,29 @@
             RC_ASSERT(ran.size() > 200);
         });
 }
+
+// Guards against an upstream that gets no work for ever because its last answers were long.
+SCENARIO("the reported latency does not depend on the lengths of the last answers")
+{
+    auto point = warm_point(2);
+    connect(point, 1);
+    auto const serve = [&](std::uint64_t number, std::uint32_t cost, base::duration total)
+    {
+        auto item = make_start(number);
+        item.request.cost = cost;
+        REQUIRE_FALSE(offer(point, std::move(item), start_time).refused.has_value());
+        REQUIRE(start_all(point, start_time) == numbers{number});
+        finished(point, {number, 0}, 1, {.generated_tokens = cost, .total = total}, start_time);
+        return load(point, start_time).latency;
+    };
+    auto const after_long = serve(1, 1000, 10s);
+    CHECK(after_long == serve(2, 10, 100ms));
+    WHEN("the upstream starts afresh")
+    {
+        start_afresh(point, start_time);
+        THEN("its latency is unknown")
+        {
+            CHECK(load(point, start_time).latency == base::duration{0});
+        }
+    }
+}
