--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -28,6 +28,8 @@
     std::shared_ptr<http::exchange> exchange;
     base::mono_time arrived_at{};
     routing::attempt_log log;
+    /// Handed to an upstream later than this, it would probably miss its deadline.
+    base::mono_time latest_handover{};
     /// Set while the claim of an Idempotency-Key is undecided.
     std::optional<routing::claim_round> claim;
     /// Accounts for the current attempt at its upstream.
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -1,5 +1,6 @@
 #include "entry/requests.hpp"
 
+#include "admission/latest_handover.hpp"
 #include "base/log.hpp"
 #include "entry/answers.hpp"
 #include "entry/completion_answer.hpp"
@@ -50,12 +51,21 @@
                       {base::result_code::no_upstream, "no upstream of the route accepts work"});
         return;
     }
+    if (is_waiting(*which) && base::mono_now() >= which->latest_handover)
+    {
+        fail_unplaced(entry, *which, {base::result_code::deadline_passed, ""});
+        return;
+    }
     carry_out(entry, *which, routing::on_time(which->log, base::mono_now()));
 }
 
 void set_timer(entry_process& entry, request& which)
 {
     auto wake_at = routing::wake_at(which.log);
+    if (is_waiting(which))
+    {
+        wake_at = std::min(wake_at, which.latest_handover);
+    }
     if (is_waiting(which) && !has_upstreams(entry, which))
     {
         wake_at = std::min(wake_at, base::mono_now() + no_upstream_patience);
@@ -259,6 +269,25 @@
     }
 }
 
+// Expected time of a request at an upstream of its route, by the load reports of a few candidates;
+// a route may have thousands.
+base::duration expected_latency(entry_process& entry, caller_request const& caller)
+{
+    auto const* route = routing::find_route(entry.upstreams, caller.route);
+    if (route == nullptr || route->ring.empty())
+    {
+        return {};
+    }
+    constexpr int samples = 4;
+    std::uniform_int_distribution<std::size_t> any(0, route->ring.size() - 1);
+    std::int64_t sum_us = 0;
+    for (int i = 0; i < samples; ++i)
+    {
+        sum_us += entry.upstreams.upstreams[route->ring[any(entry.random)].upstream].latency_us;
+    }
+    return base::duration(sum_us / samples * caller.cost);
+}
+
 } // namespace
 
 request* find_request(entry_process& entry, base::request_id const& id)
@@ -292,6 +321,14 @@
     {
         lane += " suspect";
     }
+    which.latest_handover =
+        admission::latest_handover(which.log.deadline, now, expected_latency(entry, which.caller));
+    if (now + admission::expected_wait(entry.queue, which.caller.team) > which.latest_handover)
+    {
+        fail_unplaced(entry, which,
+                      {base::result_code::overloaded, "the wait would outlast the deadline"});
+        return;
+    }
     auto const rejected = admission::push(entry.queue, queued_request{&which, std::move(lane)});
     if (rejected)
     {
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -1,5 +1,6 @@
 #include "http/call.hpp"
 
+#include <array>
 #include <utility>
 
 namespace gooseberrywood::http
@@ -8,7 +9,10 @@
 namespace
 {
 
-constexpr gsize read_bytes = 16 * 1024;
+constexpr std::size_t read_bytes = 16 * 1024;
+
+// Reads at most this many times in a row, so that one fast answer can't starve the others.
+constexpr int max_reads_per_event = 4;
 
 // Most kept connections of an agent to its upstreams: well above the concurrency limit of any.
 constexpr int max_session_connections = 4096;
@@ -27,49 +31,69 @@
     handlers.on_failed({base::result_code::connection_lost, failure->message}, c.sent);
 }
 
-void read_more(call& c);
+void complete(call& c)
+{
+    c.ended = true;
+    auto const handlers = std::move(c.handlers);
+    handlers.on_complete();
+}
 
-void on_read(GObject* stream, GAsyncResult* outcome, gpointer data)
+/// \returns whether more can be read at once.
+bool read_once(call& c)
 {
-    std::unique_ptr<weak_call> const weak(static_cast<weak_call*>(data));
+    std::array<char, read_bytes> buffer;
     GError* failure = nullptr;
-    GBytes* bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(stream), outcome, &failure);
-    auto const c = weak->lock();
-    if (!c || c->ended)
+    gssize const count = g_pollable_input_stream_read_nonblocking(
+        G_POLLABLE_INPUT_STREAM(c.answer.get()), buffer.data(), buffer.size(), c.cancellable.get(),
+        &failure);
+    if (count > 0)
     {
-        g_clear_pointer(&bytes, g_bytes_unref);
-        g_clear_error(&failure);
-        return;
+        c.handlers.on_bytes({buffer.data(), static_cast<std::size_t>(count)});
+        return !c.ended;
     }
-    if (bytes == nullptr)
+    if (count == 0)
     {
-        fail(*c, failure);
-        return;
+        complete(c);
+        return false;
     }
-    gsize size = 0;
-    auto const* const start = static_cast<char const*>(g_bytes_get_data(bytes, &size));
-    if (size == 0)
+    if (g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != 0)
+    {
+        g_error_free(failure);
+        return false;
+    }
+    fail(c, failure);
+    return false;
+}
+
+void wait_readable(call& c);
+
+gboolean on_readable(GObject*, gpointer data)
+{
+    auto const keep = static_cast<call*>(data)->shared_from_this();
+    // The owner may drop the call in a handler; it must get no further calls then.
+    auto const is_owned = [&]
+    {
+        return keep.use_count() > 1;
+    };
+    for (int i = 0; i < max_reads_per_event && is_owned() && read_once(*keep); ++i)
     {
-        c->ended = true;
-        auto const handlers = std::move(c->handlers);
-        handlers.on_complete();
     }
-    else
+    if (is_owned() && !keep->ended)
     {
-        c->handlers.on_bytes({start, size});
-        if (!c->ended)
-        {
-            read_more(*c);
-        }
+        // Made anew: the stream may hold bytes that it has read already.
+        wait_readable(*keep);
     }
-    g_bytes_unref(bytes);
+    return G_SOURCE_REMOVE;
 }
 
-void read_more(call& c)
+void wait_readable(call& c)
 {
-    g_input_stream_read_bytes_async(c.answer.get(), read_bytes, G_PRIORITY_DEFAULT,
-                                    c.cancellable.get(), on_read,
-                                    new weak_call(c.weak_from_this()));
+    GSource* const source = g_pollable_input_stream_create_source(
+        G_POLLABLE_INPUT_STREAM(c.answer.get()), c.cancellable.get());
+    GPollableSourceFunc const function = on_readable;
+    g_source_set_callback(source, G_SOURCE_FUNC(function), &c, nullptr);
+    g_source_attach(source, nullptr);
+    c.readable.reset(source);
 }
 
 void on_answer(GObject* session, GAsyncResult* outcome, gpointer data)
@@ -96,7 +120,7 @@
                           type != nullptr ? type : "application/octet-stream");
     if (!c->ended)
     {
-        read_more(*c);
+        wait_readable(*c);
     }
 }
 
--- a/src/http/call.hpp
+++ b/src/http/call.hpp
@@ -55,6 +55,8 @@
     base::object_ptr<GInputStream> answer;
     call_handlers handlers;
     base::event_source failing;
+    /// Polled rather than read asynchronously: each asynchronous read of GIO costs a task object.
+    base::event_source readable;
     bool sent = false;
     bool ended = false;
 };
