Keep callers' connections open between requests

Cause: libsoup closes a connection after one answer while the server has no listener of its own, which it takes for a server that shuts down; src/http hands it accepted connections, and the answer names no "Connection: close". A caller that reuses the connection met its end instead of an answer. Ruled out: the entry's handlers (also /healthz was affected) and the client (Python's http.client saw the same). Change: a listener on a nameless socket of its own, which serves nobody: what comes in there is refused, since it would pass the limits on connections. The test on withdrawn keys checks that both requests use one connection.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,6 +4,7 @@
 #include "http/limits.hpp"
 
 #include <fmt/format.h>
+#include <gio/gunixsocketaddress.h>
 
 #include <utility>
 
@@ -97,6 +98,12 @@
     {
         return;
     }
+    if (socket_of(message) == nullptr)
+    {
+        // Came in through the listener of `keep_connections`, past the limits of this server.
+        soup_server_message_set_status(message, SOUP_STATUS_FORBIDDEN, nullptr);
+        return;
+    }
     auto const made = std::make_shared<exchange>();
     made->message = base::share(message);
     made->method = soup_server_message_get_method(message);
@@ -140,6 +147,27 @@
     }
 }
 
+// libsoup closes each connection after one answer, without announcing it, while a server has no
+// listener of its own: it takes the server for one that is shutting down. Connections are accepted
+// elsewhere, for the sake of the limits, so a listener without a port or path stands in.
+base::result<void> keep_connections(SoupServer* soup)
+{
+    GError* failure = nullptr;
+    base::object_ptr<GSocket> const unused(g_socket_new(G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_STREAM,
+                                                        G_SOCKET_PROTOCOL_DEFAULT, &failure));
+    base::object_ptr<GSocketAddress> const nameless(
+        g_unix_socket_address_new_with_type("", 0, G_UNIX_SOCKET_ADDRESS_ANONYMOUS));
+    if (!unused || g_socket_bind(unused.get(), nameless.get(), FALSE, &failure) == FALSE ||
+        g_socket_listen(unused.get(), &failure) == FALSE ||
+        soup_server_listen_socket(soup, unused.get(), SoupServerListenOptions(0), &failure) ==
+            FALSE)
+    {
+        base::glib_error_ptr const owned(failure);
+        return base::fail(base::result_code::io_error, failure->message);
+    }
+    return {};
+}
+
 } // namespace
 
 server::~server()
@@ -161,6 +189,10 @@
     g_signal_connect(made->soup.get(), "request-started", G_CALLBACK(on_request_started),
                      made.get());
     soup_server_add_handler(made->soup.get(), nullptr, handle_request, made.get(), nullptr);
+    if (auto const kept = keep_connections(made->soup.get()); !kept)
+    {
+        return tl::unexpected(kept.error());
+    }
     auto listening = wire::listen(address, [owner = made.get()](base::object_ptr<GSocket> socket)
                                   { accept_connection(*owner, std::move(socket)); });
     if (!listening)
--- a/test/process/configuration_test.cpp
+++ b/test/process/configuration_test.cpp
@@ -99,7 +99,8 @@
         [&] { return running(s.agent(0)) + running(s.agent(1)) + running(s.agent(2)) == 2; }));
     open_connection const connection;
     auto const request = short_completion(s.entry(), "kumrovec-key");
-    REQUIRE(outcome_of(fetch(connection, request)) == "ok");
+    auto const before = fetch(connection, request);
+    REQUIRE(outcome_of(before) == "ok");
 
     auto const command = start_command(
         s.processes, {"bundle", "apply", write_bundle(s.processes, "b2.toml", make_bundle(2, ""))});
@@ -108,8 +109,15 @@
     auto const begin = steady_clock::now();
     wait_output(*command, "accepted");
 
-    CHECK(eventually([&] { return outcome_of(fetch(connection, request)) == "key_unknown"; },
-                     left(begin, withdrawal_target)));
+    base::result<http_response> after;
+    CHECK(eventually(
+        [&]
+        {
+            after = fetch(connection, request);
+            return outcome_of(after) == "key_unknown";
+        },
+        left(begin, withdrawal_target)));
+    CHECK(after->connection == before->connection);
     CHECK(outcome_of(fetch(connection, short_completion(s.entry(1), "kumrovec-key"))) ==
           "key_unknown");
     auto const end = withdrawn.get();
--- a/test/process/support/http_client.cpp
+++ b/test/process/support/http_client.cpp
@@ -187,7 +187,8 @@
 base::result<http_response> fetch(open_connection const& on, http_request const& request)
 {
     pushed_context const pushed(on.context.get());
-    auto const message = make_message(request, SoupMessageFlags(0));
+    // libsoup sends no POST on a connection that was used before without this flag.
+    auto const message = make_message(request, SOUP_MESSAGE_IDEMPOTENT);
     soup_session_set_timeout(on.session.get(), request.silence_s);
     GError* failure = nullptr;
     base::object_ptr<GInputStream> const input(
@@ -197,11 +198,20 @@
         base::glib_error_ptr const owned(failure);
         return base::fail(base::result_code::connection_lost, failure->message);
     }
-    return read_all(input.get())
-        .map(
-            [&](std::string const& body) {
-                return http_response{soup_message_get_status(message.get()), body, {}};
-            });
+    auto answer = read_all(input.get());
+    (void)g_input_stream_close(input.get(), nullptr, nullptr);
+    // The session puts the connection back among the idle ones in its context.
+    while (g_main_context_iteration(on.context.get(), FALSE) != FALSE)
+    {
+    }
+    return answer.map(
+        [&](std::string const& body)
+        {
+            return http_response{soup_message_get_status(message.get()),
+                                 body,
+                                 {},
+                                 soup_message_get_connection_id(message.get())};
+        });
 }
 
 nlohmann::json get_json(std::string const& url)
--- a/test/process/support/http_client.hpp
+++ b/test/process/support/http_client.hpp
@@ -7,6 +7,7 @@
 #include <libsoup/soup.h>
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,8 @@
     unsigned status = 0;
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
+    /// Differs between the connections of a session.
+    std::uint64_t connection = 0;
 };
 
 /// Sends a request on a connection of its own and waits for the whole answer. May be called in
