Send the text of whole answers instead of the engine's events

Cause: for an answer that the caller gets as a whole, the entry received the engine's events and parsed each of them again at the end. Ruled out: handing the events on unparsed (the caller wants one JSON) and compressing them (the agent has parsed them already). Change: chunks of such answers carry text; one function reads the text of an event, for both sides. A whole answer also survives the death of its engine, which a new test shows.

--- a/src/agent/engine_stream.cpp
+++ b/src/agent/engine_stream.cpp
@@ -1,5 +1,7 @@
 #include "agent/engine_stream.hpp"
 
+#include "completion/choice_text.hpp"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -87,7 +89,14 @@
     }
     stream.next_token += count;
     out.tokens += count;
-    out.events += fmt::format("data: {}\n\n", data);
+    if (stream.text_only)
+    {
+        out.bytes += completion::choice_text(event);
+    }
+    else
+    {
+        out.bytes += fmt::format("data: {}\n\n", data);
+    }
     return {};
 }
 
--- a/src/agent/engine_stream.hpp
+++ b/src/agent/engine_stream.hpp
@@ -20,6 +20,8 @@
 /// \brief Reads an engine's server-sent events.
 struct engine_stream
 {
+    /// Only the text of the tokens is wanted, not the events.
+    bool text_only = false;
     /// Bytes of an event that is not complete yet.
     std::string partial;
     /// Number of the next token.
@@ -38,8 +40,8 @@
 {
     std::uint32_t first_token = 0;
     std::uint32_t tokens = 0;
-    /// The events as the engine sent them, each with its blank line.
-    std::string events;
+    /// The events as the engine sent them, each with its blank line; or their text.
+    std::string bytes;
 };
 
 /// \ingroup agent
--- a/src/agent/execution.cpp
+++ b/src/agent/execution.cpp
@@ -24,7 +24,7 @@
 void pass_on(execution& e, engine_tokens tokens)
 {
     e.handlers.on_chunk({e.attempt.id, e.attempt.attempt, tokens.first_token, tokens.tokens,
-                         std::move(tokens.events)});
+                         std::move(tokens.bytes)});
 }
 
 void flush_held(execution& e)
@@ -43,7 +43,7 @@
     handlers.on_failed(failure);
 }
 
-void hold(execution& e, engine_tokens tokens)
+void hold(execution& e, engine_tokens const& tokens)
 {
     auto const now = base::mono_now();
     if (e.held.tokens == 0)
@@ -52,7 +52,7 @@
         e.held_since = now;
     }
     e.held.tokens += tokens.tokens;
-    e.held.events += tokens.events;
+    e.held.bytes += tokens.bytes;
     if (e.held.tokens >= max_held_tokens || now >= e.held_since + longest_hold)
     {
         flush_held(e);
@@ -81,7 +81,7 @@
     }
     else
     {
-        hold(e, std::move(*tokens));
+        hold(e, *tokens);
     }
 }
 
@@ -163,6 +163,7 @@
     e->began = base::mono_now();
     e->progress_at = e->began;
     e->stream.next_token = e->attempt.resume_tokens;
+    e->stream.text_only = !e->attempt.stream;
     e->call = http::start_call(session, request,
                                {[e](std::uint16_t status, std::string_view type)
                                 {
--- /dev/null
+++ b/src/completion/choice_text.cpp
@@ -0,0 +1,37 @@
+#include "completion/choice_text.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace gooseberrywood::completion
+{
+
+namespace
+{
+
+std::string text_at(nlohmann::json const& object, char const* name)
+{
+    auto const at = object.find(name);
+    return at != object.end() && at->is_string() ? at->get<std::string>() : std::string{};
+}
+
+} // namespace
+
+std::string choice_text(nlohmann::json const& event)
+{
+    if (!event.is_object())
+    {
+        return {};
+    }
+    auto const choices = event.find("choices");
+    if (choices == event.end() || !choices->is_array() || choices->empty() ||
+        !choices->front().is_object())
+    {
+        return {};
+    }
+    auto const& choice = choices->front();
+    auto const delta = choice.find("delta");
+    return delta != choice.end() && delta->is_object() ? text_at(*delta, "content")
+                                                       : text_at(choice, "text");
+}
+
+} // namespace gooseberrywood::completion
--- a/src/entry/agents.cpp
+++ b/src/entry/agents.cpp
@@ -57,7 +57,7 @@
     }
     auto const decided = routing::on_chunk(which->log, message.attempt, message.first_token,
                                            message.tokens, mono_now(), retry_means_of(entry));
-    if (decided.kind == routing::decision_kind::pass_on && !pass_events(*which, message.bytes))
+    if (decided.kind == routing::decision_kind::pass_on && !pass_tokens(*which, message.bytes))
     {
         which->refusal_message = "the caller reads too slowly";
         carry_out(entry, *which, routing::on_canceled(which->log));
@@ -253,9 +253,10 @@
     std::vector<std::string> unlisted;
     for (auto const& [host, link] : entry.agents)
     {
-        auto const is_this = [&](auto const& one)
+        auto const& name = link->host;
+        auto const is_this = [&name](auto const& one)
         {
-            return one.host == host;
+            return one.host == name;
         };
         bool const named =
             std::any_of(entry.witnesses.begin(), entry.witnesses.end(), is_this) ||
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -26,15 +26,15 @@
 
 } // namespace
 
-bool pass_events(request& which, std::string_view events)
+bool pass_tokens(request& which, std::string_view bytes)
 {
-    which.events += events;
+    which.passed += bytes;
     if (!which.caller.stream)
     {
         return true;
     }
     ensure_stream(which);
-    return http::append_stream(*which.exchange, events);
+    return http::append_stream(*which.exchange, bytes);
 }
 
 void pass_end(request& which)
@@ -48,7 +48,7 @@
     {
         http::respond(
             *which.exchange, http_ok, "application/json",
-            whole_completion(which.id, caller.route, caller.chat, which.events, which.end));
+            whole_completion(which.id, caller.route, caller.chat, which.passed, which.end));
     }
     else
     {
--- a/src/entry/answers.hpp
+++ b/src/entry/answers.hpp
@@ -11,9 +11,9 @@
 namespace gooseberrywood::entry
 {
 
-/// \brief Passes events of tokens to the caller, if it asked for a stream.
+/// \brief Keeps the bytes of tokens, and passes them to the caller if it asked for a stream.
 /// \returns false when the caller reads too slowly.
-[[nodiscard]] bool pass_events(request& which, std::string_view events);
+[[nodiscard]] bool pass_tokens(request& which, std::string_view bytes);
 
 /// \brief Passes the end of the answer to the caller.
 void pass_end(request& which);
--- a/src/entry/completion_answer.cpp
+++ b/src/entry/completion_answer.cpp
@@ -1,5 +1,6 @@
 #include "entry/completion_answer.hpp"
 
+#include "completion/choice_text.hpp"
 #include "http/error_answer.hpp"
 
 #include <fmt/format.h>
@@ -20,22 +21,6 @@
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-std::string text_of_event(std::string_view data)
-{
-    auto const event = json::parse(data, nullptr, false);
-    if (!event.is_object())
-    {
-        return {};
-    }
-    auto const choice = event.value("/choices/0"_json_pointer, json::object());
-    if (choice.contains("text") && choice["text"].is_string())
-    {
-        return choice["text"].get<std::string>();
-    }
-    auto const content = choice.value("/delta/content"_json_pointer, json());
-    return content.is_string() ? content.get<std::string>() : std::string{};
-}
-
 json usage_of(wire::finished const& end)
 {
     return {{"prompt_tokens", end.prompt_tokens},
@@ -60,24 +45,25 @@
         events = end == std::string_view::npos ? std::string_view{} : events.substr(end + 2);
         if (event.starts_with(data_prefix))
         {
-            text += text_of_event(event.substr(data_prefix.size()));
+            text += completion::choice_text(
+                nlohmann::json::parse(event.substr(data_prefix.size()), nullptr, false));
         }
     }
     return text;
 }
 
 std::string whole_completion(base::request_id const& id, std::string_view model, bool chat,
-                             std::string_view events, wire::finished const& end)
+                             std::string_view text, wire::finished const& end)
 {
     auto out = head(id, model, chat ? "chat.completion" : "text_completion");
     json choice = {{"index", 0}, {"finish_reason", end.finish_reason}};
     if (chat)
     {
-        choice["message"] = {{"role", "assistant"}, {"content", text_of(events)}};
+        choice["message"] = {{"role", "assistant"}, {"content", text}};
     }
     else
     {
-        choice["text"] = text_of(events);
+        choice["text"] = text;
     }
     out["choices"] = json::array({std::move(choice)});
     out["usage"] = usage_of(end);
--- a/src/entry/completion_answer.hpp
+++ b/src/entry/completion_answer.hpp
@@ -16,9 +16,10 @@
 [[nodiscard]] std::string text_of(std::string_view events);
 
 /// \ingroup entry
-/// \brief A whole completion made of all events of a stream.
+/// \brief A whole completion.
+/// \param text text of all its tokens.
 [[nodiscard]] std::string whole_completion(base::request_id const& id, std::string_view model,
-                                           bool chat, std::string_view events,
+                                           bool chat, std::string_view text,
                                            wire::finished const& end);
 
 /// \ingroup entry
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -40,8 +40,9 @@
     /// Incarnation of the agent that got the attempt: another one has no memory of it.
     std::uint64_t agent_incarnation = 0;
     bool fence_pending = false;
-    /// Events of all passed tokens, kept to answer as a whole or to resume elsewhere.
-    std::string events;
+    /// Bytes of all passed tokens, kept to answer as a whole or to resume elsewhere: events of a
+    /// streamed answer, else text.
+    std::string passed;
     /// The end of the answer, once it has arrived.
     wire::finished end;
     std::string refusal_message;
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -181,7 +181,7 @@
     out.cost = of.caller.cost;
     out.body = of.caller.body;
     out.resume_tokens = of.log.passed_tokens;
-    out.resume_text = of.log.passed_tokens > 0 ? text_of(of.events) : std::string{};
+    out.resume_text = of.caller.stream ? text_of(of.passed) : of.passed;
     out.fingerprint = of.caller.fingerprint;
     out.crash_ids = routing::crash_ids(entry.suspects, of.caller.fingerprint, now);
     out.key_hash = of.caller.key_hash;
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -86,7 +86,7 @@
 };
 
 /// \ingroup wire
-/// \brief A run of generated tokens of a stream.
+/// \brief A run of generated tokens: the engine's events for a streamed answer, else their text.
 struct chunk
 {
     base::request_id id;
--- a/test/process/request_faults_test.cpp
+++ b/test/process/request_faults_test.cpp
@@ -93,6 +93,18 @@
     return nlohmann::json::parse(answer.body).at("error");
 }
 
+template <class Make>
+std::vector<http_request> make_requests(int count, Make make)
+{
+    std::vector<http_request> out;
+    out.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i)
+    {
+        out.push_back(make(i));
+    }
+    return out;
+}
+
 std::vector<http_response> fetch_all(std::vector<http_request> const& requests)
 {
     std::vector<std::future<base::result<http_response>>> running;
@@ -102,6 +114,7 @@
         running.push_back(std::async(std::launch::async, [&r] { return fetch(r); }));
     }
     std::vector<http_response> out;
+    out.reserve(running.size());
     for (auto& r : running)
     {
         auto const got = r.get();
@@ -250,12 +263,9 @@
               host_upstreams(
                   "1", {"--token_us=2000", "--bears_fresh=2", "--bears_warm=8", "--warm_up_s=20"}));
     auto& e = add_entry(d, "e1", "krapina");
-    std::vector<http_request> requests;
-    for (int i = 0; i < 60; ++i)
-    {
-        requests.push_back(completion(e, "zlatar-key", fmt::format("batch {}", i), 20, false));
-    }
-    auto const answers = fetch_all(requests);
+    auto const answers = fetch_all(make_requests(
+        60,
+        [&](int i) { return completion(e, "zlatar-key", fmt::format("batch {}", i), 20, false); }));
     auto const stats = get_json(d.agents[0]->upstreams[0]->url() + "/standin/stats");
     CHECK(stats.at("overload") == 0);
     // Guards against crossed answers, too: each has the text of its own prompt.
@@ -274,11 +284,8 @@
     deployment d(make_bundle({1, 1, 0, 3}));
     add_agent(d, "h1", "krapina", host_upstreams("1", {}, {"--first_token_us=300000"}));
     auto& e = add_entry(d, "e1", "krapina");
-    std::vector<http_request> requests;
-    for (int i = 0; i < 20; ++i)
-    {
-        requests.push_back(post_order(e, fmt::format("{{\"order\":{}}}", 100 + i)));
-    }
+    auto const requests = make_requests(
+        20, [&](int i) { return post_order(e, fmt::format("{{\"order\":{}}}", 100 + i)); });
     auto const answers = fetch_all(requests);
     std::size_t refused = 0;
     for (std::size_t i = 0; i < answers.size(); ++i)
--- a/test/process/request_path_test.cpp
+++ b/test/process/request_path_test.cpp
@@ -285,6 +285,25 @@
     {
         check_same([](agent_host& a) { send_signal(*a.upstreams[0]->program, SIGKILL); });
     }
+    WHEN("the engine of a whole answer is killed")
+    {
+        auto answer = std::async(
+            std::launch::async, [&]
+            { return fetch(completion(d.entry(), "zlatar-key", "smyth sewn", tokens, false)); });
+        auto& busy = busy_agent(d.processes);
+        // Some tokens have reached the entry, so that the rest is generated elsewhere.
+        REQUIRE(eventually(
+            [&]
+            {
+                auto const requests = state_of(d.entry().admin_port).at("requests");
+                return !requests.empty() && requests.at(0).at("passed_tokens") > 0;
+            }));
+        send_signal(*busy.upstreams[0]->program, SIGKILL);
+        auto const got = answer.get();
+        REQUIRE(got.has_value());
+        CHECK(got->status == 200);
+        CHECK(text_of(*got) == undisturbed.text);
+    }
     WHEN("the agent is killed")
     {
         check_same([](agent_host& a) { send_signal(*a.program, SIGKILL); });
