--- a/test/process/request_faults_test.cpp
+++ b/test/process/request_faults_test.cpp
@@ -167,18 +167,17 @@
     };
     WHEN("it is sent while other requests of its team run")
     {
-        auto harmless =
-            std::async(std::launch::async,
-                       [&]
-                       {
-                           std::vector<http_request> requests;
-                           for (int i = 0; i < 12; ++i)
-                           {
-                               requests.push_back(completion(
-                                   e, "zlatar-key", fmt::format("harmless {}", i), 60, false));
-                           }
-                           return fetch_all(requests);
-                       });
+        auto harmless = std::async(
+            std::launch::async,
+            [&]
+            {
+                return fetch_all(make_requests(12,
+                                               [&](int i) {
+                                                   return completion(e, "zlatar-key",
+                                                                     fmt::format("harmless {}", i),
+                                                                     60, false);
+                                               }));
+            });
         REQUIRE(eventually([&] { return state_of(e.admin_port).at("request_count") >= 12; }));
         auto const first = fetch(completion(e, "zlatar-key", "unravel now", 20, false));
         REQUIRE(first.has_value());
