Use the latency of a token in the fairness bench

Cause: the bench took the reported latency for that of a request; since it is that of a token, the queues let requests wait too long. Ruled out: a fault of the entry, which multiplies by the request's cost. Change: the bench does so, too.

--- a/bench/fairness.cpp
+++ b/bench/fairness.cpp
@@ -262,8 +262,9 @@
                            item.queue_team = run.rules.sees_teams ? std::to_string(team) : "all";
                            auto const entry = item.number % entry_count;
                            item.deadline = run.now + (run.rules.sees_deadlines ? patience : 600s);
-                           item.latest_handover = admission::latest_handover(item.deadline, run.now,
-                                                                             average_latency(run));
+                           item.latest_handover = admission::latest_handover(
+                               item.deadline, run.now,
+                               average_latency(run) * queue_tag_of(item).cost);
                            auto& result = run.results[team];
                            if (item.at >= run.counted_from)
                            {
