--- a/src/cli/change_session.cpp
+++ b/src/cli/change_session.cpp
@@ -1,7 +1,7 @@
 #include "cli/change_session.hpp"
 
 #include "bundle/parse.hpp"
-#include "entry/configuration.hpp"
+#include "entry/platform_watch.hpp"
 #include "process/configuration.hpp"
 
 #include <fmt/format.h>
--- a/src/entry/agents.cpp
+++ b/src/entry/agents.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "entry/answers.hpp"
 #include "entry/configuration.hpp"
+#include "entry/dispatch.hpp"
 #include "entry/requests.hpp"
 
 #include <fmt/format.h>
--- a/src/entry/configuration.hpp
+++ b/src/entry/configuration.hpp
@@ -6,12 +6,6 @@
 namespace gooseberrywood::entry
 {
 
-/// \brief Key of the store under which the configuration record is kept.
-inline constexpr std::string_view configuration_key = "configuration";
-
-/// \brief Starts to watch the store and the host list, if there is a platform.
-[[nodiscard]] base::result<void> start_platform(entry_process& entry);
-
 /// \brief Puts the configuration in effect into force: queues, withdrawn keys, failure domains out.
 void apply_configuration(entry_process& entry);
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -6,6 +6,7 @@
 #include "entry/configuration.hpp"
 #include "entry/dump.hpp"
 #include "entry/measure.hpp"
+#include "entry/platform_watch.hpp"
 #include "http/limits.hpp"
 #include "process/admin.hpp"
 
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -13,8 +13,8 @@
 /// \brief Puts a request into the queue, or fails it when its team's share of the queue is full.
 void enqueue(entry_process& entry, request& which);
 
-/// \brief Runs over the queue as soon as the loop has handled what is pending.
-void dispatch_soon(entry_process& entry);
+/// \brief Sets the timer of a request to the next time at which something must be decided.
+void set_timer(entry_process& entry, request& which);
 
 /// \brief Does what an event of a request calls for. The request may be gone afterwards.
 void carry_out(entry_process& entry, request& which, routing::decision const& what);
--- a/test/process/request_path_test.cpp
+++ b/test/process/request_path_test.cpp
@@ -1,5 +1,6 @@
 #include "base/hash.hpp"
 #include "process/support/deployment.hpp"
+#include "process/support/orders.hpp"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -87,37 +88,6 @@
     }
 };
 
-http_request post_order(entry_host const& at, std::string const& body,
-                        std::string const& idempotency_key = {})
-{
-    http_request out{
-        at.url() + "/stock/order", "POST", body, {{"Authorization", "Bearer zlatar-key"}}};
-    if (!idempotency_key.empty())
-    {
-        out.headers.emplace_back("Idempotency-Key", idempotency_key);
-    }
-    return out;
-}
-
-std::size_t order_executions(deployment const& in, std::string const& body)
-{
-    auto const wanted = fmt::format("{:016x}", base::hash64(body));
-    std::size_t count = 0;
-    for (auto const& a : in.agents)
-    {
-        for (auto const& e : executions(*a->upstreams[1]))
-        {
-            count += e.at("body_hash") == wanted ? 1 : 0;
-        }
-    }
-    return count;
-}
-
-std::string error_name(http_response const& answer)
-{
-    return nlohmann::json::parse(answer.body).at("error").at("name").get<std::string>();
-}
-
 /// The agent whose engine runs something.
 agent_host& busy_agent(deployment& in)
 {
@@ -255,11 +225,11 @@
         {
             auto request = post_order(e, "{\"order\":2}");
             request.headers.clear();
-            CHECK(error_name(*fetch(request)) == "key_missing");
+            CHECK(error_of(*fetch(request)).at("name") == "key_missing");
             request.headers = {{"Authorization", "Bearer nobody"}};
-            CHECK(error_name(*fetch(request)) == "key_unknown");
+            CHECK(error_of(*fetch(request)).at("name") == "key_unknown");
             request.headers = {{"Authorization", "Bearer kumrovec-key"}};
-            CHECK(error_name(*fetch(request)) == "key_not_allowed");
+            CHECK(error_of(*fetch(request)).at("name") == "key_not_allowed");
             CHECK(order_executions(d.processes, "{\"order\":2}") == 0);
         }
     }
@@ -362,7 +332,7 @@
         }
         auto const got = answer.get();
         REQUIRE(got.has_value());
-        CHECK(error_name(*got) == "outcome_unknown");
+        CHECK(error_of(*got).at("name") == "outcome_unknown");
         CHECK(order_executions(d.processes, body) <= 1);
     };
     WHEN("the agent is killed while it runs")
@@ -381,7 +351,7 @@
         }
         auto const got = fetch(post_order(d.entry(), body));
         REQUIRE(got.has_value());
-        CHECK_FALSE(nlohmann::json::parse(got->body).at("error").at("not_run").get<bool>());
+        CHECK_FALSE(error_of(*got).at("not_run").get<bool>());
         CHECK(order_executions(d.processes, body) == 1);
     }
 }
