Refuse request bodies that are nested too deeply

Cause: a body of 1 MiB of opening brackets ended the entry: writing JSON recurses once a level and exhausts the stack. Found by reading the request path for hostile input. Ruled out: a callback of the parser, which discards values but can't end the parse. Change: bodies are parsed by one function, for entry and agent, that allows 64 levels. Before: the hostile-bytes test loses its connection when the guard is taken out. After: 400 bad_request, and the entry goes on.

--- a/src/agent/engine_request.cpp
+++ b/src/agent/engine_request.cpp
@@ -1,5 +1,7 @@
 #include "agent/engine_request.hpp"
 
+#include "completion/parse_body.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace gooseberrywood::agent
@@ -7,11 +9,12 @@
 
 base::result<std::string> engine_body(wire::start const& attempt)
 {
-    auto body = nlohmann::json::parse(attempt.body, nullptr, false);
-    if (!body.is_object())
+    auto parsed = completion::parse_body(attempt.body);
+    if (!parsed)
     {
-        return base::fail(base::result_code::bad_request, "the body is not a JSON object");
+        return tl::unexpected(parsed.error());
     }
+    auto& body = *parsed;
     // Streamed even if the caller wants a whole answer: so a lost attempt can be resumed.
     body["stream"] = true;
     body["priority"] = attempt.priority;
--- a/src/completion.hpp
+++ b/src/completion.hpp
@@ -5,5 +5,6 @@
 /// \brief The JSON of completions, as entries and agents both read it.
 
 #include "completion/choice_text.hpp"
+#include "completion/parse_body.hpp"
 
 #endif
--- /dev/null
+++ b/src/completion/parse_body.hpp
@@ -0,0 +1,25 @@
+#ifndef GOOSEBERRYWOOD_COMPLETION_PARSE_BODY_HPP
+#define GOOSEBERRYWOOD_COMPLETION_PARSE_BODY_HPP
+
+#include "base/result.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string_view>
+
+namespace gooseberrywood::completion
+{
+
+/// \ingroup completion
+/// \brief Deepest nesting of a request body. Writing JSON recurses once a level, so that a body of
+/// 1 MiB of opening brackets would exhaust the stack; real requests have fewer than ten levels.
+inline constexpr int max_body_depth = 64;
+
+/// \ingroup completion
+/// \brief Parses the body of a completion request.
+/// \returns `bad_request` when it is not a JSON object or is nested too deeply.
+[[nodiscard]] base::result<nlohmann::json> parse_body(std::string_view text);
+
+} // namespace gooseberrywood::completion
+
+#endif
--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -1,6 +1,7 @@
 #include "entry/caller_request.hpp"
 
 #include "base/hash.hpp"
+#include "completion/parse_body.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -169,12 +170,12 @@
         return base::fail(result_code::bad_request,
                           fmt::format("{} needs the method POST", input.path));
     }
-    auto const body = json::parse(input.body, nullptr, false);
-    if (!body.is_object())
+    auto const body = completion::parse_body(input.body);
+    if (!body)
     {
-        return base::fail(result_code::bad_request, "the body is not a JSON object");
+        return tl::unexpected(body.error());
     }
-    auto const route = find_model_route(body, bundle);
+    auto const route = find_model_route(*body, bundle);
     if (!route)
     {
         return tl::unexpected(route.error());
@@ -185,7 +186,7 @@
     {
         return tl::unexpected(key.error());
     }
-    if (auto const read = read_model_body(body, out); !read)
+    if (auto const read = read_model_body(*body, out); !read)
     {
         return tl::unexpected(read.error());
     }
--- a/test/process/request_faults_test.cpp
+++ b/test/process/request_faults_test.cpp
@@ -302,13 +302,26 @@
             (void)exchange_raw(port, bytes);
         }
     }
-    for (std::string const body :
-         {"", "{", "[]", "{\"model\":1}", "{\"model\":\"planner-lm\"}",
-          "{\"model\":\"planner-lm\",\"prompt\":\"x\",\"max_tokens\":-1}",
-          "{\"model\":\"planner-lm\",\"prompt\":\"x\",\"stream\":\"yes\"}"})
+    // Nested so deeply that a recursive writer would exhaust its stack.
+    auto const deep = "{\"model\":\"planner-lm\",\"messages\":" + std::string(500'000, '[') +
+                      std::string(500'000, ']') + "}";
+    std::vector<std::string> const bodies = {
+        deep,
+        "",
+        "{",
+        "[]",
+        "{\"model\":1}",
+        "{\"model\":\"planner-lm\"}",
+        "{\"model\":\"planner-lm\",\"prompt\":\"x\",\"max_tokens\":-1}",
+        "{\"model\":\"planner-lm\",\"prompt\":\"x\",\"stream\":\"yes\"}"};
+    for (auto const& body : bodies)
     {
         auto request = completion(e, "zlatar-key", "", 1, false);
         request.body = body;
+        if (body == deep)
+        {
+            request.url = e.url() + "/v1/chat/completions";
+        }
         auto const answer = fetch(request);
         REQUIRE(answer.has_value());
         CHECK(answer->status == 400);
