Don't mark requests that were never sent to a dead upstream

Cause: an attempt whose connection was refused counted as one that ran while its upstream crashed. After two idle upstreams had died, innocent requests were refused as crashing; orders ended with outcome_unknown, since Started had gone out before the connection was made. Ruled out: a wrong ledger entry; the agent knew that no byte had been sent. Change: such an attempt is refused as not run and unmarked; Started is sent when the first byte is.

--- a/src/agent/execution.cpp
+++ b/src/agent/execution.cpp
@@ -172,9 +172,12 @@
                                 },
                                 [e](std::string_view bytes) { receive(*e, bytes); },
                                 [e] { complete(*e); },
-                                [e](base::error const& why, bool sent)
-                                {
+                                [e](base::error const& why, bool sent) {
                                     end_with_failure(*e, {why, sent, sent});
+                                },
+                                [e]
+                                {
+                                    e->handlers.on_sending();
                                 }});
     return made;
 }
--- a/src/agent/execution.hpp
+++ b/src/agent/execution.hpp
@@ -29,6 +29,8 @@
 /// \brief What the owner of an execution supplies.
 struct execution_handlers
 {
+    /// From here on the upstream may have run the attempt.
+    std::function<void()> on_sending;
     std::function<void(wire::chunk)> on_chunk;
     std::function<void(wire::finished)> on_finished;
     std::function<void(execution_failure const&)> on_failed;
--- a/src/agent/work.cpp
+++ b/src/agent/work.cpp
@@ -100,7 +100,19 @@
 void on_failed(agent_process& agent, upstream& where, std::uint64_t entry, attempt_key const& key,
                execution_failure const& failure)
 {
-    if (failure.connection_broke || !failure.sent)
+    if (!failure.sent)
+    {
+        // It can't have caused whatever is wrong with the upstream, so it must not be marked.
+        if (take_ended(agent, where, key, attempt_outcome::failed))
+        {
+            send_to(agent, entry,
+                    wire::refuse{key.id, key.attempt, base::result_code::no_upstream, true,
+                                 wire::to_wall(base::mono_now()), failure.why.message});
+        }
+        probe(agent, where);
+        return;
+    }
+    if (failure.connection_broke)
     {
         // Counted as running until the probe tells whether the upstream crashed with it.
         where.executions.erase(key);
@@ -121,7 +133,10 @@
 {
     attempt_key const key{item.request.id, item.request.attempt};
     auto const entry = item.entry;
-    return {[&agent, entry](wire::chunk message) { send_to(agent, entry, std::move(message)); },
+    return {[&agent, entry, key] {
+                send_to(agent, entry, wire::started{key.id, key.attempt});
+            },
+            [&agent, entry](wire::chunk message) { send_to(agent, entry, std::move(message)); },
             [&agent, &where, entry](wire::finished message)
             { on_finished(agent, where, entry, std::move(message)); },
             [&agent, &where, entry, key](execution_failure const& failure)
@@ -134,7 +149,6 @@
 {
     attempt_key const key{item.request.id, item.request.attempt};
     auto const entry = item.entry;
-    send_to(agent, entry, wire::started{key.id, key.attempt});
     auto handlers = make_handlers(agent, where, item);
     auto run = execute(agent.session.get(), where.settings.url, where.is_engine,
                        std::move(item.request), std::move(handlers));
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -126,7 +126,12 @@
 
 void on_starting(SoupMessage*, gpointer data)
 {
-    static_cast<call*>(data)->sent = true;
+    auto& c = *static_cast<call*>(data);
+    c.sent = true;
+    if (c.handlers.on_sending)
+    {
+        c.handlers.on_sending();
+    }
 }
 
 } // namespace
--- a/src/http/call.hpp
+++ b/src/http/call.hpp
@@ -42,6 +42,8 @@
     std::function<void()> on_complete;
     /// The call failed. `sent` is false only if no byte of the request left this process.
     std::function<void(base::error const&, bool sent)> on_failed;
+    /// The first byte is about to be sent. Not called when no connection can be made.
+    std::function<void()> on_sending = {};
 };
 
 /// \ingroup http
--- a/test/process/request_faults_test.cpp
+++ b/test/process/request_faults_test.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <csignal>
 #include <future>
 
 using namespace gooseberrywood;
@@ -177,6 +178,37 @@
     }
 }
 
+// Guards against marks on requests that never reached an upstream, which would be refused as
+// crashing after two idle upstreams had died.
+SCENARIO("upstreams that died while they were idle don't count against a request")
+{
+    deployment d(make_bundle({}));
+    for (std::string const n : {"1", "2", "3"})
+    {
+        add_agent(d, "h" + n, n == "1" ? "krapina" : "zabok", host_upstreams(n, {}));
+    }
+    auto& e = add_entry(d, "e1", "krapina");
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        for (auto const& upstream : d.agents[i]->upstreams)
+        {
+            send_signal(*upstream->program, SIGKILL);
+            (void)wait_exit(*upstream->program);
+        }
+    }
+    for (int i = 0; i < 6; ++i)
+    {
+        auto const answer = fetch(completion(e, "zlatar-key", fmt::format("p {}", i), 4, false));
+        REQUIRE(answer.has_value());
+        CHECK(answer->status == 200);
+        // Never sent to a dead service, so that it may be tried at the next one.
+        auto const order = fetch(post_order(e, fmt::format("{{\"order\":{}}}", i)));
+        REQUIRE(order.has_value());
+        CHECK(order->status == 200);
+    }
+    CHECK(state_of(e.admin_port).at("suspects") == 0);
+}
+
 SCENARIO("a resend with the same Idempotency-Key does not run again")
 {
     deployment d(make_bundle({}));
--- a/test/process/request_path_test.cpp
+++ b/test/process/request_path_test.cpp
@@ -268,6 +268,8 @@
                 auto const requests = state_of(d.entry().admin_port).at("requests");
                 return !requests.empty() && requests.at(0).at("passed_tokens") > 0;
             }));
+        // Guards against an agent that does not say when an attempt is sent to its upstream.
+        CHECK(state_of(d.entry().admin_port).at("requests").at(0).at("phase") == "started");
         send_signal(*busy.upstreams[0]->program, SIGKILL);
         auto const got = answer.get();
         REQUIRE(got.has_value());
