--- a/src/agent/configuration.cpp
+++ b/src/agent/configuration.cpp
@@ -54,11 +54,6 @@
     admission::apply_teams(where.point, agent.configuration.bundle.teams);
 }
 
-config::intent to_intent(wire::config_intent const& m)
-{
-    return {{m.version, m.hash}, m.announcer, m.withdrawn, m.content};
-}
-
 wire::config_intent to_message(config::intent const& i)
 {
     return {i.what.version, i.what.hash, i.announcer, i.withdrawn, i.content};
@@ -178,8 +173,8 @@
 
 void note_intent(agent_process& agent, std::uint64_t entry, wire::config_intent const& said)
 {
-    config::announced(agent.announcements, to_intent(said), process::version(agent.configuration),
-                      base::mono_now());
+    config::announced(agent.announcements, process::to_intent(said),
+                      process::version(agent.configuration), base::mono_now());
     auto reply = said;
     reply.content.clear();
     send_to(agent, entry, std::move(reply));
--- a/src/entry/configuration.cpp
+++ b/src/entry/configuration.cpp
@@ -87,11 +87,6 @@
                  { return !check_serving(entry, caller).has_value(); });
 }
 
-config::intent to_intent(wire::config_intent const& m)
-{
-    return {{m.version, m.hash}, m.announcer, m.withdrawn, m.content};
-}
-
 void ask_for_configuration(entry_process& entry)
 {
     auto const now = base::mono_now();
@@ -172,7 +167,7 @@
     }
     else if (auto const* intent = std::get_if<wire::config_intent>(&received.body))
     {
-        config::announced(entry.freshness, to_intent(*intent), base::mono_now());
+        config::announced(entry.freshness, process::to_intent(*intent), base::mono_now());
     }
     else if (auto const* request = std::get_if<wire::config_request>(&received.body))
     {
--- a/src/process/configuration.cpp
+++ b/src/process/configuration.cpp
@@ -168,6 +168,11 @@
     return out;
 }
 
+config::intent to_intent(wire::config_intent const& message)
+{
+    return {{message.version, message.hash}, message.announcer, message.withdrawn, message.content};
+}
+
 void answer(configuration const& of, wire::connection& to, wire::config_request const& request)
 {
     if (!of.in_force.current)
--- a/src/process/configuration.hpp
+++ b/src/process/configuration.hpp
@@ -5,6 +5,7 @@
 #include "bundle/bundle.hpp"
 #include "config/history.hpp"
 #include "config/in_force.hpp"
+#include "config/intent.hpp"
 #include "config/peer_frame.hpp"
 #include "settings/process_settings.hpp"
 #include "wire/connection.hpp"
@@ -63,6 +64,10 @@
 [[nodiscard]] config::peer_frame make_peer_frame(wire::connection const& from,
                                                  wire::frame const& received);
 
+/// \ingroup process
+/// \brief What an operator announced, as received in a frame.
+[[nodiscard]] config::intent to_intent(wire::config_intent const& message);
+
 /// \ingroup process
 /// \brief Answers a `config_request`.
 void answer(configuration const& of, wire::connection& to, wire::config_request const& request);
