Rename the client of the project's own platform protocol to provider

The adapter for the users' machines is the top-level folder platform/. Two things of one name would stop a newcomer, so the older module becomes src/provider. Names only; no behaviour changes.

--- a/src/cli/change_session.cpp
+++ b/src/cli/change_session.cpp
@@ -60,7 +60,7 @@
 }
 
 base::result<std::optional<config::record>>
-to_record(base::result<platform::versioned_value> const& answer)
+to_record(base::result<provider::versioned_value> const& answer)
 {
     if (!answer)
     {
@@ -75,7 +75,7 @@
 }
 
 void use_answer(std::shared_ptr<change_session> const& self,
-                base::result<platform::versioned_value> const& answer)
+                base::result<provider::versioned_value> const& answer)
 {
     auto const held = to_record(answer);
     if (!held)
@@ -265,7 +265,7 @@
     }
 }
 
-std::shared_ptr<entry::agent_link> connect(weak_session const& weak, platform::host_info const& to,
+std::shared_ptr<entry::agent_link> connect(weak_session const& weak, provider::host_info const& to,
                                            wire::hello const& own)
 {
     entry::link_handlers handlers;
@@ -292,8 +292,8 @@
 
 } // namespace
 
-std::shared_ptr<change_session> start_session(platform::services platform, change_plan plan,
-                                              std::vector<platform::host_info> const& hosts,
+std::shared_ptr<change_session> start_session(provider::services platform, change_plan plan,
+                                              std::vector<provider::host_info> const& hosts,
                                               std::function<void(std::string const&)> progress)
 {
     std::vector<std::string> processes;
--- a/src/cli/change_session.hpp
+++ b/src/cli/change_session.hpp
@@ -5,7 +5,7 @@
 #include "cli/change_plan.hpp"
 #include "config/apply_round.hpp"
 #include "entry/agent_link.hpp"
-#include "platform/services.hpp"
+#include "provider/services.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -19,7 +19,7 @@
 /// Carries out a `config::apply_round`: connections to the agents, calls to the store, timers.
 struct change_session
 {
-    platform::services platform;
+    provider::services platform;
     config::apply_round round;
     std::vector<std::string> first_domains;
     /// Receives a line about each step.
@@ -35,8 +35,8 @@
 
 /// Starts a round against the hosts of the platform's list.
 [[nodiscard]] std::shared_ptr<change_session>
-start_session(platform::services platform, change_plan plan,
-              std::vector<platform::host_info> const& hosts,
+start_session(provider::services platform, change_plan plan,
+              std::vector<provider::host_info> const& hosts,
               std::function<void(std::string const&)> progress);
 
 /// Whether the round is finished and its last frames have been written.
--- a/src/cli/run_change.cpp
+++ b/src/cli/run_change.cpp
@@ -2,7 +2,7 @@
 
 #include "cli/change_session.hpp"
 #include "cli/report.hpp"
-#include "platform/http_services.hpp"
+#include "provider/http_services.hpp"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -23,9 +23,9 @@
 // The withdrawal of an announcement spares entries a doubt of 15 s; it is not waited for longer.
 constexpr base::duration farewell_limit = std::chrono::seconds(1);
 
-using host_list_answer = base::result<std::vector<platform::host_info>>;
+using host_list_answer = base::result<std::vector<provider::host_info>>;
 
-host_list_answer read_hosts(platform::services const& from)
+host_list_answer read_hosts(provider::services const& from)
 {
     auto const got = std::make_shared<std::optional<host_list_answer>>();
     from.hosts.read(base::mono_now() + host_list_timeout,
@@ -83,7 +83,7 @@
 
 int run_change(change_plan plan)
 {
-    auto services = platform::make_http_services(plan.settings.platform_url);
+    auto services = provider::make_http_services(plan.settings.platform_url);
     if (!services)
     {
         return report(services.error());
--- a/src/entry/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -11,7 +11,7 @@
 #include "entry/queued_request.hpp"
 #include "entry/request.hpp"
 #include "http/server.hpp"
-#include "platform/services.hpp"
+#include "provider/services.hpp"
 #include "process/configuration.hpp"
 #include "process/main_loop.hpp"
 #include "routing/claim_home.hpp"
@@ -58,7 +58,7 @@
     bool stopping = false;
 
     /// Absent in trials and tests that use a bundle file.
-    std::optional<platform::services> platform;
+    std::optional<provider::services> platform;
     /// Calls to the platform hold a weak reference: their answers may come after the end.
     std::shared_ptr<int> life = std::make_shared<int>(0);
     std::uint64_t store_revision = 0;
--- a/src/entry/measure.cpp
+++ b/src/entry/measure.cpp
@@ -1,6 +1,6 @@
 #include "entry/measure.hpp"
 
-#include "platform/call_kind.hpp"
+#include "provider/call_kind.hpp"
 
 namespace gooseberrywood::entry
 {
@@ -61,7 +61,7 @@
         {
             auto& counter = base::counter_at(
                 in, {"gooseberrywood_platform_calls_total", "Calls to the platform by kind."},
-                {{"kind", platform::name_of(static_cast<platform::call_kind>(kind))}});
+                {{"kind", provider::name_of(static_cast<provider::call_kind>(kind))}});
             counter.value = counts[kind];
         }
     }
--- a/src/entry/platform_watch.cpp
+++ b/src/entry/platform_watch.cpp
@@ -4,7 +4,7 @@
 #include "config/timing.hpp"
 #include "entry/agents.hpp"
 #include "entry/configuration.hpp"
-#include "platform/http_services.hpp"
+#include "provider/http_services.hpp"
 
 #include <algorithm>
 
@@ -31,7 +31,7 @@
     entry.store_timer = base::at(base::mono_now() + wait, [&entry] { watch_store(entry); });
 }
 
-void note_store_record(entry_process& entry, platform::versioned_value const& held,
+void note_store_record(entry_process& entry, provider::versioned_value const& held,
                        base::mono_time asked_at)
 {
     entry.store_revision = held.revision;
@@ -57,7 +57,7 @@
                        asked_at);
 }
 
-void on_store_answer(entry_process& entry, base::result<platform::versioned_value> const& answer,
+void on_store_answer(entry_process& entry, base::result<provider::versioned_value> const& answer,
                      base::mono_time asked_at)
 {
     if (answer)
@@ -101,7 +101,7 @@
                                 });
 }
 
-void use_host_list(entry_process& entry, std::vector<platform::host_info> const& hosts)
+void use_host_list(entry_process& entry, std::vector<provider::host_info> const& hosts)
 {
     std::vector<std::string> leaving;
     entry.witnesses.clear();
@@ -158,7 +158,7 @@
     {
         return {};
     }
-    auto services = platform::make_http_services(entry.settings.platform_url);
+    auto services = provider::make_http_services(entry.settings.platform_url);
     if (!services)
     {
         return tl::unexpected(services.error());
--- a/src/lease/advance.cpp
+++ b/src/lease/advance.cpp
@@ -10,7 +10,7 @@
 
 /// Passes an outcome on, unless the process has dropped its leadership.
 template <class T, class Take>
-platform::done<T> taking(std::shared_ptr<leadership> const& of,
+provider::done<T> taking(std::shared_ptr<leadership> const& of,
                          std::function<base::mono_time()> const& clock, Take take)
 {
     return [weak = std::weak_ptr(of), clock, take](base::result<T> const& outcome)
@@ -24,7 +24,7 @@
 
 } // namespace
 
-void advance(std::shared_ptr<leadership> const& of, platform::store const& store,
+void advance(std::shared_ptr<leadership> const& of, provider::store const& store,
              std::function<base::mono_time()> const& clock)
 {
     auto const next = next_step(*of, clock());
@@ -41,7 +41,7 @@
         break;
     case step_kind::read_back:
         store.read_lease(options.lease, next->deadline,
-                         taking<platform::lease_state>(of, clock, on_read_back));
+                         taking<provider::lease_state>(of, clock, on_read_back));
         break;
     case step_kind::renew:
         store.renew_lease(options.lease, next->holder, next->fencing, options.length,
--- a/src/lease/advance.hpp
+++ b/src/lease/advance.hpp
@@ -3,7 +3,7 @@
 
 #include "base/time.hpp"
 #include "lease/leadership.hpp"
-#include "platform/store.hpp"
+#include "provider/store.hpp"
 
 #include <functional>
 #include <memory>
@@ -17,7 +17,7 @@
 /// \param clock reads the current time; called when an outcome arrives.
 ///
 /// Call it several times a second, and after changing `leadership::wanted`.
-void advance(std::shared_ptr<leadership> const& of, platform::store const& store,
+void advance(std::shared_ptr<leadership> const& of, provider::store const& store,
              std::function<base::mono_time()> const& clock);
 
 } // namespace gooseberrywood::lease
--- a/src/lease/leadership.cpp
+++ b/src/lease/leadership.cpp
@@ -127,7 +127,7 @@
     }
 }
 
-void on_read_back(leadership& of, base::result<platform::lease_state> const& state,
+void on_read_back(leadership& of, base::result<provider::lease_state> const& state,
                   base::mono_time now)
 {
     of.in_flight.reset();
--- a/src/lease/leadership.hpp
+++ b/src/lease/leadership.hpp
@@ -5,7 +5,7 @@
 #include "base/time.hpp"
 #include "lease/leadership_options.hpp"
 #include "lease/step.hpp"
-#include "platform/lease_state.hpp"
+#include "provider/lease_state.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -61,7 +61,7 @@
 void on_acquired(leadership& of, base::result<std::uint64_t> const& fencing, base::mono_time now);
 
 /// \ingroup lease
-void on_read_back(leadership& of, base::result<platform::lease_state> const& state,
+void on_read_back(leadership& of, base::result<provider::lease_state> const& state,
                   base::mono_time now);
 
 /// \ingroup lease
--- a/src/platform/call_kind.cpp
+++ b/src/provider/call_kind.cpp
@@ -1,6 +1,6 @@
-#include "platform/call_kind.hpp"
+#include "provider/call_kind.hpp"
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
 std::string_view name_of(call_kind kind)
@@ -15,4 +15,4 @@
     return names.at(static_cast<std::size_t>(kind));
 }
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
--- a/src/platform/call_kind.hpp
+++ b/src/provider/call_kind.hpp
@@ -1,15 +1,15 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_CALL_KIND_HPP
-#define GOOSEBERRYWOOD_PLATFORM_CALL_KIND_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_CALL_KIND_HPP
+#define GOOSEBERRYWOOD_PROVIDER_CALL_KIND_HPP
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief Kinds of calls to the platform, as they are counted.
 enum class call_kind : std::uint8_t
 {
@@ -29,14 +29,14 @@
 
 inline constexpr std::size_t call_kinds = 12;
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief Name of a kind in metrics and in the stand-in.
 [[nodiscard]] std::string_view name_of(call_kind kind);
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief Calls that were sent, by kind. A watch counts once, however long it waits.
 using call_counts = std::array<std::uint64_t, call_kinds>;
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/detail/http_client.cpp
+++ b/src/provider/detail/http_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/detail/http_client.hpp"
+#include "provider/detail/http_client.hpp"
 
 #include "base/event_source.hpp"
 
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <utility>
 
-namespace gooseberrywood::platform::detail
+namespace gooseberrywood::provider::detail
 {
 
 namespace
@@ -149,4 +149,4 @@
                                      pending.cancellable.get(), finish, owned.release());
 }
 
-} // namespace gooseberrywood::platform::detail
+} // namespace gooseberrywood::provider::detail
--- a/src/platform/detail/http_client.hpp
+++ b/src/provider/detail/http_client.hpp
@@ -1,10 +1,10 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_DETAIL_HTTP_CLIENT_HPP
-#define GOOSEBERRYWOOD_PLATFORM_DETAIL_HTTP_CLIENT_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_DETAIL_HTTP_CLIENT_HPP
+#define GOOSEBERRYWOOD_PROVIDER_DETAIL_HTTP_CLIENT_HPP
 
 #include "base/glib_ptr.hpp"
 #include "base/time.hpp"
-#include "platform/call_kind.hpp"
-#include "platform/done.hpp"
+#include "provider/call_kind.hpp"
+#include "provider/done.hpp"
 
 #include <libsoup/soup.h>
 #include <nlohmann/json.hpp>
@@ -14,7 +14,7 @@
 #include <string>
 #include <string_view>
 
-namespace gooseberrywood::platform::detail
+namespace gooseberrywood::provider::detail
 {
 
 /// What the errors of a call are.
@@ -80,6 +80,6 @@
     }
 }
 
-} // namespace gooseberrywood::platform::detail
+} // namespace gooseberrywood::provider::detail
 
 #endif
--- a/src/platform/done.hpp
+++ b/src/provider/done.hpp
@@ -1,14 +1,14 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_DONE_HPP
-#define GOOSEBERRYWOOD_PLATFORM_DONE_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_DONE_HPP
+#define GOOSEBERRYWOOD_PROVIDER_DONE_HPP
 
 #include "base/result.hpp"
 
 #include <functional>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief Receives the outcome of a call, once, in the main loop, and never before the call
 /// returns.
 ///
@@ -16,6 +16,6 @@
 template <class T>
 using done = std::function<void(base::result<T> const&)>;
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/host_info.hpp
+++ b/src/provider/host_info.hpp
@@ -1,12 +1,12 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_HOST_INFO_HPP
-#define GOOSEBERRYWOOD_PLATFORM_HOST_INFO_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_HOST_INFO_HPP
+#define GOOSEBERRYWOOD_PROVIDER_HOST_INFO_HPP
 
 #include <string>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief A host of the platform's list.
 struct host_info
 {
@@ -22,6 +22,6 @@
     friend bool operator==(host_info const&, host_info const&) = default;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/host_list.hpp
+++ b/src/provider/host_list.hpp
@@ -1,17 +1,17 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_HOST_LIST_HPP
-#define GOOSEBERRYWOOD_PLATFORM_HOST_LIST_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_HOST_LIST_HPP
+#define GOOSEBERRYWOOD_PROVIDER_HOST_LIST_HPP
 
 #include "base/time.hpp"
-#include "platform/done.hpp"
-#include "platform/host_info.hpp"
+#include "provider/done.hpp"
+#include "provider/host_info.hpp"
 
 #include <functional>
 #include <vector>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief The platform's list of live and leaving hosts. It lags behind the truth.
 struct host_list
 {
@@ -19,6 +19,6 @@
     std::function<void(base::mono_time deadline, done<std::vector<host_info>>)> read;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/http_services.cpp
+++ b/src/provider/http_services.cpp
@@ -1,13 +1,13 @@
-#include "platform/http_services.hpp"
+#include "provider/http_services.hpp"
 
-#include "platform/detail/http_client.hpp"
+#include "provider/detail/http_client.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
 namespace
@@ -275,4 +275,4 @@
     return made;
 }
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
--- a/src/platform/lease_state.hpp
+++ b/src/provider/lease_state.hpp
@@ -1,13 +1,13 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_LEASE_STATE_HPP
-#define GOOSEBERRYWOOD_PLATFORM_LEASE_STATE_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_LEASE_STATE_HPP
+#define GOOSEBERRYWOOD_PROVIDER_LEASE_STATE_HPP
 
 #include <cstdint>
 #include <string>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief A lease as the store sees it.
 struct lease_state
 {
@@ -20,6 +20,6 @@
     friend bool operator==(lease_state const&, lease_state const&) = default;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/orders.hpp
+++ b/src/provider/orders.hpp
@@ -1,16 +1,16 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_ORDERS_HPP
-#define GOOSEBERRYWOOD_PLATFORM_ORDERS_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_ORDERS_HPP
+#define GOOSEBERRYWOOD_PROVIDER_ORDERS_HPP
 
 #include "base/time.hpp"
-#include "platform/done.hpp"
-#include "platform/upstream_order.hpp"
+#include "provider/done.hpp"
+#include "provider/upstream_order.hpp"
 
 #include <functional>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief The platform's interface that orders upstreams by failure domain.
 struct orders
 {
@@ -20,6 +20,6 @@
     std::function<void(upstream_order const& order, base::mono_time deadline, done<void>)> send;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/store.hpp
+++ b/src/provider/store.hpp
@@ -1,19 +1,19 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_STORE_HPP
-#define GOOSEBERRYWOOD_PLATFORM_STORE_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_STORE_HPP
+#define GOOSEBERRYWOOD_PROVIDER_STORE_HPP
 
 #include "base/time.hpp"
-#include "platform/done.hpp"
-#include "platform/lease_state.hpp"
-#include "platform/versioned_value.hpp"
+#include "provider/done.hpp"
+#include "provider/lease_state.hpp"
+#include "provider/versioned_value.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <string>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief The platform's key-value store.
 ///
 /// Every call has a deadline and reports one of these errors: `store_unavailable` (nothing was
@@ -58,6 +58,6 @@
         read_lease;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/upstream_order.hpp
+++ b/src/provider/upstream_order.hpp
@@ -1,13 +1,13 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_UPSTREAM_ORDER_HPP
-#define GOOSEBERRYWOOD_PLATFORM_UPSTREAM_ORDER_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_UPSTREAM_ORDER_HPP
+#define GOOSEBERRYWOOD_PROVIDER_UPSTREAM_ORDER_HPP
 
 #include <cstdint>
 #include <string>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief Orders a number of upstreams of a route in a failure domain.
 ///
 /// It names the number that shall run, not a change of it, so that an order whose answer is lost
@@ -23,6 +23,6 @@
     friend bool operator==(upstream_order const&, upstream_order const&) = default;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/usage_line.hpp
+++ b/src/provider/usage_line.hpp
@@ -1,13 +1,13 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_USAGE_LINE_HPP
-#define GOOSEBERRYWOOD_PLATFORM_USAGE_LINE_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_USAGE_LINE_HPP
+#define GOOSEBERRYWOOD_PROVIDER_USAGE_LINE_HPP
 
 #include <cstdint>
 #include <string>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief Usage of one team on one route within a window.
 struct usage_line
 {
@@ -20,6 +20,6 @@
     friend bool operator==(usage_line const&, usage_line const&) = default;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/usage_report.hpp
+++ b/src/provider/usage_report.hpp
@@ -1,16 +1,16 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_USAGE_REPORT_HPP
-#define GOOSEBERRYWOOD_PLATFORM_USAGE_REPORT_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_USAGE_REPORT_HPP
+#define GOOSEBERRYWOOD_PROVIDER_USAGE_REPORT_HPP
 
 #include "base/time.hpp"
-#include "platform/usage_line.hpp"
+#include "provider/usage_line.hpp"
 
 #include <cstdint>
 #include <vector>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief The usage of one window. A window is reported with the same figures each time.
 struct usage_report
 {
@@ -22,6 +22,6 @@
     friend bool operator==(usage_report const&, usage_report const&) = default;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/usage_sink.hpp
+++ b/src/provider/usage_sink.hpp
@@ -1,16 +1,16 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_USAGE_SINK_HPP
-#define GOOSEBERRYWOOD_PLATFORM_USAGE_SINK_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_USAGE_SINK_HPP
+#define GOOSEBERRYWOOD_PROVIDER_USAGE_SINK_HPP
 
 #include "base/time.hpp"
-#include "platform/done.hpp"
-#include "platform/usage_report.hpp"
+#include "provider/done.hpp"
+#include "provider/usage_report.hpp"
 
 #include <functional>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief The platform's interface that accepts usage reports.
 struct usage_sink
 {
@@ -19,6 +19,6 @@
     std::function<void(usage_report const& report, base::mono_time deadline, done<void>)> report;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/versioned_value.hpp
+++ b/src/provider/versioned_value.hpp
@@ -1,13 +1,13 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_VERSIONED_VALUE_HPP
-#define GOOSEBERRYWOOD_PLATFORM_VERSIONED_VALUE_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_VERSIONED_VALUE_HPP
+#define GOOSEBERRYWOOD_PROVIDER_VERSIONED_VALUE_HPP
 
 #include <cstdint>
 #include <string>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief A value of the store.
 struct versioned_value
 {
@@ -19,6 +19,6 @@
     friend bool operator==(versioned_value const&, versioned_value const&) = default;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/weight_store.hpp
+++ b/src/provider/weight_store.hpp
@@ -1,19 +1,19 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_WEIGHT_STORE_HPP
-#define GOOSEBERRYWOOD_PLATFORM_WEIGHT_STORE_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_WEIGHT_STORE_HPP
+#define GOOSEBERRYWOOD_PROVIDER_WEIGHT_STORE_HPP
 
 #include "base/time.hpp"
-#include "platform/done.hpp"
-#include "platform/weight_version.hpp"
+#include "provider/done.hpp"
+#include "provider/weight_version.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief The platform's weight store. It limits the rate of calls and of bytes.
 struct weight_store
 {
@@ -29,6 +29,6 @@
         read;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/src/platform/weight_version.hpp
+++ b/src/provider/weight_version.hpp
@@ -1,13 +1,13 @@
-#ifndef GOOSEBERRYWOOD_PLATFORM_WEIGHT_VERSION_HPP
-#define GOOSEBERRYWOOD_PLATFORM_WEIGHT_VERSION_HPP
+#ifndef GOOSEBERRYWOOD_PROVIDER_WEIGHT_VERSION_HPP
+#define GOOSEBERRYWOOD_PROVIDER_WEIGHT_VERSION_HPP
 
 #include <cstdint>
 #include <string>
 
-namespace gooseberrywood::platform
+namespace gooseberrywood::provider
 {
 
-/// \ingroup platform
+/// \ingroup provider
 /// \brief A version of a model's weights.
 struct weight_version
 {
@@ -18,6 +18,6 @@
     friend bool operator==(weight_version const&, weight_version const&) = default;
 };
 
-} // namespace gooseberrywood::platform
+} // namespace gooseberrywood::provider
 
 #endif
--- a/test/lease_leadership_test.cpp
+++ b/test/lease_leadership_test.cpp
@@ -105,7 +105,7 @@
 
     WHEN("the store shows this acquisition")
     {
-        lease::on_read_back(leader, platform::lease_state{first->holder, 9}, begin + 3s);
+        lease::on_read_back(leader, provider::lease_state{first->holder, 9}, begin + 3s);
         THEN("the lease counts from when the acquisition was sent")
         {
             CHECK(leader.fencing == 9);
@@ -115,7 +115,7 @@
     }
     WHEN("the store shows another holder")
     {
-        lease::on_read_back(leader, platform::lease_state{"host-2/5#1", 9}, begin + 3s);
+        lease::on_read_back(leader, provider::lease_state{"host-2/5#1", 9}, begin + 3s);
         THEN(
             "the next acquisition has another name, so that a late grant of the first is not taken")
         {
--- a/test/lease_property_test.cpp
+++ b/test/lease_property_test.cpp
@@ -90,7 +90,7 @@
 struct process
 {
     std::shared_ptr<lease::leadership> leader = std::make_shared<lease::leadership>();
-    platform::store store;
+    provider::store store;
     std::map<trouble, real_time> until;
     int clock_ppm = 1000000;
 };
@@ -160,7 +160,7 @@
     /// Sends a call: `effect` runs in the store, its result goes to `done` at most once.
     template <class T>
     void call(std::size_t p, base::mono_time deadline, result_code lost,
-              std::function<base::result<T>()> effect, platform::done<T> done)
+              std::function<base::result<T>()> effect, provider::done<T> done)
     {
         auto const open = std::make_shared<bool>(true);
         auto const answer = [this, p, open, done](base::result<T> const& got)
@@ -255,11 +255,11 @@
         };
         store.read_lease = [this, p](auto const&, base::mono_time deadline, auto done)
         {
-            auto const effect = [this]() -> base::result<platform::lease_state>
+            auto const effect = [this]() -> base::result<provider::lease_state>
             {
-                return platform::lease_state{is_held() ? holder : "", fencing};
+                return provider::lease_state{is_held() ? holder : "", fencing};
             };
-            call<platform::lease_state>(p, deadline, result_code::store_unavailable, effect, done);
+            call<provider::lease_state>(p, deadline, result_code::store_unavailable, effect, done);
         };
     }
 
--- a/test/process/platform_test.cpp
+++ b/test/process/platform_test.cpp
@@ -1,5 +1,5 @@
 #include "lease.hpp"
-#include "platform.hpp"
+#include "provider.hpp"
 #include "process/support/http_client.hpp"
 #include "process/support/process.hpp"
 
@@ -41,7 +41,7 @@
 {
     test::process standin{"standin_platform", {"--checks_fencing"}};
     std::string url = "http://127.0.0.1:" + std::to_string(test::wait_listening(standin));
-    platform::services services = *platform::make_http_services(url);
+    provider::services services = *provider::make_http_services(url);
 
     void fault(std::string const& kind, std::string const& mode) const
     {
@@ -52,10 +52,10 @@
     {
         test::post_json(url + "/standin/faults", nlohmann::json::array());
     }
-    [[nodiscard]] base::result<platform::versioned_value>
+    [[nodiscard]] base::result<provider::versioned_value>
     read(base::duration within = call_time) const
     {
-        return await<platform::versioned_value>(
+        return await<provider::versioned_value>(
             [&](auto const& done) { services.store.read("config", in(within), done); });
     }
     [[nodiscard]] base::result<std::uint64_t> swap(std::uint64_t expected, std::string const& value,
@@ -79,7 +79,7 @@
     }
     [[nodiscard]] base::result<void> order(std::uint64_t fencing) const
     {
-        platform::upstream_order const wanted{"o-1", fencing, "krapina", "planner-lm", 3};
+        provider::upstream_order const wanted{"o-1", fencing, "krapina", "planner-lm", 3};
         return await<void>([&](auto const& done)
                            { services.orders.send(wanted, in(call_time), done); });
     }
@@ -101,7 +101,7 @@
     std::string const first("a\0\xff\n", 4);
     auto const revision = swap(0, first);
     REQUIRE(revision.has_value());
-    CHECK(*read() == platform::versioned_value{first, *revision});
+    CHECK(*read() == provider::versioned_value{first, *revision});
 
     WHEN("the expected revision is an old one")
     {
@@ -165,7 +165,7 @@
     auto const revision = *swap(0, "a");
     WHEN("the key is written")
     {
-        std::optional<base::result<platform::versioned_value>> seen;
+        std::optional<base::result<provider::versioned_value>> seen;
         services.store.watch("config", revision, in(call_time),
                              [&seen](auto const& outcome) { seen = outcome; });
         auto const is_waiting = [this]
@@ -181,16 +181,16 @@
         }
         THEN("it ends with the new value and has counted once")
         {
-            CHECK(**seen == platform::versioned_value{"b", next});
+            CHECK(**seen == provider::versioned_value{"b", next});
             auto const counts = services.calls();
-            CHECK(counts.at(static_cast<std::size_t>(platform::call_kind::store_watch)) == 1);
+            CHECK(counts.at(static_cast<std::size_t>(provider::call_kind::store_watch)) == 1);
         }
     }
     WHEN("the key is not written")
     {
         auto const watch = [&](base::duration within)
         {
-            return await<platform::versioned_value>(
+            return await<provider::versioned_value>(
                 [&](auto const& done)
                 { services.store.watch("config", revision, in(within), done); });
         };
@@ -242,10 +242,10 @@
         CHECK(code_of(acquire("a")) == result_code::store_outcome_unknown);
         THEN("reading the lease tells that it was granted")
         {
-            auto const state = await<platform::lease_state>(
+            auto const state = await<provider::lease_state>(
                 [&](auto const& done)
                 { services.store.read_lease("leader", in(call_time), done); });
-            CHECK(*state == platform::lease_state{"a", *first + 1});
+            CHECK(*state == provider::lease_state{"a", *first + 1});
         }
     }
 }
@@ -263,7 +263,7 @@
                                                 {"leaving", true}}}));
         auto const hosts = [this]
         {
-            return *await<std::vector<platform::host_info>>(
+            return *await<std::vector<provider::host_info>>(
                 [&](auto const& done) { services.hosts.read(in(call_time), done); });
         };
         THEN("the change shows later")
@@ -271,12 +271,12 @@
             CHECK(hosts().empty());
             CHECK(test::eventually([&] { return !hosts().empty(); }));
             CHECK(hosts().at(0) ==
-                  platform::host_info{"h1", "zabok", "127.0.0.1", "127.0.0.1:7", true});
+                  provider::host_info{"h1", "zabok", "127.0.0.1", "127.0.0.1:7", true});
         }
     }
     GIVEN("a usage report")
     {
-        platform::usage_report const report{
+        provider::usage_report const report{
             base::wall_time(60s), base::wall_time(120s), 4, {{"lepoglava", "planner-lm", 1, 2, 3}}};
         THEN("it arrives with its figures")
         {
@@ -292,12 +292,12 @@
     {
         test::post_json(url + "/standin/weights",
                         {{"model", "planner-lm"}, {"version", 7}, {"bytes", 10}});
-        auto const versions = *await<std::vector<platform::weight_version>>(
+        auto const versions = *await<std::vector<provider::weight_version>>(
             [&](auto const& done)
             { services.weights.versions("planner-lm", in(call_time), done); });
         THEN("its parts can be read up to its end")
         {
-            REQUIRE(versions == std::vector{platform::weight_version{"planner-lm", 7, 10}});
+            REQUIRE(versions == std::vector{provider::weight_version{"planner-lm", 7, 10}});
             auto const part = await<std::string>(
                 [&](auto const& done)
                 { services.weights.read(versions.at(0), 8, 5, in(call_time), done); });
--- a/test/standin/platform/calls.cpp
+++ b/test/standin/platform/calls.cpp
@@ -11,7 +11,7 @@
 {
 
 using nlohmann::json;
-using platform::call_kind;
+using provider::call_kind;
 
 // Larger parts would only cost the test time.
 constexpr std::uint64_t max_weight_part = 1024 * 1024;
@@ -46,7 +46,7 @@
                                      bytes.data(), bytes.size());
 }
 
-void answer_value(SoupServerMessage* message, platform::versioned_value const& value)
+void answer_value(SoupServerMessage* message, provider::versioned_value const& value)
 {
     soup_message_headers_replace(soup_server_message_get_response_headers(message), "X-Revision",
                                  std::to_string(value.revision).c_str());
--- a/test/standin/platform/control.cpp
+++ b/test/standin/platform/control.cpp
@@ -28,12 +28,12 @@
                                          { self.hosts = hosts; }));
 }
 
-json counts(platform::call_counts const& calls)
+json counts(provider::call_counts const& calls)
 {
     json shown;
     for (std::size_t kind = 0; kind < calls.size(); ++kind)
     {
-        shown[name_of(static_cast<platform::call_kind>(kind))] = calls.at(kind);
+        shown[name_of(static_cast<provider::call_kind>(kind))] = calls.at(kind);
     }
     return shown;
 }
--- a/test/standin/platform/main.cpp
+++ b/test/standin/platform/main.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-fault_rule* matching_rule(platform_standin& self, platform::call_kind kind)
+fault_rule* matching_rule(platform_standin& self, provider::call_kind kind)
 {
     for (auto& rule : self.faults)
     {
@@ -29,7 +29,7 @@
     return nullptr;
 }
 
-void serve_late(platform_standin& self, SoupServerMessage* message, platform::call_kind kind,
+void serve_late(platform_standin& self, SoupServerMessage* message, provider::call_kind kind,
                 base::duration delay)
 {
     soup_server_message_pause(message);
@@ -82,7 +82,7 @@
     else
     {
         // A watch has no effect that could come before its answer.
-        if (*kind != platform::call_kind::store_watch)
+        if (*kind != provider::call_kind::store_watch)
         {
             serve_call(self, message, *kind);
         }
--- a/test/standin/platform/platform.hpp
+++ b/test/standin/platform/platform.hpp
@@ -2,8 +2,8 @@
 #define GOOSEBERRYWOOD_TEST_STANDIN_PLATFORM_PLATFORM_HPP
 
 #include "base/event_source.hpp"
-#include "platform/call_kind.hpp"
-#include "platform/versioned_value.hpp"
+#include "provider/call_kind.hpp"
+#include "provider/versioned_value.hpp"
 #include "standin/http.hpp"
 
 #include <list>
@@ -47,8 +47,8 @@
 {
     http_server server;
     std::vector<fault_rule> faults;
-    platform::call_counts calls{};
-    std::map<std::string, platform::versioned_value> values;
+    provider::call_counts calls{};
+    std::map<std::string, provider::versioned_value> values;
     std::uint64_t last_revision = 0;
     std::list<waiting_watch> watches;
     std::map<std::string, lease_record> leases;
@@ -67,11 +67,11 @@
 };
 
 /// The kind of a call to the platform's own paths.
-[[nodiscard]] std::optional<platform::call_kind>
+[[nodiscard]] std::optional<provider::call_kind>
 kind_of(std::string const& method, std::string const& path, std::string const& query);
 
 /// Lets a call take effect and sets its answer; a watch may be left waiting.
-void serve_call(platform_standin& self, SoupServerMessage* message, platform::call_kind kind);
+void serve_call(platform_standin& self, SoupServerMessage* message, provider::call_kind kind);
 
 /// Answers a path below /standin.
 void control(platform_standin& self, SoupServerMessage* message, std::string const& path);
