--- a/src/base/event_source.cpp
+++ b/src/base/event_source.cpp
@@ -49,7 +49,9 @@
 event_source at(mono_time deadline, std::function<void()> call)
 {
     GSource* const source = g_timeout_source_new(0);
-    g_source_set_ready_time(source, micros(deadline));
+    // GLib's timers run on a clock that stands still while the host is suspended.
+    auto const left = deadline - mono_now();
+    g_source_set_ready_time(source, g_get_monotonic_time() + left.count());
     return attach(source, std::move(call), false);
 }
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -5,7 +5,9 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <cstdio>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
 
 namespace gooseberrywood::base
 {
@@ -31,6 +33,43 @@
     return "error";
 }
 
+// Lines that were not written since the last one that was.
+std::uint64_t dropped_lines = 0;
+
+/// A pipe that is writable takes this much without blocking.
+constexpr std::size_t most_at_once = PIPE_BUF;
+
+bool is_writable()
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+/// Never blocks: a line that standard output does not take at once is dropped and counted.
+void write_line(std::string line)
+{
+    if (line.size() > most_at_once)
+    {
+        line.resize(most_at_once - 1);
+        line.push_back('\n');
+    }
+    if (!is_writable() ||
+        write(STDOUT_FILENO, line.data(), line.size()) != static_cast<ssize_t>(line.size()))
+    {
+        ++dropped_lines;
+        return;
+    }
+    if (dropped_lines > 0 && is_writable())
+    {
+        auto const note =
+            format_log_line(micros(wall_now()), log_level::warning, "log_lines_dropped",
+                            {{"count", static_cast<std::int64_t>(dropped_lines)}}) +
+            '\n';
+        dropped_lines = 0;
+        write_line(note);
+    }
+}
+
 } // namespace
 
 void set_log_level(log_level lowest)
@@ -72,7 +111,7 @@
     {
         return;
     }
-    fmt::print(stderr, "{}\n", format_log_line(micros(wall_now()), level, event, fields));
+    write_line(format_log_line(micros(wall_now()), level, event, fields) + '\n');
 }
 
 } // namespace gooseberrywood::base
--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -43,7 +43,8 @@
                                           std::initializer_list<log_field> fields);
 
 /// \ingroup base
-/// \brief Writes one JSON object and a line end to standard error.
+/// \brief Writes one JSON object and a line end to standard output. It never blocks: a line that the
+/// output does not take at once is dropped, and the next one that gets through tells how many were.
 /// \param event what happened, in snake_case.
 /// \param fields further values; they must not contain a key.
 void log_line(log_level level, std::string_view event, std::initializer_list<log_field> fields);
--- /dev/null
+++ b/src/duty/weights_plan.cpp
@@ -0,0 +1,204 @@
+#include "duty/weights_plan.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberrywood::duty
+{
+
+namespace
+{
+
+// Upstreams that load at once slow each other; a fifth of them, at least two, may.
+constexpr std::size_t loading_share = 5;
+constexpr std::size_t least_loading = 2;
+
+std::uint32_t version_of(std::map<std::string, std::uint32_t, std::less<>> const& versions,
+                         std::string_view model)
+{
+    auto const at = versions.find(model);
+    return at != versions.end() ? at->second : 0;
+}
+
+/// The model that an upstream visibly follows: it lags behind least for this one alone.
+std::string followed_model(fleet::upstream_record const& record, fleet::service const& of,
+                           named_versions const& named)
+{
+    std::string best;
+    std::int64_t least_lag = 0;
+    bool tie = false;
+    for (auto const& model : of.models)
+    {
+        std::int64_t const wanted = std::max(1U, version_of(named, model));
+        auto const lag = wanted - std::int64_t{version_of(record.weights, model)};
+        if (best.empty() || lag < least_lag)
+        {
+            best = model;
+            least_lag = lag;
+            tie = false;
+        }
+        else if (lag == least_lag)
+        {
+            tie = true;
+        }
+    }
+    return tie ? std::string() : best;
+}
+
+/// Upstreams of a service by failure domain, so that neighbours in the list share one.
+std::vector<fleet::upstream_record const*> upstreams_of(fleet::pool const& pool,
+                                                        fleet::service const& of)
+{
+    std::vector<fleet::upstream_record const*> found;
+    for (auto const& [id, one] : pool.upstreams)
+    {
+        if (one.record.service == of.name && !one.record.draining)
+        {
+            found.push_back(&one.record);
+        }
+    }
+    std::stable_sort(found.begin(), found.end(),
+                     [](auto const* a, auto const* b) { return a->domain < b->domain; });
+    return found;
+}
+
+void forget_gone(weights_plan& plan, fleet::pool const& pool)
+{
+    for (auto at = plan.upstreams.begin(); at != plan.upstreams.end();)
+    {
+        auto const known = pool.upstreams.find(at->first);
+        bool const gone = known == pool.upstreams.end() || known->second.record.draining;
+        at = gone ? plan.upstreams.erase(at) : std::next(at);
+    }
+}
+
+struct shares
+{
+    std::map<std::string, std::size_t> taken;
+    std::size_t most = 0;
+};
+
+bool keep_or_free(ordered_upstream& of, fleet::upstream_record const& record,
+                  fleet::service const& service, named_versions const& named, shares& used)
+{
+    auto model = of.model.empty() ? followed_model(record, service, named) : of.model;
+    bool const known =
+        std::find(service.models.begin(), service.models.end(), model) != service.models.end();
+    if (!known || used.taken[model] >= used.most)
+    {
+        of.model.clear();
+        return false;
+    }
+    ++used.taken[model];
+    of.model = std::move(model);
+    return true;
+}
+
+std::string least_taken(fleet::service const& service, shares const& used)
+{
+    std::string best;
+    std::size_t least = 0;
+    for (auto const& model : service.models)
+    {
+        auto const at = used.taken.find(model);
+        auto const taken = at != used.taken.end() ? at->second : 0;
+        if (best.empty() || taken < least)
+        {
+            best = model;
+            least = taken;
+        }
+    }
+    return best;
+}
+
+void assign_service(weights_plan& plan, fleet::pool const& pool, fleet::service const& service,
+                    named_versions const& named)
+{
+    auto const upstreams = upstreams_of(pool, service);
+    shares used;
+    used.most = (upstreams.size() + service.models.size() - 1) / service.models.size();
+    std::vector<ordered_upstream*> unassigned;
+    for (auto const* record : upstreams)
+    {
+        auto& known = plan.upstreams[record->id];
+        if (known.started_ms != record->started_ms)
+        {
+            known = {};
+            known.started_ms = record->started_ms;
+        }
+        if (!keep_or_free(known, *record, service, named, used))
+        {
+            unassigned.push_back(&known);
+        }
+    }
+    for (auto* one : unassigned)
+    {
+        one->model = least_taken(service, used);
+        ++used.taken[one->model];
+    }
+}
+
+bool is_loading(ordered_upstream const& of, base::mono_time now)
+{
+    return of.busy || now < of.loaded_at;
+}
+
+} // namespace
+
+void assign_models(weights_plan& plan, fleet::pool const& pool, fleet::configuration const& in,
+                   named_versions const& named)
+{
+    forget_gone(plan, pool);
+    for (auto const& service : in.services)
+    {
+        if (!service.models.empty())
+        {
+            assign_service(plan, pool, service, named);
+        }
+    }
+}
+
+std::vector<weights_order> orders_due(weights_plan const& plan, fleet::pool const& pool,
+                                      named_versions const& named, base::mono_time now)
+{
+    struct due_order
+    {
+        weights_order order;
+        std::uint32_t running = 0;
+    };
+    std::size_t loading = 0;
+    std::vector<due_order> due;
+    for (auto const& [id, known] : plan.upstreams)
+    {
+        auto const at = pool.upstreams.find(id);
+        if (is_loading(known, now))
+        {
+            ++loading;
+            continue;
+        }
+        auto const wanted = version_of(named, known.model);
+        if (at == pool.upstreams.end() || wanted <= 1 ||
+            version_of(at->second.record.weights, known.model) >= wanted ||
+            (known.ordered_version >= wanted && now < known.retry_at))
+        {
+            continue;
+        }
+        due.push_back({{id, at->second.record.address, known.model, wanted,
+                        known.accepted.value_or(0)},
+                       at->second.running});
+    }
+    std::stable_sort(due.begin(), due.end(),
+                     [](due_order const& a, due_order const& b) { return a.running < b.running; });
+    auto const most = std::max(least_loading, plan.upstreams.size() / loading_share);
+    std::vector<weights_order> orders;
+    for (auto& one : due)
+    {
+        if (loading + orders.size() < most)
+        {
+            orders.push_back(std::move(one.order));
+        }
+    }
+    return orders;
+}
+
+} // namespace gooseberrywood::duty
--- /dev/null
+++ b/src/duty/weights_plan.hpp
@@ -0,0 +1,69 @@
+#ifndef GOOSEBERRYWOOD_DUTY_WEIGHTS_PLAN_HPP
+#define GOOSEBERRYWOOD_DUTY_WEIGHTS_PLAN_HPP
+
+#include "base/time.hpp"
+#include "duty/weights_order.hpp"
+#include "fleet/configuration.hpp"
+#include "fleet/pool.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gooseberrywood::duty
+{
+
+/// \ingroup duty
+/// \brief What the leader knows of the orders to one upstream.
+struct ordered_upstream
+{
+    /// Model whose versions it follows.
+    std::string model;
+    /// Number of orders that it has accepted; absent until it was asked.
+    std::optional<std::uint64_t> accepted;
+    /// Start of the incarnation that `accepted` belongs to.
+    std::int64_t started_ms = 0;
+    /// Version of the last order that was accepted or may have been.
+    std::uint32_t ordered_version = 0;
+    /// The load of that order is expected to be over by then.
+    base::mono_time loaded_at{};
+    /// Not ordered again before this, unless a newer version is named.
+    base::mono_time retry_at{};
+    /// A call to it is running.
+    bool busy = false;
+};
+
+/// \ingroup duty
+/// \brief State of the plan. The leader alone has one; a new leader starts with an empty one.
+struct weights_plan
+{
+    std::map<std::string, ordered_upstream, std::less<>> upstreams;
+};
+
+/// \ingroup duty
+/// \brief Newest version of each model.
+using named_versions = std::map<std::string, std::uint32_t, std::less<>>;
+
+/// \ingroup duty
+/// \brief Gives each upstream of the engines one model to follow, so that a new version of one
+/// model stops only its share of the upstreams. Shares are equal, spread over failure domains, and
+/// change only when upstreams come or go.
+void assign_models(weights_plan& plan, fleet::pool const& pool, fleet::configuration const& in,
+                   named_versions const& named);
+
+/// \ingroup duty
+/// \brief The upstreams that are to be ordered now, least busy first.
+///
+/// Load pattern: a new version every few seconds for each trainer while its last step still runs.
+/// Few upstreams load at once, so that the others go on with the step.
+[[nodiscard]] std::vector<weights_order> orders_due(weights_plan const& plan,
+                                                    fleet::pool const& pool,
+                                                    named_versions const& named,
+                                                    base::mono_time now);
+
+} // namespace gooseberrywood::duty
+
+#endif
--- /dev/null
+++ b/src/fleet/choose_upstream.cpp
@@ -0,0 +1,184 @@
+#include "fleet/choose_upstream.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace gooseberrywood::fleet
+{
+
+namespace
+{
+
+// Most requests that may go to a cold upstream at once.
+constexpr double cold_burst = 1;
+
+// An upstream that takes longer than this multiple of the median for an event is slow.
+constexpr double slow_factor = 1.6;
+
+// Plain requests above the slots wait at the upstream; some of them keep its slots busy.
+constexpr std::uint32_t queued_per_slot = 2;
+
+bool is_usable(pool const& in, upstream const& which, std::string_view service, base::mono_time now)
+{
+    return which.record.service == service && !which.record.draining && !which.missing &&
+           now >= which.suspended_until && !in.domains_out.contains(which.record.domain);
+}
+
+void refill_cold_budget(upstream& which, double requests_per_s, std::uint32_t sharing_processes,
+                        base::mono_time now)
+{
+    auto const elapsed = std::chrono::duration<double>(now - which.cold_refilled_at).count();
+    which.cold_refilled_at = now;
+    which.cold_tokens =
+        std::min(cold_burst, which.cold_tokens + elapsed * requests_per_s / sharing_processes);
+}
+
+bool bears_one_more(upstream& which, service const* of, pool const& in, base::mono_time now)
+{
+    if (of == nullptr || of->cold_requests_per_s <= 0 || now >= which.record.cold_until)
+    {
+        return true;
+    }
+    refill_cold_budget(which, of->cold_requests_per_s, in.sharing_processes, now);
+    return which.cold_tokens >= 1;
+}
+
+bool contains(std::span<std::string const> ids, std::string_view id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+std::uint32_t version_of(upstream const& which, std::string_view model)
+{
+    auto const at = which.record.weights.find(model);
+    return at != which.record.weights.end() ? at->second : 0;
+}
+
+double plain_cost(upstream const& which, std::string_view domain)
+{
+    constexpr double remote_penalty = 0.05;
+    auto const load = (which.running + 1.0) / std::max(1U, which.record.slots);
+    auto const speed = which.answer_us > 0 ? which.answer_us : 1000.0;
+    auto const distance = which.record.domain == domain ? 1.0 : 1.0 + remote_penalty;
+    return load * speed * distance;
+}
+
+/// Expected time between two events of one more sample.
+double sample_cost(upstream const& which, double median_us)
+{
+    constexpr double default_event_us = 40'000;
+    auto const usual = median_us > 0 ? median_us : default_event_us;
+    auto const speed = which.event_us > 0 ? which.event_us : usual;
+    // A batch slows each of its requests a little, so that load matters less than speed.
+    constexpr double load_weight = 0.5;
+    auto const load = static_cast<double>(which.running) / std::max(1U, which.record.slots);
+    return speed * (1.0 + load_weight * load);
+}
+
+struct sample_candidate
+{
+    upstream* which = nullptr;
+    bool is_known_new_enough = false;
+};
+
+std::vector<sample_candidate> sample_candidates(pool& from, service const* of,
+                                                sample_need const& need, base::mono_time now)
+{
+    std::vector<sample_candidate> found;
+    for (auto& [id, one] : from.upstreams)
+    {
+        if (!is_usable(from, one, need.service, now) || now < one.loading_until ||
+            one.running >= one.record.slots || id == need.avoided)
+        {
+            continue;
+        }
+        bool const known = version_of(one, need.model) >= need.least_version;
+        if (!known && need.newest_version < need.least_version)
+        {
+            continue;
+        }
+        if (bears_one_more(one, of, from, now))
+        {
+            found.push_back({&one, known});
+        }
+    }
+    return found;
+}
+
+chosen_upstream make_choice(sample_candidate const& from, sample_need const& need)
+{
+    return {from.which->record.id, from.which->record.address,
+            from.is_known_new_enough ? 0 : need.newest_version};
+}
+
+} // namespace
+
+double median_event_us(pool const& of, std::string_view service)
+{
+    std::vector<double> known;
+    for (auto const& [id, one] : of.upstreams)
+    {
+        if (one.record.service == service && one.event_us > 0)
+        {
+            known.push_back(one.event_us);
+        }
+    }
+    if (known.empty())
+    {
+        return 0;
+    }
+    auto const middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+    std::nth_element(known.begin(), middle, known.end());
+    return *middle;
+}
+
+std::optional<chosen_upstream> choose_plain(pool& from, configuration const& in,
+                                            plain_need const& need, base::mono_time now)
+{
+    auto const* const of = find_service(in, need.service);
+    upstream* best = nullptr;
+    for (auto& [id, one] : from.upstreams)
+    {
+        bool const has_room = one.running < one.record.slots * queued_per_slot;
+        if (!is_usable(from, one, need.service, now) || !has_room || contains(need.tried, id) ||
+            !bears_one_more(one, of, from, now))
+        {
+            continue;
+        }
+        if (best == nullptr || plain_cost(one, need.domain) < plain_cost(*best, need.domain))
+        {
+            best = &one;
+        }
+    }
+    return best != nullptr
+               ? std::optional(chosen_upstream{best->record.id, best->record.address, 0})
+               : std::nullopt;
+}
+
+std::optional<chosen_upstream> choose_sample(pool& from, configuration const& in,
+                                             sample_need const& need, base::mono_time now)
+{
+    auto const candidates = sample_candidates(from, find_service(in, need.service), need, now);
+    auto const median_us = median_event_us(from, need.service);
+    sample_candidate const* best = nullptr;
+    for (auto const& one : candidates)
+    {
+        bool const is_slow =
+            median_us > 0 && one.which->event_us > slow_factor * median_us;
+        if (one.is_known_new_enough && one.which->record.id == need.preferred && !is_slow)
+        {
+            return make_choice(one, need);
+        }
+        bool const better =
+            best == nullptr || (one.is_known_new_enough && !best->is_known_new_enough) ||
+            (one.is_known_new_enough == best->is_known_new_enough &&
+             sample_cost(*one.which, median_us) < sample_cost(*best->which, median_us));
+        if (better)
+        {
+            best = &one;
+        }
+    }
+    return best != nullptr ? std::optional(make_choice(*best, need)) : std::nullopt;
+}
+
+} // namespace gooseberrywood::fleet
--- /dev/null
+++ b/src/fleet/choose_upstream.hpp
@@ -0,0 +1,80 @@
+#ifndef GOOSEBERRYWOOD_FLEET_CHOOSE_UPSTREAM_HPP
+#define GOOSEBERRYWOOD_FLEET_CHOOSE_UPSTREAM_HPP
+
+#include "base/time.hpp"
+#include "fleet/configuration.hpp"
+#include "fleet/pool.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace gooseberrywood::fleet
+{
+
+/// \ingroup fleet
+/// \brief What a plain request needs of an upstream.
+struct plain_need
+{
+    std::string_view service;
+    /// Failure domain of this process; breaks ties.
+    std::string_view domain;
+    /// Upstreams that earlier tries used.
+    std::span<std::string const> tried;
+};
+
+/// \ingroup fleet
+/// \brief What a sample needs of an upstream.
+struct sample_need
+{
+    std::string_view service;
+    std::string_view model;
+    /// Oldest version of the weights that may generate it.
+    std::uint32_t least_version = 0;
+    /// Newest version that was named; an upstream may hold it before the list says so.
+    std::uint32_t newest_version = 0;
+    /// The upstream that read the group's prompt, or empty.
+    std::string_view preferred;
+    /// The upstream that the last try used, or empty.
+    std::string_view avoided;
+};
+
+/// \ingroup fleet
+/// \brief A chosen upstream.
+struct chosen_upstream
+{
+    std::string id;
+    std::string address;
+    /// Version of the weights that the upstream must have, or 0: it is not known to be new enough.
+    std::uint32_t expected_version = 0;
+};
+
+/// \ingroup fleet
+/// \brief Chooses the least loaded upstream for a plain request.
+///
+/// Load pattern: a steady stream of short lookups beside reward calls that come in bursts when a
+/// step's samples end together.
+[[nodiscard]] std::optional<chosen_upstream> choose_plain(pool& from, configuration const& in,
+                                                          plain_need const& need,
+                                                          base::mono_time now);
+
+/// \ingroup fleet
+/// \brief Chooses an upstream for a sample: the group's upstream while it has a free slot and is
+/// not slow, else the one on which the sample is expected to end first.
+///
+/// Load pattern: a step of a trainer arrives at once, a multiple of the free slots, while some
+/// upstreams are slow, cold or load weights.
+[[nodiscard]] std::optional<chosen_upstream> choose_sample(pool& from, configuration const& in,
+                                                           sample_need const& need,
+                                                           base::mono_time now);
+
+/// \ingroup fleet
+/// \brief Mean time between two events over all upstreams of a service, in microseconds; 0 before
+/// the first event.
+[[nodiscard]] double median_event_us(pool const& of, std::string_view service);
+
+} // namespace gooseberrywood::fleet
+
+#endif
--- /dev/null
+++ b/src/fleet/pool.cpp
@@ -0,0 +1,179 @@
+#include "fleet/pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberrywood::fleet
+{
+
+namespace
+{
+
+// Weight of a new measurement in a mean: about the last ten count.
+constexpr double smoothing = 0.2;
+
+// First pause after a failure; doubles with each further one.
+constexpr base::duration suspension_base = std::chrono::milliseconds(300);
+constexpr base::duration suspension_max = std::chrono::seconds(4);
+constexpr std::uint32_t suspension_doublings = 4;
+
+// A full upstream has a place again after about one request.
+constexpr base::duration full_pause = std::chrono::milliseconds(50);
+
+void add_sample(double& mean, base::duration sample)
+{
+    auto const value = static_cast<double>(sample.count());
+    mean = mean == 0 ? value : mean + smoothing * (value - mean);
+}
+
+void update(upstream& known, upstream_record const& listed)
+{
+    bool const restarted =
+        known.record.started_ms != listed.started_ms || known.record.address != listed.address;
+    auto const weights = std::move(known.record.weights);
+    known.record = listed;
+    known.missing = false;
+    if (restarted)
+    {
+        auto const running = known.running;
+        known = upstream{};
+        known.record = listed;
+        known.running = running;
+        return;
+    }
+    // Answers tell of new weights before the list does.
+    for (auto const& [model, version] : weights)
+    {
+        auto& now_known = known.record.weights[model];
+        now_known = std::max(now_known, version);
+    }
+}
+
+void remove_missing(pool& from, std::set<std::string_view> const& listed, base::mono_time now,
+                    pool_change& change)
+{
+    for (auto at = from.upstreams.begin(); at != from.upstreams.end();)
+    {
+        if (listed.contains(at->first))
+        {
+            ++at;
+            continue;
+        }
+        if (now < from.keep_missing_until)
+        {
+            at->second.missing = true;
+            ++at;
+            continue;
+        }
+        change.removed.push_back(at->first);
+        at = from.upstreams.erase(at);
+    }
+}
+
+} // namespace
+
+pool_change apply_list(pool& to, std::span<upstream_record const> listed, base::mono_time now)
+{
+    pool_change change;
+    std::set<std::string_view> ids;
+    for (auto const& record : listed)
+    {
+        ids.insert(record.id);
+        auto const [at, is_new] = to.upstreams.try_emplace(record.id);
+        if (is_new)
+        {
+            at->second.record = record;
+            change.added.push_back(record.id);
+            continue;
+        }
+        if (record.draining && !at->second.record.draining)
+        {
+            change.draining.push_back(record.id);
+        }
+        update(at->second, record);
+    }
+    remove_missing(to, ids, now, change);
+    return change;
+}
+
+void note_weights(pool& in, std::string_view id, std::string_view model, std::uint32_t version)
+{
+    auto* const found = find_upstream(in, id);
+    if (found == nullptr)
+    {
+        return;
+    }
+    auto& known = found->record.weights[std::string(model)];
+    known = std::max(known, version);
+}
+
+void note_sent(pool& in, std::string_view id, base::mono_time now)
+{
+    auto* const found = find_upstream(in, id);
+    if (found == nullptr)
+    {
+        return;
+    }
+    ++found->running;
+    if (now < found->record.cold_until)
+    {
+        found->cold_tokens -= 1;
+    }
+}
+
+void note_ended(pool& in, std::string_view id)
+{
+    auto* const found = find_upstream(in, id);
+    if (found != nullptr && found->running > 0)
+    {
+        --found->running;
+    }
+}
+
+void note_answer(pool& in, std::string_view id, base::duration answer_time)
+{
+    if (auto* const found = find_upstream(in, id))
+    {
+        add_sample(found->answer_us, answer_time);
+        found->failures = 0;
+    }
+}
+
+void note_event(pool& in, std::string_view id, base::duration pause)
+{
+    if (auto* const found = find_upstream(in, id))
+    {
+        add_sample(found->event_us, pause);
+        found->failures = 0;
+    }
+}
+
+void note_failure(pool& in, std::string_view id, base::mono_time now)
+{
+    auto* const found = find_upstream(in, id);
+    // Requests that fail together, as when an upstream crashes, count once.
+    if (found == nullptr || now < found->suspended_until)
+    {
+        return;
+    }
+    auto const doublings = std::min(found->failures, suspension_doublings);
+    ++found->failures;
+    found->suspended_until =
+        now + std::min(suspension_max, suspension_base * (std::int64_t{1} << doublings));
+}
+
+void note_full(pool& in, std::string_view id, base::mono_time now)
+{
+    if (auto* const found = find_upstream(in, id))
+    {
+        found->suspended_until = std::max(found->suspended_until, now + full_pause);
+    }
+}
+
+upstream* find_upstream(pool& in, std::string_view id)
+{
+    auto const at = in.upstreams.find(id);
+    return at != in.upstreams.end() ? &at->second : nullptr;
+}
+
+} // namespace gooseberrywood::fleet
--- /dev/null
+++ b/src/fleet/team.hpp
@@ -0,0 +1,20 @@
+#ifndef GOOSEBERRYWOOD_FLEET_TEAM_HPP
+#define GOOSEBERRYWOOD_FLEET_TEAM_HPP
+
+#include <string>
+#include <vector>
+
+namespace gooseberrywood::fleet
+{
+
+/// \ingroup fleet
+/// \brief A team and its keys.
+struct team
+{
+    std::string name;
+    std::vector<std::string> keys;
+};
+
+} // namespace gooseberrywood::fleet
+
+#endif
--- /dev/null
+++ b/src/fleet/upstream.hpp
@@ -0,0 +1,38 @@
+#ifndef GOOSEBERRYWOOD_FLEET_UPSTREAM_HPP
+#define GOOSEBERRYWOOD_FLEET_UPSTREAM_HPP
+
+#include "base/time.hpp"
+#include "fleet/upstream_record.hpp"
+
+#include <cstdint>
+
+namespace gooseberrywood::fleet
+{
+
+/// \ingroup fleet
+/// \brief An upstream as this process knows it.
+struct upstream
+{
+    upstream_record record;
+    /// Requests of this process that it works on.
+    std::uint32_t running = 0;
+    /// Mean time between two events of a stream, in microseconds; 0 before the first.
+    double event_us = 0;
+    /// Mean time of a plain request, in microseconds; 0 before the first.
+    double answer_us = 0;
+    /// Failures without a success in between.
+    std::uint32_t failures = 0;
+    /// Gets nothing before this, after failures.
+    base::mono_time suspended_until{};
+    /// Gets no samples before this: it loads weights.
+    base::mono_time loading_until{};
+    /// Budget of a cold upstream: what may be sent at once.
+    double cold_tokens = 1;
+    base::mono_time cold_refilled_at{};
+    /// Set when the upstream is missing in the list but may only have lapsed with the store.
+    bool missing = false;
+};
+
+} // namespace gooseberrywood::fleet
+
+#endif
--- /dev/null
+++ b/src/gateway/answer_caller.hpp
@@ -0,0 +1,29 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_ANSWER_CALLER_HPP
+#define GOOSEBERRYWOOD_GATEWAY_ANSWER_CALLER_HPP
+
+#include "base/error.hpp"
+#include "base/time.hpp"
+#include "http/exchange.hpp"
+
+#include <cstdint>
+#include <string_view>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief Refuses a request that has not run and never will.
+/// \param come_back when the caller should try again.
+void refuse(http::exchange& to, base::error const& why, base::duration come_back);
+
+/// \ingroup gateway
+/// \brief Answers with an error that promises nothing about whether the request ran.
+void fail_request(http::exchange& to, std::uint16_t status, base::error const& why);
+
+/// \ingroup gateway
+/// \brief Answers that the request itself is wrong.
+void reject(http::exchange& to, std::uint16_t status, base::error const& why);
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/callers.cpp
@@ -0,0 +1,222 @@
+#include "gateway/callers.hpp"
+
+#include "base/log.hpp"
+#include "gateway/answer_caller.hpp"
+#include "gateway/batch_callers.hpp"
+#include "gateway/refresh.hpp"
+#include "gateway/route_request.hpp"
+#include "platform/batch_calls.hpp"
+#include "platform/caller_head.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+using base::result_code;
+
+constexpr std::uint16_t unauthorized = 401;
+constexpr std::uint16_t not_found = 404;
+constexpr std::uint16_t bad_gateway = 502;
+constexpr std::uint16_t gateway_timeout = 504;
+
+// Another entry may have a fresher configuration, or this one will have by then.
+constexpr base::duration come_back_stale = std::chrono::milliseconds(200);
+// A full service has a place again after a few requests.
+constexpr base::duration come_back_full = std::chrono::milliseconds(100);
+
+// Part of the target latency after which a full service is refused, so that the caller can still be
+// served in time elsewhere.
+constexpr int patience_part = 5;
+// Part of the target latency after which a second upstream is tried.
+constexpr int hedge_part = 2;
+
+/// \returns the team, empty on an open route; nothing after the request was answered.
+std::optional<std::string> authorize(gateway& self, http::exchange& to,
+                                     platform::caller_head const& head, fleet::route const* route,
+                                     base::mono_time now)
+{
+    auto const& configuration = *self.configuration;
+    if (!configuration.teams || (route != nullptr && route->open))
+    {
+        return std::string();
+    }
+    if (!may_trust_keys(self, now))
+    {
+        refuse(to, {result_code::configuration_stale, "keys can't be checked at the moment"},
+               come_back_stale);
+        return std::nullopt;
+    }
+    auto const* const team = head.key ? fleet::find_team(configuration, *head.key) : nullptr;
+    if (team == nullptr)
+    {
+        reject(to, unauthorized,
+               {head.key ? result_code::key_unknown : result_code::key_missing,
+                "the request carries no key that is known"});
+        return std::nullopt;
+    }
+    return *team;
+}
+
+void log_end(platform::caller_head const& head, fleet::route const& route,
+             routed_outcome const& outcome, base::mono_time arrived_at)
+{
+    auto const took = base::mono_now() - arrived_at;
+    bool const good = outcome.end == routed_end::answered && outcome.answer.status < 500;
+    base::log_line(good ? base::log_level::debug : base::log_level::warning, "request_ended",
+                   {{"request", head.request_id},
+                    {"route", route.name},
+                    {"upstream", outcome.upstream},
+                    {"status", std::int64_t{outcome.answer.status}},
+                    {"code", outcome.why.code},
+                    {"tries", std::int64_t{outcome.tries}},
+                    {"took_us", took.count()}});
+}
+
+void deliver(http::exchange& to, routed_outcome const& outcome)
+{
+    switch (outcome.end)
+    {
+    case routed_end::answered:
+    {
+        auto const headers = platform::caller_headers(outcome.answer.headers);
+        auto const type = http::find_header(headers, "Content-Type");
+        http::respond(to, outcome.answer.status, type.value_or("application/octet-stream"),
+                      outcome.answer.body, headers);
+        break;
+    }
+    case routed_end::refused:
+        refuse(to, outcome.why, come_back_full);
+        break;
+    case routed_end::unknown:
+        fail_request(to,
+                     outcome.why.code == result_code::deadline_passed ? gateway_timeout
+                                                                      : bad_gateway,
+                     outcome.why);
+        break;
+    }
+}
+
+routed_spec plain_spec(http::exchange const& from, platform::caller_head const& head,
+                       fleet::route const& route, std::string team, base::mono_time now)
+{
+    routed_spec spec;
+    spec.service = fleet::service_of(route, head.request_id);
+    spec.host = head.host;
+    spec.team = std::move(team);
+    spec.request_id = head.request_id;
+    spec.idempotent = route.kind == fleet::route_kind::idempotent;
+    spec.most_runs = route.attempts;
+    spec.deadline = std::min(now + route.timeout, head.deadline.value_or(base::mono_time::max()));
+    spec.patience = std::min(spec.deadline, now + route.target_latency / patience_part);
+    spec.hedge_after = route.target_latency / hedge_part;
+    spec.call = {head.method,        head.target,     head.content_type,
+                 std::string(from.body), head.passed_on, spec.idempotent};
+    return spec;
+}
+
+void serve_plain(gateway& self, std::shared_ptr<http::exchange> const& from,
+                 platform::caller_head const& head, fleet::route const& route, std::string team,
+                 base::mono_time now)
+{
+    auto spec = plain_spec(*from, head, route, team, now);
+    auto const number = start_request(
+        self, std::move(spec),
+        [&self, from, head, route, team, now](routed_outcome const& outcome)
+        {
+            log_end(head, route, outcome, now);
+            if (outcome.began && !team.empty())
+            {
+                duty::count_request(self.usage, team, *outcome.began);
+            }
+            deliver(*from, outcome);
+        });
+    from->on_gone = [&self, number, team, id = head.request_id]
+    {
+        base::log_line(base::log_level::info, "caller_gone", {{"request", id}});
+        auto const began = cancel_request(self, number);
+        if (began && !team.empty())
+        {
+            duty::count_request(self.usage, team, *began);
+        }
+    };
+    self.open_exchanges.push_back(from);
+}
+
+void serve_request(gateway& self, std::shared_ptr<http::exchange> const& from,
+                   platform::caller_head const& head, base::mono_time now)
+{
+    auto const* const route =
+        fleet::find_route(*self.configuration, head.host, from->path);
+    if (route == nullptr)
+    {
+        reject(*from, not_found, {result_code::unknown_route, "no route for this host and path"});
+        return;
+    }
+    auto const team = authorize(self, *from, head, route, now);
+    if (!team)
+    {
+        return;
+    }
+    if (route->kind == fleet::route_kind::rollout)
+    {
+        submit_job(self, from, head, *route, *team);
+        return;
+    }
+    serve_plain(self, from, head, *route, *team, now);
+}
+
+} // namespace
+
+void handle_caller(gateway& self, std::shared_ptr<http::exchange> const& from)
+{
+    auto const now = base::mono_now();
+    if (!self.configuration)
+    {
+        refuse(*from, {result_code::configuration_stale, "there is no configuration yet"},
+               come_back_stale);
+        return;
+    }
+    auto const head = platform::read_caller_head(*from, now);
+    auto const call = platform::decode_batch_call(head.method, head.target);
+    if (!call)
+    {
+        serve_request(self, from, head, now);
+        return;
+    }
+    if (auto const team = authorize(self, *from, head, nullptr, now))
+    {
+        handle_batch_call(self, from, *call, *team);
+    }
+}
+
+void check_callers(gateway& self)
+{
+    // Moved out: a handler may add to the list.
+    auto const open = std::move(self.open_exchanges);
+    self.open_exchanges.clear();
+    for (auto const& weak : open)
+    {
+        auto const one = weak.lock();
+        if (!one || one->answered || one->gone)
+        {
+            continue;
+        }
+        if (!http::is_caller_gone(*one))
+        {
+            self.open_exchanges.push_back(weak);
+            continue;
+        }
+        one->gone = true;
+        if (auto const act = std::exchange(one->on_gone, nullptr))
+        {
+            act();
+        }
+    }
+}
+
+} // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/dump.hpp
@@ -0,0 +1,23 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_DUMP_HPP
+#define GOOSEBERRYWOOD_GATEWAY_DUMP_HPP
+
+#include "gateway/gateway.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief The state of the process; it contains no key.
+[[nodiscard]] nlohmann::ordered_json dump(gateway const& self);
+
+/// \ingroup gateway
+/// \brief The metrics of the process in text form.
+[[nodiscard]] std::string exposition(gateway& self);
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,144 @@
+#include "gateway/gateway.hpp"
+
+#include "base/log.hpp"
+#include "gateway/callers.hpp"
+#include "gateway/dump.hpp"
+#include "gateway/job_ownership.hpp"
+#include "gateway/leadership.hpp"
+#include "gateway/lease_keeper.hpp"
+#include "gateway/refresh.hpp"
+#include "gateway/sample_runner.hpp"
+#include "http/call.hpp"
+#include "platform/store_client.hpp"
+#include "process/admin.hpp"
+
+#include <csignal>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+// A caller's work must stop half a second after it has left.
+constexpr base::duration caller_check_interval = std::chrono::milliseconds(150);
+
+// After SIGTERM the balancer sends new connections for about two seconds more.
+constexpr base::duration listen_after_stop = std::chrono::milliseconds(3500);
+constexpr base::duration stop_check_interval = std::chrono::milliseconds(50);
+// Kept free before the process would be killed.
+constexpr base::duration stop_margin = std::chrono::milliseconds(1000);
+
+base::result<void> open_ports(gateway& self)
+{
+    auto callers = http::serve(self.settings.listen_callers,
+                               [&self](auto const& from) { handle_caller(self, from); });
+    if (!callers)
+    {
+        return tl::unexpected(callers.error());
+    }
+    self.callers = std::move(*callers);
+    auto ready = http::serve(self.settings.listen_ready,
+                             [&self](auto const& from)
+                             {
+                                 bool const is_up = is_ready(self, base::mono_now());
+                                 http::respond(*from, is_up ? 200 : 503, "text/plain",
+                                               is_up ? "ready\n" : "not ready\n");
+                             });
+    if (!ready)
+    {
+        return tl::unexpected(ready.error());
+    }
+    self.ready = std::move(*ready);
+    auto admin = process::serve_admin(self.settings.listen_admin,
+                                      {[&self] { return dump(self); },
+                                       [&self] { return exposition(self); },
+                                       [&self] { return is_ready(self, base::mono_now()); }});
+    if (!admin)
+    {
+        return tl::unexpected(admin.error());
+    }
+    self.admin = std::move(*admin);
+    return {};
+}
+
+bool has_work(gateway const& self)
+{
+    return !self.requests.empty() || self.callers->open_answers > 0;
+}
+
+void stop_when_idle(gateway& self, base::mono_time listen_until, base::mono_time latest)
+{
+    auto const now = base::mono_now();
+    if (now < latest && (now < listen_until || has_work(self)))
+    {
+        return;
+    }
+    self.stop_timer.reset();
+    process::stop(self.loop);
+}
+
+void begin_stop(gateway& self)
+{
+    if (self.stopping)
+    {
+        return;
+    }
+    base::log_line(base::log_level::info, "stopping",
+                   {{"jobs", static_cast<std::int64_t>(self.jobs.size())},
+                    {"requests", static_cast<std::int64_t>(self.requests.size())}});
+    self.stopping = true;
+    resign(self);
+    hand_over_jobs(self, [&self] { end_lease(self); });
+    auto const now = base::mono_now();
+    self.stop_timer = base::every(
+        stop_check_interval,
+        [&self, listen_until = now + listen_after_stop,
+         latest = now + self.settings.stop_grace - stop_margin]
+        { stop_when_idle(self, listen_until, latest); });
+}
+
+} // namespace
+
+base::result<std::unique_ptr<gateway>> make_gateway(settings::gateway_settings settings)
+{
+    auto made = std::make_unique<gateway>();
+    auto& self = *made;
+    self.settings = std::move(settings);
+    self.started_at = base::mono_now();
+    self.upstream_session = http::make_session();
+    self.control_session = http::make_session();
+    self.store = platform::make_store_client(self.settings.store);
+    self.usage.length = self.settings.usage_window;
+    if (auto const ports = open_ports(self); !ports)
+    {
+        return tl::unexpected(ports.error());
+    }
+    self.caller_check = base::every(caller_check_interval, [&self] { check_callers(self); });
+    start_lease(self);
+    start_leadership(self);
+    start_samples(self);
+    start_refresh(self);
+    return made;
+}
+
+void run(gateway& self)
+{
+    base::log_line(base::log_level::info, "listening",
+                   {{"role", "gateway"},
+                    {"host", self.settings.host},
+                    {"http_port", self.callers->listening->port},
+                    {"admin_port", self.admin->listening->port}});
+    auto const on_reload = base::on_signal(
+        SIGHUP, [] { base::log_line(base::log_level::info, "reload_requested", {}); });
+    process::run(self.loop, [&self] { begin_stop(self); });
+    base::log_line(base::log_level::info, "stopped", {});
+}
+
+bool is_ready(gateway const& self, base::mono_time now)
+{
+    return !self.stopping && may_trust_keys(self, now) && !self.pool.upstreams.empty();
+}
+
+} // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,136 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_GATEWAY_HPP
+#define GOOSEBERRYWOOD_GATEWAY_GATEWAY_HPP
+
+#include "base/event_source.hpp"
+#include "base/metrics.hpp"
+#include "base/result.hpp"
+#include "duty/candidate.hpp"
+#include "duty/usage_windows.hpp"
+#include "duty/weights_plan.hpp"
+#include "fleet/configuration.hpp"
+#include "fleet/pool.hpp"
+#include "gateway/owned_job.hpp"
+#include "gateway/poller.hpp"
+#include "gateway/process_lease.hpp"
+#include "gateway/routed_request.hpp"
+#include "gateway/sample_run.hpp"
+#include "gateway/shared_view.hpp"
+#include "http/server.hpp"
+#include "process/main_loop.hpp"
+#include "settings/gateway_settings.hpp"
+#include "store/client.hpp"
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief Results of a job that another process owns, as far as they were read. They never change.
+struct result_cache
+{
+    std::vector<rollout::sample_result> results;
+    std::string last_key;
+    base::mono_time drop_at{};
+};
+
+/// \ingroup gateway
+/// \brief The part of the leader that reports usage.
+struct usage_reporting
+{
+    /// Last window whose report was accepted.
+    std::int64_t reported = 0;
+    bool busy = false;
+    /// Last window for which this process has left its counts.
+    std::int64_t left_counts = 0;
+    bool leaving_counts = false;
+    /// Entries of earlier windows that are removed with the next report.
+    std::vector<std::string> obsolete_keys;
+};
+
+/// \ingroup gateway
+/// \brief All state of a gateway.
+struct gateway
+{
+    settings::gateway_settings settings;
+    process::main_loop loop;
+    base::metrics metrics;
+    base::mono_time started_at{};
+    bool stopping = false;
+    base::event_source stop_timer;
+
+    // Declared before everything that runs calls on them, so that they are destroyed last.
+    base::object_ptr<SoupSession> upstream_session;
+    base::object_ptr<SoupSession> control_session;
+    store::client store;
+
+    std::unique_ptr<http::server> callers;
+    std::unique_ptr<http::server> ready;
+    std::unique_ptr<http::server> admin;
+    std::vector<std::weak_ptr<http::exchange>> open_exchanges;
+    base::event_source caller_check;
+
+    std::optional<fleet::configuration> configuration;
+    std::uint64_t configuration_revision = 0;
+    duty::named_versions named;
+    fleet::pool pool;
+    poller operator_poller;
+    poller upstream_poller;
+    poller shared_poller;
+    process_lease lease;
+    base::event_source lease_timer;
+    shared_view shared;
+
+    std::uint64_t numbers = 0;
+    std::map<std::uint64_t, std::unique_ptr<routed_request>> requests;
+    std::map<std::string, owned_job> jobs;
+    std::map<std::uint64_t, sample_run> runs;
+    std::map<std::string, result_cache> caches;
+    base::event_source sample_timer;
+    base::event_source dispatch_soon;
+
+    duty::candidate candidate;
+    duty::weights_plan weights;
+    duty::usage_windows usage;
+    usage_reporting reporting;
+    std::map<std::uint64_t, std::shared_ptr<http::fetch>> control_calls;
+    base::event_source leader_timer;
+};
+
+/// \ingroup gateway
+/// \brief Opens the ports of a gateway and starts its work.
+[[nodiscard]] base::result<std::unique_ptr<gateway>> make_gateway(settings::gateway_settings);
+
+/// \ingroup gateway
+/// \brief Runs until the process was told to stop.
+void run(gateway& self);
+
+/// \ingroup gateway
+/// \brief Whether callers may be sent here.
+[[nodiscard]] bool is_ready(gateway const& self, base::mono_time now);
+
+/// \ingroup gateway
+/// \brief Whether the lease of this process certainly holds.
+[[nodiscard]] inline bool has_lease(gateway const& self, base::mono_time now)
+{
+    return self.lease.id != 0 && now < self.lease.valid_until;
+}
+
+/// \ingroup gateway
+/// \brief What this process writes where it owns something: it names the host and the lease, so that
+/// entries of an earlier incarnation of the process count as another's.
+[[nodiscard]] inline std::string own_mark(gateway const& self)
+{
+    return fmt::format("{}#{}", self.settings.host, self.lease.id);
+}
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/job_ownership.cpp
@@ -0,0 +1,397 @@
+#include "gateway/job_ownership.hpp"
+
+#include "base/hash.hpp"
+#include "base/log.hpp"
+#include "gateway/result_writer.hpp"
+#include "gateway/sample_runner.hpp"
+#include "platform/batch_calls.hpp"
+#include "rollout/result_chunk.hpp"
+#include "rollout/saved_progress.hpp"
+#include "rollout/store_keys.hpp"
+#include "store/list_all.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <memory>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+using base::result_code;
+using items = std::vector<store::item>;
+
+constexpr base::duration store_timeout = std::chrono::milliseconds(1000);
+
+// Processes take over one after the other, so that they don't all claim at once.
+constexpr base::duration claim_stagger = std::chrono::milliseconds(500);
+
+base::mono_time to_mono(base::wall_time at)
+{
+    return base::mono_now() + base::duration((at - base::wall_now()).count());
+}
+
+void set_times(gateway const& self, owned_job& job)
+{
+    auto const* const route =
+        fleet::find_route(*self.configuration, job.record.host, job.record.path);
+    auto const submitted = to_mono(job.record.submitted_at);
+    fleet::route const defaults;
+    job.due = submitted + (route != nullptr ? route->run_target : defaults.run_target);
+    job.give_up_at = submitted + (route != nullptr ? route->retention : defaults.retention);
+}
+
+void mark_listed(owned_job& job, std::vector<rollout::sample_result> const& results)
+{
+    for (auto const& result : results)
+    {
+        auto const at = job.index_by_id.find(result.id);
+        if (at != job.index_by_id.end())
+        {
+            job.samples[at->second].phase = rollout::sample_phase::listed;
+        }
+    }
+}
+
+owned_job make_job(gateway const& self, rollout::job_record const& record,
+                   rollout::batch_job spec, std::uint64_t owner_revision)
+{
+    owned_job job;
+    job.record = record;
+    job.spec = std::move(spec);
+    job.samples.resize(job.spec.samples.size());
+    for (std::size_t i = 0; i < job.spec.samples.size(); ++i)
+    {
+        job.index_by_id[job.spec.samples[i].id] = i;
+    }
+    job.owner_revision = owner_revision;
+    set_times(self, job);
+    return job;
+}
+
+/// What the store holds of a job.
+struct stored_job
+{
+    std::string spec;
+    std::vector<rollout::sample_result> results;
+    rollout::saved_progress progress;
+};
+
+base::result<stored_job> sort_stored(std::string const& id, items const& read)
+{
+    stored_job stored;
+    for (auto const& item : read)
+    {
+        if (item.key == rollout::progress_key(id))
+        {
+            // Without it the samples start anew, so that a fault costs time only.
+            stored.progress = rollout::decode_progress(item.value).value_or(stored.progress);
+        }
+        else if (item.key.starts_with(rollout::result_prefix(id)))
+        {
+            auto results = rollout::decode_results(item.value);
+            if (!results)
+            {
+                return base::fail(result_code::internal, "stored results can't be read");
+            }
+            std::move(results->begin(), results->end(), std::back_inserter(stored.results));
+        }
+        else
+        {
+            stored.spec += item.value;
+        }
+    }
+    return stored;
+}
+
+void load_job(gateway& self, std::string const& id,
+              std::function<void(base::result<stored_job>)> then)
+{
+    store::list_all(self.store, rollout::job_prefix(id), "", base::mono_now() + store_timeout,
+                    [id, then = std::move(then)](base::result<items> const& read)
+                    {
+                        if (!read)
+                        {
+                            then(tl::unexpected(read.error()));
+                            return;
+                        }
+                        then(sort_stored(id, *read));
+                    });
+}
+
+void start_loaded(gateway& self, rollout::job_record const& record, stored_job stored,
+                  std::uint64_t owner_revision)
+{
+    auto spec = platform::decode_batch_job(stored.spec);
+    if (!spec)
+    {
+        base::log_line(base::log_level::error, "job_unreadable",
+                       {{"job", record.id}, {"reason", spec.error().message}});
+        return;
+    }
+    auto job = make_job(self, record, std::move(*spec), owner_revision);
+    for (auto& [id, progress] : stored.progress)
+    {
+        auto const at = job.index_by_id.find(id);
+        if (at != job.index_by_id.end())
+        {
+            job.samples[at->second] = std::move(progress);
+        }
+    }
+    mark_listed(job, stored.results);
+    job.listed = std::move(stored.results);
+    base::log_line(base::log_level::info, "job_taken_over",
+                   {{"job", record.id},
+                    {"listed", static_cast<std::int64_t>(job.listed.size())},
+                    {"resumed", static_cast<std::int64_t>(stored.progress.size())}});
+    self.jobs.insert_or_assign(record.id, std::move(job));
+    dispatch_samples(self);
+}
+
+void load_claimed(gateway& self, rollout::job_record const& record, std::uint64_t owner_revision)
+{
+    load_job(self, record.id,
+             [&self, record, owner_revision](base::result<stored_job> stored)
+             {
+                 if (!stored)
+                 {
+                     // The next review finds this process as the owner of a job that it does not
+                     // run, and loads it again.
+                     base::log_line(base::log_level::warning, "job_not_loaded",
+                                    {{"job", record.id}, {"reason", stored.error().message}});
+                     return;
+                 }
+                 if (!self.jobs.contains(record.id))
+                 {
+                     start_loaded(self, record, std::move(*stored), owner_revision);
+                 }
+             });
+}
+
+store::transaction claim_write(gateway const& self, std::string const& id)
+{
+    store::transaction claim;
+    claim.expected.push_back({rollout::owner_key(id), 0});
+    claim.writes.push_back({rollout::owner_key(id), own_mark(self), self.lease.id});
+    return claim;
+}
+
+void claim(gateway& self, rollout::job_record const& record)
+{
+    // Not tried again before the next review has shown what became of it.
+    self.shared.orphaned_since.erase(record.id);
+    self.store.commit_all(claim_write(self, record.id), base::mono_now() + store_timeout,
+                          [&self, record](base::result<store::commit> const& outcome)
+                          {
+                              if (outcome && outcome->done)
+                              {
+                                  load_claimed(self, record, outcome->revision);
+                              }
+                          });
+}
+
+/// Position of this process in the order in which processes take over a job.
+std::int64_t claim_rank(gateway const& self, std::string const& id)
+{
+    auto const weight = [&](std::string const& host)
+    {
+        return base::hash64(host + "/" + id);
+    };
+    auto const own = weight(self.settings.host);
+    return std::count_if(self.shared.members.begin(), self.shared.members.end(),
+                         [&](std::string const& host)
+                         { return host != self.settings.host && weight(host) < own; });
+}
+
+void review_orphan(gateway& self, rollout::job_record const& record, base::mono_time now)
+{
+    auto const since = self.shared.orphaned_since.try_emplace(record.id, now).first->second;
+    if (now >= since + claim_stagger * claim_rank(self, record.id))
+    {
+        claim(self, record);
+    }
+}
+
+void reclaim(gateway& self, owned_job& job)
+{
+    job.claiming = true;
+    self.store.commit_all(
+        claim_write(self, job.record.id), base::mono_now() + store_timeout,
+        [&self, id = job.record.id](base::result<store::commit> const& outcome)
+        {
+            auto const at = self.jobs.find(id);
+            if (at == self.jobs.end())
+            {
+                return;
+            }
+            at->second.claiming = false;
+            if (outcome && outcome->done)
+            {
+                // What a lost answer left in doubt is read again.
+                reload_results(self, id, outcome->revision);
+            }
+        });
+}
+
+void review_owned(gateway& self, owned_job& job, store::item const& owner, base::mono_time now)
+{
+    bool const is_own = owner.value == own_mark(self);
+    if (is_own && job.owner_revision == 0 && !job.claiming && has_lease(self, now))
+    {
+        reload_results(self, job.record.id, owner.revision);
+    }
+}
+
+void review_job(gateway& self, stored_record const& stored, base::mono_time now)
+{
+    auto const& record = stored.record;
+    auto const own = self.jobs.find(record.id);
+    auto const owner = self.shared.owners.find(record.id);
+    if (record.ended)
+    {
+        self.shared.orphaned_since.erase(record.id);
+        stop_job(self, record.id);
+        return;
+    }
+    if (owner == self.shared.owners.end())
+    {
+        if (!has_lease(self, now) || self.stopping)
+        {
+            return;
+        }
+        if (own == self.jobs.end())
+        {
+            review_orphan(self, record, now);
+        }
+        else if (own->second.owner_revision == 0 && !own->second.claiming)
+        {
+            reclaim(self, own->second);
+        }
+        return;
+    }
+    self.shared.orphaned_since.erase(record.id);
+    bool const is_own = owner->second.value == own_mark(self);
+    if (own != self.jobs.end())
+    {
+        // A view that was read before the last change of the owner says nothing.
+        bool const is_newer = owner->second.revision > own->second.owner_revision;
+        if (!is_own && is_newer)
+        {
+            base::log_line(base::log_level::info, "job_lost", {{"job", record.id}});
+            stop_job(self, record.id);
+            return;
+        }
+        review_owned(self, own->second, owner->second, now);
+        return;
+    }
+    if (is_own && has_lease(self, now) && !self.stopping)
+    {
+        load_claimed(self, record, owner->second.revision);
+    }
+}
+
+} // namespace
+
+bool owns(gateway const& self, owned_job const& job, base::mono_time now)
+{
+    return job.owner_revision != 0 && has_lease(self, now);
+}
+
+void adopt_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
+               std::uint64_t owner_revision)
+{
+    self.jobs.insert_or_assign(record.id,
+                               make_job(self, record, std::move(spec), owner_revision));
+    dispatch_samples(self);
+}
+
+void stop_job(gateway& self, std::string const& id)
+{
+    cancel_runs(self, id);
+    self.jobs.erase(id);
+}
+
+void review_jobs(gateway& self)
+{
+    if (!self.configuration)
+    {
+        return;
+    }
+    auto const now = base::mono_now();
+    auto const records = self.shared.records;
+    for (auto const& [id, stored] : records)
+    {
+        review_job(self, stored, now);
+    }
+    std::erase_if(self.caches, [&](auto const& one) { return now >= one.second.drop_at; });
+}
+
+void reclaim_jobs(gateway& self)
+{
+    for (auto& [id, job] : self.jobs)
+    {
+        if (job.owner_revision == 0 && !job.claiming)
+        {
+            reclaim(self, job);
+        }
+    }
+}
+
+void hand_over_jobs(gateway& self, std::function<void()> then)
+{
+    auto const waiting = std::make_shared<std::size_t>(self.jobs.size());
+    if (*waiting == 0)
+    {
+        then();
+        return;
+    }
+    auto const one_done = [waiting, then = std::move(then)](auto const&)
+    {
+        if (--*waiting == 0)
+        {
+            then();
+        }
+    };
+    auto const deadline = base::mono_now() + store_timeout;
+    for (auto& [id, job] : self.jobs)
+    {
+        rollout::saved_progress left;
+        for (auto const& [sample_id, index] : job.index_by_id)
+        {
+            auto const& sample = job.samples[index];
+            if (sample.events > 0 && sample.phase == rollout::sample_phase::running)
+            {
+                left[sample_id] = sample;
+            }
+        }
+        cancel_runs(self, id);
+        store::transaction write;
+        write.expected.push_back({rollout::owner_key(id), job.owner_revision});
+        write.writes.push_back({rollout::progress_key(id), rollout::encode_progress(left), 0});
+        write.removals.push_back(rollout::owner_key(id));
+        base::log_line(base::log_level::info, "job_handed_over",
+                       {{"job", id}, {"unfinished", static_cast<std::int64_t>(left.size())}});
+        self.store.commit_all(write, deadline, one_done);
+    }
+    self.jobs.clear();
+}
+
+void load_spec(gateway& self, std::string const& id,
+               std::function<void(base::result<rollout::batch_job>)> then)
+{
+    load_job(self, id,
+             [then = std::move(then)](base::result<stored_job> const& stored)
+             {
+                 if (!stored)
+                 {
+                     then(tl::unexpected(stored.error()));
+                     return;
+                 }
+                 then(platform::decode_batch_job(stored->spec));
+             });
+}
+
+} // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/leadership.cpp
@@ -0,0 +1,134 @@
+#include "gateway/leadership.hpp"
+
+#include "base/log.hpp"
+#include "gateway/usage_reports.hpp"
+#include "gateway/weights_orders.hpp"
+#include "rollout/store_keys.hpp"
+
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+constexpr base::duration store_timeout = std::chrono::milliseconds(1000);
+constexpr base::duration tick = std::chrono::milliseconds(100);
+constexpr std::size_t max_answer_bytes = 64 * 1024;
+
+void begin_term(gateway& self, std::uint64_t fencing)
+{
+    self.candidate.held = duty::authority{self.settings.host, fencing};
+    self.weights = {};
+    base::log_line(base::log_level::info, "leadership_gained",
+                   {{"fencing", static_cast<std::int64_t>(fencing)}});
+}
+
+void end_term(gateway& self, std::string_view reason)
+{
+    base::log_line(base::log_level::warning, "leadership_lost", {{"reason", reason}});
+    duty::note_lost(self.candidate, self.settings.leader_turn, base::mono_now());
+}
+
+void apply(gateway& self)
+{
+    self.candidate.busy = true;
+    store::transaction write;
+    std::string const key(rollout::leader_key);
+    write.expected.push_back({key, 0});
+    write.writes.push_back({key, own_mark(self), self.lease.id});
+    self.store.commit_all(write, base::mono_now() + store_timeout,
+                          [&self](base::result<store::commit> const& outcome)
+                          {
+                              self.candidate.busy = false;
+                              if (outcome && outcome->done)
+                              {
+                                  begin_term(self, outcome->revision);
+                              }
+                          });
+}
+
+void work(gateway& self)
+{
+    auto const now = base::mono_now();
+    leave_counts(self);
+    if (auto const as = duty::acting_as(self.candidate, self.lease.valid_until, now))
+    {
+        order_weights(self, *as, now);
+        report_usage(self, *as);
+    }
+}
+
+} // namespace
+
+void start_leadership(gateway& self)
+{
+    self.candidate.host = self.settings.host;
+    if (!self.settings.first_start)
+    {
+        self.candidate.not_before = base::mono_now() + self.settings.leader_turn;
+    }
+    self.leader_timer = base::every(tick, [&self] { work(self); });
+}
+
+void review_leader(gateway& self)
+{
+    auto const now = base::mono_now();
+    auto const& leader = self.shared.leader;
+    bool const is_own = leader && has_lease(self, now) && leader->value == own_mark(self);
+    auto& own = self.candidate;
+    if (own.held && !own.busy)
+    {
+        // A view that was read before this process came to lead says nothing.
+        bool const is_stale = leader && leader->revision < own.held->fencing;
+        bool const is_missing = !leader && self.shared.read_at > self.lease.renew_at;
+        if (!is_stale && !is_own && (leader || is_missing))
+        {
+            end_term(self, "the store shows another leader, or none");
+        }
+        return;
+    }
+    if (is_own && !own.held && !own.busy && now >= own.not_before)
+    {
+        // The answer to the application was lost.
+        begin_term(self, leader->revision);
+        return;
+    }
+    if (!self.stopping &&
+        duty::should_apply(own, leader.has_value(), self.lease.valid_until, now))
+    {
+        apply(self);
+    }
+}
+
+void resign(gateway& self)
+{
+    if (!self.candidate.held)
+    {
+        return;
+    }
+    store::transaction write;
+    std::string const key(rollout::leader_key);
+    write.expected.push_back({key, self.candidate.held->fencing});
+    write.removals.push_back(key);
+    end_term(self, "the process stops");
+    self.store.commit_all(write, base::mono_now() + store_timeout,
+                          [](base::result<store::commit> const&) {});
+}
+
+void start_control_call(gateway& self, http::call_request const& what, base::mono_time deadline,
+                        std::function<void(http::fetch_outcome)> then)
+{
+    auto const number = ++self.numbers;
+    self.control_calls[number] = http::start_fetch(
+        self.control_session.get(), what, deadline, max_answer_bytes,
+        [&self, number, then = std::move(then)](http::fetch_outcome outcome)
+        {
+            auto const keep = std::move(self.control_calls[number]);
+            self.control_calls.erase(number);
+            then(std::move(outcome));
+        });
+}
+
+} // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/leadership.hpp
@@ -0,0 +1,28 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_LEADERSHIP_HPP
+#define GOOSEBERRYWOOD_GATEWAY_LEADERSHIP_HPP
+
+#include "gateway/gateway.hpp"
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief Starts to take part in the leadership and to carry out its duties while it is held.
+void start_leadership(gateway& self);
+
+/// \ingroup gateway
+/// \brief Compares the leadership with what the store shows, and applies for it when nobody leads.
+void review_leader(gateway& self);
+
+/// \ingroup gateway
+/// \brief Gives the leadership up.
+void resign(gateway& self);
+
+/// \ingroup gateway
+/// \brief Starts a call to an upstream or to the platform's interface for duties.
+void start_control_call(gateway& self, http::call_request const& what, base::mono_time deadline,
+                        std::function<void(http::fetch_outcome)> then);
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/refresh.cpp
@@ -0,0 +1,212 @@
+#include "gateway/refresh.hpp"
+
+#include "base/log.hpp"
+#include "gateway/job_ownership.hpp"
+#include "gateway/leadership.hpp"
+#include "platform/operator_state.hpp"
+#include "platform/upstream_entry.hpp"
+#include "platform/words.hpp"
+#include "rollout/store_keys.hpp"
+#include "store/list_all.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+// A change is in effect after one interval and one call. Reads that find nothing new are priced
+// too, so the intervals are as long as the bounds of configuration and draining (2 s) allow.
+constexpr base::duration interval = std::chrono::milliseconds(800);
+constexpr base::duration retry_interval = std::chrono::milliseconds(200);
+constexpr base::duration call_timeout = std::chrono::milliseconds(1500);
+
+// After an outage the upstreams that live are listed again within about two seconds.
+constexpr base::duration outage_after = std::chrono::milliseconds(2500);
+constexpr base::duration return_time = std::chrono::milliseconds(2300);
+
+// A request that passed the check begins to run within this time.
+constexpr base::duration key_margin = std::chrono::milliseconds(300);
+
+// Smallest number of processes that a cold upstream's budget is divided by: those that have just
+// started are not known yet.
+constexpr std::size_t least_sharing = 3;
+
+using items = std::vector<store::item>;
+
+void poll(gateway& self, poller& with, std::string_view prefix,
+          std::function<void(items const&, base::mono_time sent_at)> take);
+
+void poll_again(gateway& self, poller& with, std::string_view prefix, base::duration pause,
+                std::function<void(items const&, base::mono_time sent_at)> take)
+{
+    with.timer = base::at(base::mono_now() + pause, [&self, &with, prefix, take = std::move(take)]
+                          { poll(self, with, prefix, take); });
+}
+
+void note_reach(poller& with, std::string_view prefix, bool failing, std::string_view reason)
+{
+    if (failing != with.failing)
+    {
+        base::log_line(failing ? base::log_level::warning : base::log_level::info,
+                       failing ? "store_read_fails" : "store_read_works",
+                       {{"prefix", prefix}, {"reason", reason}});
+    }
+    with.failing = failing;
+}
+
+void poll(gateway& self, poller& with, std::string_view prefix,
+          std::function<void(items const&, base::mono_time sent_at)> take)
+{
+    auto const sent_at = base::mono_now();
+    store::list_all(
+        self.store, std::string(prefix), "", sent_at + call_timeout,
+        [&self, &with, prefix, sent_at, take = std::move(take)](base::result<items> const& read)
+        {
+            note_reach(with, prefix, !read, read ? "" : read.error().message);
+            if (read)
+            {
+                take(*read, sent_at);
+                with.confirmed_at = sent_at;
+            }
+            poll_again(self, with, prefix, read ? interval : retry_interval, take);
+        });
+}
+
+void apply_configuration(gateway& self, platform::operator_state const& state)
+{
+    if (!state.configuration || state.configuration_revision <= self.configuration_revision)
+    {
+        return;
+    }
+    auto decoded = platform::decode_configuration(*state.configuration);
+    if (!decoded)
+    {
+        base::log_line(base::log_level::error, "configuration_rejected",
+                       {{"code", decoded.error().code}, {"reason", decoded.error().message}});
+        return;
+    }
+    base::log_line(base::log_level::info, "configuration_applied",
+                   {{"version", static_cast<std::int64_t>(decoded->version)},
+                    {"revision", static_cast<std::int64_t>(state.configuration_revision)},
+                    {"routes", static_cast<std::int64_t>(decoded->routes.size())}});
+    self.configuration = std::move(*decoded);
+    self.configuration_revision = state.configuration_revision;
+}
+
+void take_operator_state(gateway& self, items const& read)
+{
+    auto const state = platform::decode_operator_state(read);
+    apply_configuration(self, state);
+    if (state.domains_out != self.pool.domains_out)
+    {
+        base::log_line(base::log_level::info, "domains_out_changed",
+                       {{"count", static_cast<std::int64_t>(state.domains_out.size())}});
+    }
+    self.pool.domains_out = state.domains_out;
+    for (auto const& [model, version] : state.named_versions)
+    {
+        auto& known = self.named[model];
+        if (version > known)
+        {
+            base::log_line(base::log_level::info, "weights_named",
+                           {{"model", model}, {"version", std::int64_t{version}}});
+            known = version;
+        }
+    }
+}
+
+void log_ids(std::string_view event, std::vector<std::string> const& ids)
+{
+    for (auto const& id : ids)
+    {
+        base::log_line(base::log_level::info, event, {{"upstream", id}});
+    }
+}
+
+void take_upstreams(gateway& self, items const& read, base::mono_time sent_at)
+{
+    auto const now = base::mono_now();
+    bool const was_away = self.upstream_poller.confirmed_at != base::mono_time{} &&
+                          sent_at - self.upstream_poller.confirmed_at > outage_after;
+    if (was_away)
+    {
+        self.pool.keep_missing_until = now + return_time;
+    }
+    auto const change =
+        fleet::apply_list(self.pool, platform::decode_upstreams(read, sent_at), now);
+    log_ids("upstream_added", change.added);
+    log_ids("upstream_draining", change.draining);
+    log_ids("upstream_removed", change.removed);
+}
+
+void sort_shared(shared_view& into, store::item const& item)
+{
+    auto const rest = [&](std::string_view prefix)
+    {
+        return item.key.substr(prefix.size());
+    };
+    if (item.key.starts_with(rollout::member_prefix))
+    {
+        into.members.insert(rest(rollout::member_prefix));
+    }
+    else if (item.key.starts_with(rollout::owner_prefix))
+    {
+        into.owners[rest(rollout::owner_prefix)] = item;
+    }
+    else if (item.key == rollout::leader_key)
+    {
+        into.leader = item;
+    }
+    else if (item.key.starts_with(rollout::record_prefix))
+    {
+        auto const id = rest(rollout::record_prefix);
+        if (auto record = rollout::decode_job_record(id, item.value))
+        {
+            into.records[id] = {std::move(*record), item.revision};
+        }
+    }
+}
+
+void take_shared(gateway& self, items const& read, base::mono_time sent_at)
+{
+    shared_view view;
+    view.read_at = sent_at;
+    view.orphaned_since = std::move(self.shared.orphaned_since);
+    for (auto const& item : read)
+    {
+        sort_shared(view, item);
+    }
+    self.shared = std::move(view);
+    self.pool.sharing_processes =
+        static_cast<std::uint32_t>(std::max(least_sharing, self.shared.members.size()));
+    review_jobs(self);
+    review_leader(self);
+}
+
+} // namespace
+
+void start_refresh(gateway& self)
+{
+    poll(self, self.operator_poller, platform::store_keys::operator_prefix,
+         [&self](items const& read, base::mono_time) { take_operator_state(self, read); });
+    poll(self, self.upstream_poller, platform::store_keys::upstream_prefix,
+         [&self](items const& read, base::mono_time sent_at)
+         { take_upstreams(self, read, sent_at); });
+    poll(self, self.shared_poller, rollout::shared_prefix,
+         [&self](items const& read, base::mono_time sent_at) { take_shared(self, read, sent_at); });
+}
+
+bool may_trust_keys(gateway const& self, base::mono_time now)
+{
+    auto const confirmed = self.operator_poller.confirmed_at;
+    return self.configuration && confirmed != base::mono_time{} &&
+           now < confirmed + self.settings.key_withdrawal - key_margin;
+}
+
+} // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/refresh.hpp
@@ -0,0 +1,20 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_REFRESH_HPP
+#define GOOSEBERRYWOOD_GATEWAY_REFRESH_HPP
+
+#include "gateway/gateway.hpp"
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief Starts to read the operator's entries, the list of upstreams and the shared entries.
+void start_refresh(gateway& self);
+
+/// \ingroup gateway
+/// \brief Whether the configuration is fresh enough for requests that need a key: one that was
+/// withdrawn in the meantime must not work.
+[[nodiscard]] bool may_trust_keys(gateway const& self, base::mono_time now);
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/result_writer.cpp
@@ -0,0 +1,221 @@
+#include "gateway/result_writer.hpp"
+
+#include "base/log.hpp"
+#include "gateway/job_ownership.hpp"
+#include "rollout/result_chunk.hpp"
+#include "rollout/store_keys.hpp"
+#include "store/list_all.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+// Results that end shortly after each other are stored with one call.
+constexpr base::duration collect_time = std::chrono::milliseconds(120);
+constexpr base::duration retry_pause = std::chrono::milliseconds(150);
+constexpr base::duration store_timeout = std::chrono::milliseconds(1000);
+
+// Stays below the limit of a value in the store; a single result may be larger.
+constexpr std::size_t max_chunk_bytes = 400'000;
+
+owned_job* find(gateway& self, std::string const& id)
+{
+    auto const at = self.jobs.find(id);
+    return at != self.jobs.end() ? &at->second : nullptr;
+}
+
+void write_results(gateway& self, owned_job& job);
+
+void write_later(gateway& self, owned_job& job, base::duration pause)
+{
+    job.write_timer = base::at(base::mono_now() + pause,
+                               [&self, id = job.record.id]
+                               {
+                                   if (auto* const found = find(self, id))
+                                   {
+                                       found->write_timer.reset();
+                                       write_results(self, *found);
+                                   }
+                               });
+}
+
+void fill_chunk(owned_job& job)
+{
+    std::size_t bytes = 0;
+    auto end = job.finished.begin();
+    for (; end != job.finished.end() && (bytes == 0 || bytes < max_chunk_bytes); ++end)
+    {
+        bytes += end->text.size() + 1;
+    }
+    job.writing.assign(std::make_move_iterator(job.finished.begin()),
+                       std::make_move_iterator(end));
+    job.finished.erase(job.finished.begin(), end);
+}
+
+void list_written(gateway& self, owned_job& job)
+{
+    for (auto const& result : job.writing)
+    {
+        auto& sample = job.samples[job.index_by_id.at(result.id)];
+        sample.phase = rollout::sample_phase::listed;
+        sample.text.clear();
+        base::log_line(base::log_level::info, "sample_listed",
+                       {{"job", job.record.id},
+                        {"sample", result.id},
+                        {"done", std::int64_t{result.done}},
+                        {"events", static_cast<std::int64_t>(sample.events)},
+                        {"late_us", (base::mono_now() - job.due).count()}});
+    }
+    std::move(job.writing.begin(), job.writing.end(), std::back_inserter(job.listed));
+    job.writing.clear();
+    if (!job.finished.empty())
+    {
+        write_later(self, job, collect_time);
+    }
+}
+
+void on_written(gateway& self, std::string const& id, std::uint64_t owner_revision,
+                base::result<store::commit> const& outcome)
+{
+    auto* const job = find(self, id);
+    if (job == nullptr || job->owner_revision != owner_revision)
+    {
+        return;
+    }
+    job->write_running = false;
+    if (!outcome)
+    {
+        base::log_line(base::log_level::warning, "results_not_stored",
+                       {{"job", id},
+                        {"code", outcome.error().code},
+                        {"reason", outcome.error().message}});
+        write_later(self, *job, retry_pause);
+        return;
+    }
+    if (outcome->done)
+    {
+        list_written(self, *job);
+        return;
+    }
+    // The owner's entry is gone or another process has it; the next review decides.
+    base::log_line(base::log_level::warning, "job_ownership_lost", {{"job", id}});
+    job->owner_revision = 0;
+}
+
+void write_results(gateway& self, owned_job& job)
+{
+    if (job.write_running || !owns(self, job, base::mono_now()))
+    {
+        return;
+    }
+    if (job.writing.empty())
+    {
+        fill_chunk(job);
+    }
+    if (job.writing.empty())
+    {
+        return;
+    }
+    job.write_running = true;
+    store::transaction write;
+    write.expected.push_back({rollout::owner_key(job.record.id), job.owner_revision});
+    write.writes.push_back({rollout::result_key(job.record.id, job.listed.size()),
+                            rollout::encode_results(job.writing), 0});
+    self.store.commit_all(write, base::mono_now() + store_timeout,
+                          [&self, id = job.record.id, revision = job.owner_revision](
+                              base::result<store::commit> const& outcome)
+                          { on_written(self, id, revision, outcome); });
+}
+
+void take_reloaded(gateway& self, owned_job& job, std::vector<store::item> const& chunks)
+{
+    std::vector<rollout::sample_result> listed;
+    for (auto const& chunk : chunks)
+    {
+        auto results = rollout::decode_results(chunk.value);
+        if (!results)
+        {
+            base::log_line(base::log_level::error, "unreadable_results", {{"key", chunk.key}});
+            return;
+        }
+        std::move(results->begin(), results->end(), std::back_inserter(listed));
+    }
+    for (auto const& result : listed)
+    {
+        auto const at = job.index_by_id.find(result.id);
+        if (at != job.index_by_id.end())
+        {
+            job.samples[at->second].phase = rollout::sample_phase::listed;
+        }
+    }
+    std::move(job.finished.begin(), job.finished.end(), std::back_inserter(job.writing));
+    job.finished = std::move(job.writing);
+    job.writing.clear();
+    std::erase_if(job.finished,
+                  [&](rollout::sample_result const& one)
+                  {
+                      return job.samples[job.index_by_id.at(one.id)].phase ==
+                             rollout::sample_phase::listed;
+                  });
+    job.listed = std::move(listed);
+    write_results(self, job);
+}
+
+} // namespace
+
+void add_result(gateway& self, owned_job& job, rollout::sample_result result)
+{
+    job.finished.push_back(std::move(result));
+    if (!job.write_running && !job.write_timer)
+    {
+        write_later(self, job, collect_time);
+    }
+}
+
+void write_pending_results(gateway& self)
+{
+    for (auto& [id, job] : self.jobs)
+    {
+        bool const waits = !job.finished.empty() || !job.writing.empty();
+        if (waits && !job.write_running && !job.write_timer)
+        {
+            write_results(self, job);
+        }
+    }
+}
+
+void reload_results(gateway& self, std::string const& id, std::uint64_t owner_revision)
+{
+    auto* const claimed = find(self, id);
+    if (claimed == nullptr)
+    {
+        return;
+    }
+    claimed->claiming = true;
+    store::list_all(self.store, rollout::result_prefix(id), "", base::mono_now() + store_timeout,
+                    [&self, id, owner_revision](base::result<std::vector<store::item>> const& read)
+                    {
+                        auto* const job = find(self, id);
+                        if (job == nullptr)
+                        {
+                            return;
+                        }
+                        job->claiming = false;
+                        if (!read)
+                        {
+                            return;
+                        }
+                        job->owner_revision = owner_revision;
+                        job->write_running = false;
+                        base::log_line(base::log_level::info, "job_reclaimed", {{"job", id}});
+                        take_reloaded(self, *job, *read);
+                    });
+}
+
+} // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/result_writer.hpp
@@ -0,0 +1,27 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_RESULT_WRITER_HPP
+#define GOOSEBERRYWOOD_GATEWAY_RESULT_WRITER_HPP
+
+#include "gateway/gateway.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief Takes a result; it is listed once the store has it.
+void add_result(gateway& self, owned_job& job, rollout::sample_result result);
+
+/// \ingroup gateway
+/// \brief Stores what waits although no write is planned, as after a pause of the store.
+void write_pending_results(gateway& self);
+
+/// \ingroup gateway
+/// \brief Reads the results of a job that was claimed again. Those that were being written are
+/// either among them or written anew.
+void reload_results(gateway& self, std::string const& id, std::uint64_t owner_revision);
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/reward_runner.cpp
@@ -0,0 +1,143 @@
+#include "gateway/reward_runner.hpp"
+
+#include "base/log.hpp"
+#include "gateway/result_writer.hpp"
+#include "gateway/route_request.hpp"
+#include "platform/upstream_calls.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+using rollout::sample_phase;
+
+constexpr base::duration retry_pause = std::chrono::milliseconds(100);
+constexpr std::uint16_t status_failed = 500;
+
+void send_reward(gateway& self, owned_job& job, std::size_t index);
+
+void send_later(gateway& self, std::string const& job_id, std::size_t index)
+{
+    // The timer owns itself through the shared pointer until it has fired.
+    auto const timer = std::make_shared<base::event_source>();
+    *timer = base::at(base::mono_now() + retry_pause,
+                      [&self, job_id, index, timer]
+                      {
+                          auto const keep = std::move(*timer);
+                          auto const at = self.jobs.find(job_id);
+                          if (at != self.jobs.end() &&
+                              at->second.samples[index].phase == sample_phase::scoring)
+                          {
+                              send_reward(self, at->second, index);
+                          }
+                      });
+}
+
+std::uint32_t most_failures(gateway const& self, owned_job const& job,
+                            rollout::reward_call const& call)
+{
+    auto const* const own =
+        fleet::find_route(*self.configuration, job.record.host, job.record.path);
+    auto const* const reward = fleet::find_route(*self.configuration, call.host, call.path);
+    return std::max(own != nullptr ? own->attempts : 1, reward != nullptr ? reward->attempts : 1);
+}
+
+void on_reward(gateway& self, std::string const& job_id, std::size_t index,
+               routed_outcome const& outcome)
+{
+    auto const at = self.jobs.find(job_id);
+    if (at == self.jobs.end() || at->second.samples[index].phase != sample_phase::scoring)
+    {
+        return;
+    }
+    auto& job = at->second;
+    auto& progress = job.samples[index];
+    auto const& spec = job.spec.samples[index];
+    bool const answered = outcome.end == routed_end::answered;
+    if (answered && outcome.answer.status >= 200 && outcome.answer.status < 300)
+    {
+        auto const head =
+            platform::decode_answer_head(outcome.answer.status, outcome.answer.headers);
+        progress.score = head.receipt.value_or("");
+        finish_sample(self, job, index, true);
+        return;
+    }
+    if (answered && outcome.answer.status == status_failed)
+    {
+        ++progress.failed_rewards;
+    }
+    base::log_line(base::log_level::info, "reward_failed",
+                   {{"sample", spec.id},
+                    {"job", job_id},
+                    {"status", answered ? std::int64_t{outcome.answer.status} : 0},
+                    {"reason", outcome.why.message},
+                    {"failures", std::int64_t{progress.failed_rewards}}});
+    if (progress.failed_rewards >= most_failures(self, job, *spec.reward))
+    {
+        finish_sample(self, job, index, false);
+        return;
+    }
+    send_later(self, job_id, index);
+}
+
+void send_reward(gateway& self, owned_job& job, std::size_t index)
+{
+    auto const& call = *job.spec.samples[index].reward;
+    auto const* const route = fleet::find_route(*self.configuration, call.host, call.path);
+    if (route == nullptr)
+    {
+        send_later(self, job.record.id, index);
+        return;
+    }
+    auto const now = base::mono_now();
+    routed_spec spec;
+    spec.service = fleet::service_of(*route, call.id);
+    spec.host = call.host;
+    spec.request_id = call.id;
+    spec.idempotent = true;
+    spec.most_runs = 2;
+    spec.deadline = now + route->timeout;
+    spec.patience = spec.deadline;
+    spec.hedge_after = route->target_latency;
+    spec.call = {"POST", call.path, "application/octet-stream", call.body, {}, true};
+    start_request(self, std::move(spec),
+                  [&self, id = job.record.id, index](routed_outcome const& outcome)
+                  { on_reward(self, id, index, outcome); });
+}
+
+} // namespace
+
+void score_sample(gateway& self, owned_job& job, std::size_t index)
+{
+    job.samples[index].phase = sample_phase::scoring;
+    if (!job.spec.samples[index].reward)
+    {
+        finish_sample(self, job, index, true);
+        return;
+    }
+    send_reward(self, job, index);
+}
+
+void finish_sample(gateway& self, owned_job& job, std::size_t index, bool done)
+{
+    auto& progress = job.samples[index];
+    progress.phase = sample_phase::finished;
+    rollout::sample_result result;
+    result.id = job.spec.samples[index].id;
+    result.done = done;
+    if (done)
+    {
+        result.text = progress.text;
+        result.versions.assign(progress.versions.begin(), progress.versions.end());
+        result.score = progress.score;
+    }
+    add_result(self, job, std::move(result));
+}
+
+} // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/sample_runner.cpp
@@ -0,0 +1,463 @@
+#include "gateway/sample_runner.hpp"
+
+#include "base/log.hpp"
+#include "fleet/choose_upstream.hpp"
+#include "gateway/result_writer.hpp"
+#include "gateway/reward_runner.hpp"
+#include "platform/upstream_calls.hpp"
+#include "rollout/waiting_sample.hpp"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+using rollout::sample_phase;
+
+constexpr base::duration check_interval = std::chrono::milliseconds(100);
+
+// Longest wait for the first event: the upstream may have a queue.
+constexpr base::duration first_event_timeout = std::chrono::milliseconds(2000);
+// Longest pause between two events: the load of new weights stops a stream for about a second.
+constexpr base::duration event_timeout = std::chrono::milliseconds(1500);
+
+// Pauses of a sample after a run that broke, was refused or came to the wrong weights.
+constexpr base::duration broken_pause = std::chrono::milliseconds(50);
+constexpr base::duration refused_pause = std::chrono::milliseconds(20);
+// An upstream that refuses samples loads weights for about this long.
+constexpr base::duration loading_pause = std::chrono::milliseconds(200);
+
+// Longest useful time of one run.
+constexpr base::duration longest_run = std::chrono::seconds(60);
+
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_misdirected = 421;
+constexpr std::uint16_t status_unprocessable = 422;
+constexpr std::uint16_t status_failed = 500;
+
+struct run_place
+{
+    owned_job* job = nullptr;
+    rollout::sample_spec const* spec = nullptr;
+    rollout::sample_progress* progress = nullptr;
+};
+
+std::optional<run_place> place_of(gateway& self, sample_run const& run)
+{
+    auto const at = self.jobs.find(run.job_id);
+    if (at == self.jobs.end())
+    {
+        return std::nullopt;
+    }
+    return run_place{&at->second, &at->second.spec.samples[run.index],
+                     &at->second.samples[run.index]};
+}
+
+void log_run(std::string_view event, sample_run const& run, run_place const& place,
+             std::string_view reason, std::int64_t status)
+{
+    base::log_line(base::log_level::info, event,
+                   {{"sample", place.spec->id},
+                    {"job", run.job_id},
+                    {"upstream", run.upstream},
+                    {"reason", reason},
+                    {"status", status},
+                    {"weights", std::int64_t{run.version}},
+                    {"events", static_cast<std::int64_t>(place.progress->events)},
+                    {"took_us", (base::mono_now() - run.started_at).count()}});
+}
+
+/// Ends a run; the sample waits for the next one.
+void end_run(gateway& self, std::uint64_t number, base::duration pause)
+{
+    auto const at = self.runs.find(number);
+    auto const run = std::move(at->second);
+    self.runs.erase(at);
+    fleet::note_ended(self.pool, run.upstream);
+    if (auto const place = place_of(self, run))
+    {
+        place->progress->phase = sample_phase::waiting;
+        place->progress->not_before = base::mono_now() + pause;
+    }
+    dispatch_samples(self);
+}
+
+void give_up(gateway& self, std::uint64_t number, std::string_view reason)
+{
+    auto const& run = self.runs.at(number);
+    auto const place = *place_of(self, run);
+    log_run("sample_given_up", run, place, reason, 0);
+    auto const index = run.index;
+    auto& job = *place.job;
+    end_run(self, number, {});
+    finish_sample(self, job, index, false);
+}
+
+/// The run broke or fell silent; another upstream goes on after the last event.
+void break_run(gateway& self, std::uint64_t number, std::string_view reason)
+{
+    auto const& run = self.runs.at(number);
+    if (auto const place = place_of(self, run))
+    {
+        log_run("run_broken", run, *place, reason, 0);
+        ++place->progress->broken_runs;
+    }
+    fleet::note_failure(self.pool, run.upstream, base::mono_now());
+    end_run(self, number, broken_pause);
+}
+
+void count_failed_run(gateway& self, std::uint64_t number)
+{
+    auto const& run = self.runs.at(number);
+    auto const place = *place_of(self, run);
+    auto const* const route =
+        fleet::find_route(*self.configuration, place.job->record.host, place.job->record.path);
+    log_run("run_failed", run, place, "the upstream answered 500", status_failed);
+    ++place.progress->failed_runs;
+    if (route != nullptr && place.progress->failed_runs >= route->attempts)
+    {
+        give_up(self, number, "too many failed runs");
+        return;
+    }
+    end_run(self, number, broken_pause);
+}
+
+void on_refused(gateway& self, std::uint64_t number, std::uint16_t status)
+{
+    auto const& run = self.runs.at(number);
+    auto const now = base::mono_now();
+    log_run("run_refused", run, *place_of(self, run), "the upstream did not run it", status);
+    if (auto* const upstream = fleet::find_upstream(self.pool, run.upstream))
+    {
+        upstream->loading_until = std::max(upstream->loading_until, now + loading_pause);
+    }
+    end_run(self, number, refused_pause);
+}
+
+void on_head(gateway& self, std::uint64_t number, std::uint16_t status)
+{
+    auto& run = self.runs.at(number);
+    auto const place = place_of(self, run);
+    auto const head =
+        platform::decode_answer_head(status, http::answer_headers(run.call->message.get()));
+    if (!place || (head.request_id && *head.request_id != place->spec->id))
+    {
+        break_run(self, number, "the answer belongs to another request");
+        return;
+    }
+    if (head.not_run || status == status_misdirected)
+    {
+        on_refused(self, number, status);
+        return;
+    }
+    if (status == status_unprocessable)
+    {
+        give_up(self, number, "the upstream can never run it");
+        return;
+    }
+    if (status == status_failed)
+    {
+        count_failed_run(self, number);
+        return;
+    }
+    if (status != status_ok || !head.weights)
+    {
+        break_run(self, number, "unexpected answer");
+        return;
+    }
+    fleet::note_weights(self.pool, run.upstream, place->spec->model, *head.weights);
+    run.version = *head.weights;
+    run.streams = true;
+    if (run.version < place->job->spec.least_version)
+    {
+        log_run("run_too_old", run, *place, "the weights are too old", status);
+        if (auto* const upstream = fleet::find_upstream(self.pool, run.upstream))
+        {
+            upstream->record.weights[place->spec->model] = run.version;
+        }
+        end_run(self, number, refused_pause);
+    }
+}
+
+bool take_event(gateway& self, sample_run& run, run_place const& place,
+                rollout::stream_event const& event, base::mono_time now)
+{
+    if (event.version)
+    {
+        run.version = *event.version;
+        fleet::note_weights(self.pool, run.upstream, place.spec->model, run.version);
+    }
+    if (!rollout::append_event(*place.progress, event, run.version))
+    {
+        return false;
+    }
+    if (run.last_event_at != base::mono_time{})
+    {
+        fleet::note_event(self.pool, run.upstream, now - run.last_event_at);
+    }
+    run.last_event_at = now;
+    run.silent_at = now + event_timeout;
+    return true;
+}
+
+bool keeps_to_one_version(gateway const& self, run_place const& place)
+{
+    auto const* const route =
+        fleet::find_route(*self.configuration, place.job->record.host, place.job->record.path);
+    return route == nullptr || !route->single_version || place.progress->versions.size() <= 1;
+}
+
+void on_bytes(gateway& self, std::uint64_t number, std::string_view bytes)
+{
+    auto& run = self.runs.at(number);
+    auto const place = place_of(self, run);
+    if (!run.streams || !place)
+    {
+        return;
+    }
+    auto const now = base::mono_now();
+    for (auto const& event : platform::feed(run.stream, bytes))
+    {
+        if (!take_event(self, run, *place, event, now))
+        {
+            break_run(self, number, "an event is missing");
+            return;
+        }
+    }
+    if (!keeps_to_one_version(self, *place))
+    {
+        rollout::restart(*place->progress);
+        break_run(self, number, "the version of the weights changed");
+    }
+}
+
+void on_complete(gateway& self, std::uint64_t number)
+{
+    auto const& run = self.runs.at(number);
+    auto const place = place_of(self, run);
+    if (!place || !run.streams || place->progress->events == 0 || !run.stream.unread.empty())
+    {
+        break_run(self, number, "the stream ended without its end");
+        return;
+    }
+    log_run("run_complete", run, *place, "", status_ok);
+    auto const index = run.index;
+    auto& job = *place->job;
+    end_run(self, number, {});
+    score_sample(self, job, index);
+}
+
+http::call_handlers handlers_of(gateway& self, std::uint64_t number)
+{
+    return {[&self, number](std::uint16_t status, std::string_view)
+            { on_head(self, number, status); },
+            [&self, number](std::string_view bytes) { on_bytes(self, number, bytes); },
+            [&self, number] { on_complete(self, number); },
+            [&self, number](base::error const& why, bool)
+            { break_run(self, number, why.message); }};
+}
+
+void start_run(gateway& self, owned_job& job, std::size_t index,
+               fleet::chosen_upstream const& chosen, base::mono_time now)
+{
+    auto const number = ++self.numbers;
+    auto const& spec = job.spec.samples[index];
+    auto& progress = job.samples[index];
+    progress.phase = sample_phase::running;
+    progress.upstream = chosen.id;
+    job.upstream_by_group[spec.group] = chosen.id;
+    fleet::note_sent(self.pool, chosen.id, now);
+    auto& run = self.runs[number];
+    run.job_id = job.record.id;
+    run.index = index;
+    run.upstream = chosen.id;
+    run.started_at = now;
+    run.silent_at = now + first_event_timeout;
+    platform::upstream_target const to{
+        chosen.id,       chosen.address, job.record.host,
+        job.record.team, spec.id,        std::min(job.give_up_at, now + longest_run)};
+    platform::sample_resumption const resumption{progress.last_event_id, chosen.expected_version};
+    run.call = http::start_call(self.upstream_session.get(),
+                                platform::encode_sample(to, spec, resumption, now),
+                                handlers_of(self, number));
+}
+
+std::uint32_t tokens_left(rollout::sample_spec const& spec,
+                          rollout::sample_progress const& progress)
+{
+    // Events carry several tokens each; the text so far tells little about how many.
+    constexpr std::size_t tokens_per_event = 32;
+    auto const made = progress.events * tokens_per_event;
+    return spec.expected_tokens > made ? static_cast<std::uint32_t>(spec.expected_tokens - made)
+                                       : 0;
+}
+
+void collect_waiting(gateway const& self, owned_job const& job, base::mono_time now,
+                     std::vector<rollout::waiting_sample>& into)
+{
+    auto const* const route =
+        fleet::find_route(*self.configuration, job.record.host, job.record.path);
+    if (route == nullptr)
+    {
+        return;
+    }
+    for (std::size_t i = 0; i < job.samples.size(); ++i)
+    {
+        auto const& progress = job.samples[i];
+        if (progress.phase == sample_phase::waiting && now >= progress.not_before)
+        {
+            into.push_back({job.record.id, i, job.due, tokens_left(job.spec.samples[i], progress),
+                            route->priority});
+        }
+    }
+}
+
+struct need_key
+{
+    std::string service;
+    std::string model;
+    std::uint32_t least_version = 0;
+
+    friend auto operator<=>(need_key const&, need_key const&) = default;
+};
+
+/// \returns false when no upstream takes a sample of this kind now.
+bool dispatch_one(gateway& self, rollout::waiting_sample const& waiting,
+                  std::set<need_key>& hopeless, base::mono_time now)
+{
+    auto& job = self.jobs.at(waiting.job_id);
+    auto const& spec = job.spec.samples[waiting.index];
+    auto const* const route =
+        fleet::find_route(*self.configuration, job.record.host, job.record.path);
+    auto const& service = fleet::service_of(*route, spec.id);
+    need_key const key{service, spec.model, job.spec.least_version};
+    if (hopeless.contains(key))
+    {
+        return false;
+    }
+    auto const named = self.named.find(spec.model);
+    auto const& progress = job.samples[waiting.index];
+    auto const group = job.upstream_by_group.find(spec.group);
+    fleet::sample_need need;
+    need.service = service;
+    need.model = spec.model;
+    need.least_version = job.spec.least_version;
+    need.newest_version = named != self.named.end() ? named->second : 1;
+    need.preferred = group != job.upstream_by_group.end() ? std::string_view(group->second) : "";
+    need.avoided = progress.broken_runs > 0 ? std::string_view(progress.upstream) : "";
+    auto const chosen = fleet::choose_sample(self.pool, *self.configuration, need, now);
+    if (!chosen)
+    {
+        hopeless.insert(key);
+        return false;
+    }
+    start_run(self, job, waiting.index, *chosen, now);
+    return true;
+}
+
+void dispatch_now(gateway& self)
+{
+    if (!self.configuration || self.stopping)
+    {
+        return;
+    }
+    constexpr double usual_us_per_token = 900;
+    auto const now = base::mono_now();
+    std::vector<rollout::waiting_sample> waiting;
+    for (auto const& [id, job] : self.jobs)
+    {
+        collect_waiting(self, job, now, waiting);
+    }
+    rollout::sort_by_turn(waiting, now, usual_us_per_token);
+    std::set<need_key> hopeless;
+    for (auto const& one : waiting)
+    {
+        (void)dispatch_one(self, one, hopeless, now);
+    }
+}
+
+void break_silent_runs(gateway& self, base::mono_time now)
+{
+    std::vector<std::uint64_t> silent;
+    for (auto const& [number, run] : self.runs)
+    {
+        if (now >= run.silent_at)
+        {
+            silent.push_back(number);
+        }
+    }
+    for (auto const number : silent)
+    {
+        break_run(self, number, "no event in time");
+    }
+}
+
+void give_up_expired(gateway& self, base::mono_time now)
+{
+    for (auto& [id, job] : self.jobs)
+    {
+        if (now < job.give_up_at)
+        {
+            continue;
+        }
+        cancel_runs(self, id);
+        for (std::size_t i = 0; i < job.samples.size(); ++i)
+        {
+            if (job.samples[i].phase < sample_phase::finished)
+            {
+                finish_sample(self, job, i, false);
+            }
+        }
+    }
+}
+
+void check(gateway& self)
+{
+    auto const now = base::mono_now();
+    break_silent_runs(self, now);
+    give_up_expired(self, now);
+    write_pending_results(self);
+    dispatch_now(self);
+}
+
+} // namespace
+
+void start_samples(gateway& self)
+{
+    self.sample_timer = base::every(check_interval, [&self] { check(self); });
+}
+
+void dispatch_samples(gateway& self)
+{
+    if (!self.dispatch_soon)
+    {
+        self.dispatch_soon = base::soon(
+            [&self]
+            {
+                self.dispatch_soon.reset();
+                dispatch_now(self);
+            });
+    }
+}
+
+void cancel_runs(gateway& self, std::string const& job_id)
+{
+    for (auto at = self.runs.begin(); at != self.runs.end();)
+    {
+        if (at->second.job_id != job_id)
+        {
+            ++at;
+            continue;
+        }
+        fleet::note_ended(self.pool, at->second.upstream);
+        at = self.runs.erase(at);
+    }
+}
+
+} // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/sample_runner.hpp
@@ -0,0 +1,25 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_SAMPLE_RUNNER_HPP
+#define GOOSEBERRYWOOD_GATEWAY_SAMPLE_RUNNER_HPP
+
+#include "gateway/gateway.hpp"
+
+#include <string>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief Starts the regular check of running and waiting samples.
+void start_samples(gateway& self);
+
+/// \ingroup gateway
+/// \brief Sends waiting samples to upstreams, as soon as the loop has handled what is pending.
+void dispatch_samples(gateway& self);
+
+/// \ingroup gateway
+/// \brief Ends the runs of a job.
+void cancel_runs(gateway& self, std::string const& job_id);
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/shared_view.hpp
@@ -0,0 +1,42 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_SHARED_VIEW_HPP
+#define GOOSEBERRYWOOD_GATEWAY_SHARED_VIEW_HPP
+
+#include "base/time.hpp"
+#include "rollout/job_record.hpp"
+#include "store/item.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief A job's record, with the revision that a change of it must expect.
+struct stored_record
+{
+    rollout::job_record record;
+    std::uint64_t revision = 0;
+};
+
+/// \ingroup gateway
+/// \brief What this process last read of the entries that all processes share.
+struct shared_view
+{
+    std::map<std::string, stored_record> records;
+    /// Entries of the owners, by job.
+    std::map<std::string, store::item> owners;
+    std::set<std::string> members;
+    std::optional<store::item> leader;
+    /// Since when a job was seen without an owner.
+    std::map<std::string, base::mono_time> orphaned_since;
+    /// The call that read this was sent then.
+    base::mono_time read_at{};
+};
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/weights_orders.cpp
@@ -0,0 +1,143 @@
+#include "gateway/weights_orders.hpp"
+
+#include "base/log.hpp"
+#include "gateway/leadership.hpp"
+#include "platform/control_calls.hpp"
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+constexpr base::duration call_timeout = std::chrono::milliseconds(700);
+
+// Usual time of a load while few upstreams load at once.
+constexpr base::duration load_time = std::chrono::milliseconds(1100);
+// An upstream that does not show the version by then is ordered again.
+constexpr base::duration order_again = std::chrono::milliseconds(4000);
+constexpr base::duration retry_pause = std::chrono::milliseconds(300);
+
+constexpr std::array<std::string_view, 7> outcome_names = {
+    "accepted", "already_holds", "conflict", "fenced", "refused", "unknown", "not_sent"};
+
+duty::ordered_upstream* find(gateway& self, std::string const& id)
+{
+    auto const at = self.weights.upstreams.find(id);
+    return at != self.weights.upstreams.end() ? &at->second : nullptr;
+}
+
+void note_accepted(gateway& self, duty::ordered_upstream& known, duty::weights_order const& order,
+                   base::mono_time now)
+{
+    known.ordered_version = order.version;
+    known.loaded_at = now + load_time;
+    known.retry_at = now + order_again;
+    if (auto* const upstream = fleet::find_upstream(self.pool, order.upstream))
+    {
+        upstream->loading_until = now + load_time;
+    }
+}
+
+void note_outcome(gateway& self, duty::ordered_upstream& known, duty::weights_order const& order,
+                  duty::order_outcome outcome, base::mono_time now)
+{
+    switch (outcome)
+    {
+    case duty::order_outcome::accepted:
+        note_accepted(self, known, order, now);
+        known.accepted = order.accepted + 1;
+        break;
+    case duty::order_outcome::already_holds:
+        fleet::note_weights(self.pool, order.upstream, order.model, order.version);
+        break;
+    case duty::order_outcome::unknown:
+        note_accepted(self, known, order, now);
+        known.accepted.reset();
+        break;
+    case duty::order_outcome::fenced:
+        duty::note_lost(self.candidate, self.settings.leader_turn, now);
+        break;
+    case duty::order_outcome::conflict:
+    case duty::order_outcome::refused:
+    case duty::order_outcome::not_sent:
+        known.accepted.reset();
+        known.ordered_version = order.version;
+        known.retry_at = now + retry_pause;
+        break;
+    }
+}
+
+void send_order(gateway& self, duty::weights_order const& order, duty::authority const& as,
+                base::mono_time now)
+{
+    start_control_call(
+        self, platform::encode_order(order, as), now + call_timeout,
+        [&self, order, as](http::fetch_outcome const& answer)
+        {
+            auto const outcome = platform::decode_order_outcome(answer);
+            base::log_line(base::log_level::info, "weights_ordered",
+                           {{"upstream", order.upstream},
+                            {"model", order.model},
+                            {"version", std::int64_t{order.version}},
+                            {"fencing", static_cast<std::int64_t>(as.fencing)},
+                            {"accepted_before", static_cast<std::int64_t>(order.accepted)},
+                            {"outcome", outcome_names.at(static_cast<std::size_t>(outcome))}});
+            if (auto* const known = find(self, order.upstream))
+            {
+                known->busy = false;
+                note_outcome(self, *known, order, outcome, base::mono_now());
+            }
+        });
+}
+
+void ask_count(gateway& self, duty::weights_order const& order, base::mono_time now)
+{
+    start_control_call(self, platform::encode_order_query(order.address), now + call_timeout,
+                       [&self, id = order.upstream,
+                        version = order.version](http::fetch_outcome const& answer)
+                       {
+                           auto* const known = find(self, id);
+                           if (known == nullptr)
+                           {
+                               return;
+                           }
+                           known->busy = false;
+                           known->accepted = platform::decode_order_count(answer);
+                           if (!known->accepted)
+                           {
+                               known->ordered_version = version;
+                               known->retry_at = base::mono_now() + retry_pause;
+                           }
+                       });
+}
+
+} // namespace
+
+void order_weights(gateway& self, duty::authority const& as, base::mono_time now)
+{
+    if (!self.configuration || self.named.empty())
+    {
+        return;
+    }
+    duty::assign_models(self.weights, self.pool, *self.configuration, self.named);
+    for (auto const& order : duty::orders_due(self.weights, self.pool, self.named, now))
+    {
+        auto* const known = find(self, order.upstream);
+        known->busy = true;
+        if (known->accepted)
+        {
+            send_order(self, order, as, now);
+        }
+        else
+        {
+            ask_count(self, order, now);
+        }
+    }
+}
+
+} // namespace gooseberrywood::gateway
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,9 +1,12 @@
 #include "http/exchange.hpp"
 
+#include "http/header_list.hpp"
 #include "http/limits.hpp"
 
 #include <sys/socket.h>
 
+#include <cerrno>
+
 namespace gooseberrywood::http
 {
 
@@ -59,6 +62,22 @@
     return value != nullptr ? std::optional<std::string_view>(value) : std::nullopt;
 }
 
+std::vector<header> request_headers(exchange const& of)
+{
+    return header_list(soup_server_message_get_request_headers(of.message.get()));
+}
+
+std::string request_target(exchange const& of)
+{
+    GUri* const uri = soup_server_message_get_uri(of.message.get());
+    std::string target = g_uri_get_path(uri);
+    if (char const* const query = g_uri_get_query(uri))
+    {
+        target.append("?").append(query);
+    }
+    return target;
+}
+
 void respond(exchange& to, std::uint16_t status, std::string_view content_type,
              std::string_view body, std::span<header const> headers)
 {
@@ -134,7 +153,8 @@
         return true;
     }
     char byte = 0;
-    return recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    auto const count = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
 
 } // namespace gooseberrywood::http
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -13,6 +13,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gooseberrywood::http
 {
@@ -60,6 +61,14 @@
 /// \brief The value of a request header, if there is exactly one.
 [[nodiscard]] std::optional<std::string_view> request_header(exchange const& of, char const* name);
 
+/// \ingroup http
+/// \brief All request headers; of one that occurs several times the values are joined.
+[[nodiscard]] std::vector<header> request_headers(exchange const& of);
+
+/// \ingroup http
+/// \brief Path and query exactly as the caller sent them, without decoding.
+[[nodiscard]] std::string request_target(exchange const& of);
+
 /// \ingroup http
 /// \brief Answers with a whole body.
 void respond(exchange& to, std::uint16_t status, std::string_view content_type,
--- /dev/null
+++ b/src/rollout/batch_job.hpp
@@ -0,0 +1,25 @@
+#ifndef GOOSEBERRYWOOD_ROLLOUT_BATCH_JOB_HPP
+#define GOOSEBERRYWOOD_ROLLOUT_BATCH_JOB_HPP
+
+#include "rollout/sample_spec.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace gooseberrywood::rollout
+{
+
+/// \ingroup rollout
+/// \brief A batch job as submitted: for a trainer, one step.
+struct batch_job
+{
+    /// Oldest version of the weights that may generate a sample; 0 when any may.
+    std::uint32_t least_version = 0;
+    /// Complete groups that the trainer waits for; 0 when it waits for all.
+    std::uint32_t wanted_groups = 0;
+    std::vector<sample_spec> samples;
+};
+
+} // namespace gooseberrywood::rollout
+
+#endif
--- /dev/null
+++ b/src/rollout/job_record.cpp
@@ -0,0 +1,48 @@
+#include "rollout/job_record.hpp"
+
+#include "base/json_fields.hpp"
+
+#include <utility>
+
+namespace gooseberrywood::rollout
+{
+
+std::string encode(job_record const& record)
+{
+    nlohmann::json const text = {{"team", record.team},
+                                 {"host", record.host},
+                                 {"path", record.path},
+                                 {"submitted_us", base::micros(record.submitted_at)},
+                                 {"samples", record.samples},
+                                 {"ended", record.ended}};
+    return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<job_record> decode_job_record(std::string id, std::string_view text)
+{
+    auto const body = base::parse_object(text);
+    if (!body)
+    {
+        return std::nullopt;
+    }
+    auto team = base::read_text(*body, "team");
+    auto host = base::read_text(*body, "host");
+    auto path = base::read_text(*body, "path");
+    auto const submitted_us = base::read_unsigned(*body, "submitted_us");
+    auto const samples = base::read_unsigned(*body, "samples");
+    auto const ended = base::read_flag(*body, "ended");
+    if (!team || !host || !path || !submitted_us || !samples || !ended)
+    {
+        return std::nullopt;
+    }
+    return job_record{std::move(id),
+                      std::move(*team),
+                      std::move(*host),
+                      std::move(*path),
+                      base::wall_time{base::wall_clock::duration{
+                          static_cast<std::int64_t>(*submitted_us)}},
+                      *samples,
+                      *ended};
+}
+
+} // namespace gooseberrywood::rollout
--- /dev/null
+++ b/src/rollout/result_chunk.hpp
@@ -0,0 +1,25 @@
+#ifndef GOOSEBERRYWOOD_ROLLOUT_RESULT_CHUNK_HPP
+#define GOOSEBERRYWOOD_ROLLOUT_RESULT_CHUNK_HPP
+
+#include "rollout/sample_result.hpp"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gooseberrywood::rollout
+{
+
+/// \ingroup rollout
+/// \brief Encodes results that are stored together.
+[[nodiscard]] std::string encode_results(std::span<sample_result const> results);
+
+/// \ingroup rollout
+/// \returns nothing when the text is not a list of results.
+[[nodiscard]] std::optional<std::vector<sample_result>> decode_results(std::string_view text);
+
+} // namespace gooseberrywood::rollout
+
+#endif
--- /dev/null
+++ b/src/rollout/sample_progress.cpp
@@ -0,0 +1,31 @@
+#include "rollout/sample_progress.hpp"
+
+namespace gooseberrywood::rollout
+{
+
+bool append_event(sample_progress& to, stream_event const& event, std::uint32_t version)
+{
+    if (to.last_event_id && event.id != *to.last_event_id + 1)
+    {
+        return false;
+    }
+    if (to.events > 0)
+    {
+        to.text.push_back('\n');
+    }
+    to.text.append(event.data);
+    ++to.events;
+    to.last_event_id = event.id;
+    to.versions.insert(version);
+    return true;
+}
+
+void restart(sample_progress& of)
+{
+    of.text.clear();
+    of.events = 0;
+    of.last_event_id.reset();
+    of.versions.clear();
+}
+
+} // namespace gooseberrywood::rollout
--- /dev/null
+++ b/src/rollout/sample_progress.hpp
@@ -0,0 +1,66 @@
+#ifndef GOOSEBERRYWOOD_ROLLOUT_SAMPLE_PROGRESS_HPP
+#define GOOSEBERRYWOOD_ROLLOUT_SAMPLE_PROGRESS_HPP
+
+#include "base/time.hpp"
+#include "rollout/stream_event.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace gooseberrywood::rollout
+{
+
+/// \ingroup rollout
+/// \brief Where a sample stands.
+enum class sample_phase : std::uint8_t
+{
+    /// Waits for an upstream.
+    waiting,
+    /// An upstream generates its text.
+    running,
+    /// The text is complete; the reward call runs.
+    scoring,
+    /// The result waits to be stored.
+    finished,
+    /// The result is stored and shown to callers.
+    listed,
+};
+
+/// \ingroup rollout
+/// \brief Progress of one sample.
+struct sample_progress
+{
+    sample_phase phase = sample_phase::waiting;
+    std::string text;
+    /// Number of events in the text.
+    std::size_t events = 0;
+    /// Id of the last event in the text.
+    std::optional<std::int64_t> last_event_id;
+    std::set<std::uint32_t> versions;
+    /// Answers that count as failed attempts.
+    std::uint32_t failed_runs = 0;
+    std::uint32_t failed_rewards = 0;
+    /// Tries that ended without such an answer; lengthens the pause before the next.
+    std::uint32_t broken_runs = 0;
+    std::string score;
+    /// The upstream of the last run.
+    std::string upstream;
+    /// The next run may start from then on.
+    base::mono_time not_before{};
+};
+
+/// \ingroup rollout
+/// \brief Appends an event that was generated under a version of the weights.
+/// \returns false when the event does not follow the last one; nothing is changed then.
+[[nodiscard]] bool append_event(sample_progress& to, stream_event const& event,
+                                std::uint32_t version);
+
+/// \ingroup rollout
+/// \brief Discards the text, so that the next run starts at the beginning.
+void restart(sample_progress& of);
+
+} // namespace gooseberrywood::rollout
+
+#endif
--- /dev/null
+++ b/src/rollout/stream_event.hpp
@@ -0,0 +1,23 @@
+#ifndef GOOSEBERRYWOOD_ROLLOUT_STREAM_EVENT_HPP
+#define GOOSEBERRYWOOD_ROLLOUT_STREAM_EVENT_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace gooseberrywood::rollout
+{
+
+/// \ingroup rollout
+/// \brief One event of a stream of tokens.
+struct stream_event
+{
+    std::int64_t id = 0;
+    std::string data;
+    /// Set when the version of the weights changes with this event.
+    std::optional<std::uint32_t> version;
+};
+
+} // namespace gooseberrywood::rollout
+
+#endif
--- /dev/null
+++ b/src/store/transaction.hpp
@@ -0,0 +1,40 @@
+#ifndef GOOSEBERRYWOOD_STORE_TRANSACTION_HPP
+#define GOOSEBERRYWOOD_STORE_TRANSACTION_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace gooseberrywood::store
+{
+
+/// \ingroup store
+/// \brief A condition: the key has this revision; 0 means that it does not exist.
+struct expectation
+{
+    std::string key;
+    std::uint64_t revision = 0;
+};
+
+/// \ingroup store
+/// \brief A value to write.
+struct write
+{
+    std::string key;
+    std::string value;
+    /// The key is removed when this lease ends; 0 for none.
+    std::uint64_t lease = 0;
+};
+
+/// \ingroup store
+/// \brief Writes and removals that are done together if all conditions hold, or not at all.
+struct transaction
+{
+    std::vector<expectation> expected;
+    std::vector<write> writes;
+    std::vector<std::string> removals;
+};
+
+} // namespace gooseberrywood::store
+
+#endif
