--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,7 +30,7 @@
 // Kept free before the process would be killed.
 constexpr base::duration stop_margin = std::chrono::milliseconds(1000);
 
-base::result<void> open_ports(gateway& self)
+base::result<void> open_caller_ports(gateway& self)
 {
     auto callers = http::serve(self.settings.listen_callers,
                                [&self](auto const& from) { handle_caller(self, from); });
@@ -51,6 +51,18 @@
         return tl::unexpected(ready.error());
     }
     self.ready = std::move(*ready);
+    return {};
+}
+
+base::result<void> open_ports(gateway& self)
+{
+    if (!self.settings.listen_callers.empty())
+    {
+        if (auto const opened = open_caller_ports(self); !opened)
+        {
+            return opened;
+        }
+    }
     auto admin = process::serve_admin(self.settings.listen_admin,
                                       {[&self] { return dump(self); },
                                        [&self] { return exposition(self); },
@@ -65,7 +77,7 @@
 
 bool has_work(gateway const& self)
 {
-    return !self.requests.empty() || self.callers->open_answers > 0;
+    return !self.requests.empty() || (self.callers && self.callers->open_answers > 0);
 }
 
 void stop_when_idle(gateway& self, base::mono_time listen_until, base::mono_time latest)
@@ -128,7 +140,7 @@
     base::log_line(base::log_level::info, "listening",
                    {{"role", "gateway"},
                     {"host", self.settings.host},
-                    {"http_port", self.callers->listening->port},
+                    {"http_port", self.callers ? self.callers->listening->port : 0},
                     {"admin_port", self.admin->listening->port}});
     auto const on_reload = base::on_signal(
         SIGHUP, [] { base::log_line(base::log_level::info, "reload_requested", {}); });
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,7 +4,6 @@
 #include "http/limits.hpp"
 
 #include <fmt/format.h>
-#include <gio/gunixsocketaddress.h>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -155,18 +154,12 @@
 
 // libsoup closes each connection after one answer, without announcing it, while a server has no
 // listener of its own: it takes the server for one that is shutting down. Connections are accepted
-// elsewhere, for the sake of the limits, so a listener without a port or path stands in.
+// elsewhere, for the sake of the limits, so a listener on the loopback interface stands in; what
+// comes in there is refused. A Unix socket would do, but not every host of our users has them.
 base::result<void> keep_connections(SoupServer* soup)
 {
     GError* failure = nullptr;
-    base::object_ptr<GSocket> const unused(g_socket_new(G_SOCKET_FAMILY_UNIX, G_SOCKET_TYPE_STREAM,
-                                                        G_SOCKET_PROTOCOL_DEFAULT, &failure));
-    base::object_ptr<GSocketAddress> const nameless(
-        g_unix_socket_address_new_with_type("", 0, G_UNIX_SOCKET_ADDRESS_ANONYMOUS));
-    if (!unused || g_socket_bind(unused.get(), nameless.get(), FALSE, &failure) == FALSE ||
-        g_socket_listen(unused.get(), &failure) == FALSE ||
-        soup_server_listen_socket(soup, unused.get(), SoupServerListenOptions(0), &failure) ==
-            FALSE)
+    if (soup_server_listen_local(soup, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, &failure) == FALSE)
     {
         base::glib_error_ptr const owned(failure);
         return base::fail(base::result_code::io_error, failure->message);
--- a/src/settings/load_gateway.cpp
+++ b/src/settings/load_gateway.cpp
@@ -52,8 +52,8 @@
         base::read_name(from, "host", settings.host, presence::required);
         base::read_name(from, "domain", settings.domain, presence::required);
         base::read(from, "first_start", settings.first_start);
-        read_address(from, "listen_callers", settings.listen_callers, presence::required);
-        read_address(from, "listen_ready", settings.listen_ready, presence::required);
+        read_address(from, "listen_callers", settings.listen_callers, presence::optional);
+        read_address(from, "listen_ready", settings.listen_ready, presence::optional);
         read_address(from, "listen_admin", settings.listen_admin, presence::required);
         read_address(from, "store", settings.store, presence::required);
         read_address(from, "duties", settings.duties, presence::optional);
