Reuse connections to upstreams for requests that may be repeated

Cause: libsoup makes a new connection for each POST unless the message is marked idempotent, and the destructor of a call cancelled it, which closes its connection. Also: a request that reaches its route's timeout gets 504, not 502.

--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -288,7 +288,13 @@
         // Sent and unanswered: it has to count as run.
         of.began = of.running.begin()->second.began;
     }
-    take_step(self, of, fleet::next_step::give_up);
+    if (of.failed_answer)
+    {
+        take_step(self, of, fleet::next_step::give_up);
+        return;
+    }
+    finish_without_answer(self, of, routed_end::unknown, result_code::deadline_passed,
+                          "no upstream answered before the deadline");
 }
 
 } // namespace
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -34,6 +34,10 @@
 void complete(call& c)
 {
     c.ended = true;
+    // Closing the whole answer gives its connection back to the session. Cancelling the call, as its
+    // destructor does, would close the connection.
+    c.answer.reset();
+    c.cancellable.reset();
     auto const handlers = std::move(c.handlers);
     handlers.on_complete();
 }
@@ -179,11 +183,10 @@
             });
         return made;
     }
-    int flags = SOUP_MESSAGE_NO_REDIRECT;
-    if (!what.may_repeat)
-    {
-        flags |= SOUP_MESSAGE_NEW_CONNECTION;
-    }
+    // Without the flag, libsoup makes a new connection for each POST.
+    int const flags =
+        SOUP_MESSAGE_NO_REDIRECT |
+        (what.may_repeat ? SOUP_MESSAGE_IDEMPOTENT : SOUP_MESSAGE_NEW_CONNECTION);
     soup_message_set_flags(made->message.get(), static_cast<SoupMessageFlags>(flags));
     auto* const out = soup_message_get_request_headers(made->message.get());
     for (auto const& [name, value] : what.headers)
