--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -75,6 +75,11 @@
     return speed * (1.0 + load_weight * load);
 }
 
+bool has_place(upstream const& which)
+{
+    return which.running < which.record.slots && (!which.on_probation || which.unanswered == 0);
+}
+
 struct sample_candidate
 {
     upstream* which = nullptr;
@@ -88,12 +93,16 @@
     for (auto& [id, one] : from.upstreams)
     {
         if (!is_usable(from, one, need.service, now) || now < one.loading_until ||
-            one.running >= one.record.slots || id == need.avoided)
+            !has_place(one) || id == need.avoided)
         {
             continue;
         }
-        bool const known = version_of(one, need.model) >= need.least_version;
-        if (!known && need.newest_version < need.least_version)
+        auto const version = version_of(one, need.model);
+        bool const known = version >= need.least_version;
+        // The list tells of new weights up to two seconds late. An upstream that follows the model
+        // may hold the version already; one sample finds out.
+        bool const may_follow = version + 1 == need.least_version && one.unanswered == 0;
+        if (!known && !may_follow)
         {
             continue;
         }
@@ -108,7 +117,7 @@
 chosen_upstream make_choice(sample_candidate const& from, sample_need const& need)
 {
     return {from.which->record.id, from.which->record.address,
-            from.is_known_new_enough ? 0 : need.newest_version};
+            from.is_known_new_enough ? 0 : need.least_version};
 }
 
 } // namespace
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -33,8 +33,6 @@
     std::string_view model;
     /// Oldest version of the weights that may generate it.
     std::uint32_t least_version = 0;
-    /// Newest version that was named; an upstream may hold it before the list says so.
-    std::uint32_t newest_version = 0;
     /// The upstream that read the group's prompt, or empty.
     std::string_view preferred;
     /// The upstream that the last try used, or empty.
--- a/src/fleet/pool.cpp
+++ b/src/fleet/pool.cpp
@@ -20,6 +20,9 @@
 // A full upstream has a place again after about one request.
 constexpr base::duration full_pause = std::chrono::milliseconds(50);
 
+// An upstream that refuses samples usually loads weights, for about a second.
+constexpr base::duration refusal_pause = std::chrono::milliseconds(150);
+
 void add_sample(double& mean, base::duration sample)
 {
     auto const value = static_cast<double>(sample.count());
@@ -170,6 +173,41 @@
     }
 }
 
+void note_sample_refused(pool& in, std::string_view id, base::mono_time now)
+{
+    if (auto* const found = find_upstream(in, id))
+    {
+        found->on_probation = true;
+        found->loading_until = std::max(found->loading_until, now + refusal_pause);
+    }
+}
+
+void note_sample_runs(pool& in, std::string_view id)
+{
+    if (auto* const found = find_upstream(in, id))
+    {
+        found->on_probation = false;
+    }
+}
+
+void note_sample_sent(pool& in, std::string_view id, base::mono_time now)
+{
+    note_sent(in, id, now);
+    if (auto* const found = find_upstream(in, id))
+    {
+        ++found->unanswered;
+    }
+}
+
+void note_sample_answered(pool& in, std::string_view id)
+{
+    auto* const found = find_upstream(in, id);
+    if (found != nullptr && found->unanswered > 0)
+    {
+        --found->unanswered;
+    }
+}
+
 upstream* find_upstream(pool& in, std::string_view id)
 {
     auto const at = in.upstreams.find(id);
--- a/src/fleet/pool.hpp
+++ b/src/fleet/pool.hpp
@@ -73,6 +73,23 @@
 /// \brief The upstream refused because it is full; it is left out for a moment.
 void note_full(pool& in, std::string_view id, base::mono_time now);
 
+/// \ingroup fleet
+/// \brief The upstream refused a sample, as it does while it loads weights or is full. It gets
+/// nothing for a moment and then one sample at a time until one runs, so that many waiting samples
+/// don't all learn the same.
+void note_sample_refused(pool& in, std::string_view id, base::mono_time now);
+
+/// \ingroup fleet
+/// \brief The upstream runs a sample.
+void note_sample_runs(pool& in, std::string_view id);
+
+/// \ingroup fleet
+/// \brief A sample was sent; `note_sample_answered` follows when its answer begins or it ends.
+void note_sample_sent(pool& in, std::string_view id, base::mono_time now);
+
+/// \ingroup fleet
+void note_sample_answered(pool& in, std::string_view id);
+
 /// \ingroup fleet
 /// \brief Finds an upstream.
 [[nodiscard]] upstream* find_upstream(pool& in, std::string_view id);
--- a/src/fleet/upstream.hpp
+++ b/src/fleet/upstream.hpp
@@ -26,6 +26,10 @@
     base::mono_time suspended_until{};
     /// Gets no samples before this: it loads weights.
     base::mono_time loading_until{};
+    /// Its last answer to a sample was a refusal; it gets one sample at a time until one runs.
+    bool on_probation = false;
+    /// Samples that were sent and have no answer yet.
+    std::uint32_t unanswered = 0;
     /// Budget of a cold upstream: what may be sent at once.
     double cold_tokens = 1;
     base::mono_time cold_refilled_at{};
--- a/src/gateway/sample_run.hpp
+++ b/src/gateway/sample_run.hpp
@@ -24,6 +24,8 @@
     platform::event_stream stream;
     /// Version of the weights of the events that come now.
     std::uint32_t version = 0;
+    /// The head of the answer has come.
+    bool answered = false;
     /// The answer has begun and carries events.
     bool streams = false;
     base::mono_time started_at{};
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -30,8 +30,6 @@
 // Pauses of a sample after a run that broke, was refused or came to the wrong weights.
 constexpr base::duration broken_pause = std::chrono::milliseconds(50);
 constexpr base::duration refused_pause = std::chrono::milliseconds(20);
-// An upstream that refuses samples loads weights for about this long.
-constexpr base::duration loading_pause = std::chrono::milliseconds(200);
 
 // Longest useful time of one run.
 constexpr base::duration longest_run = std::chrono::seconds(60);
@@ -73,13 +71,23 @@
                     {"took_us", (base::mono_now() - run.started_at).count()}});
 }
 
+/// Takes a run out of the load of its upstream.
+void release_upstream(gateway& self, sample_run const& run)
+{
+    fleet::note_ended(self.pool, run.upstream);
+    if (!run.answered)
+    {
+        fleet::note_sample_answered(self.pool, run.upstream);
+    }
+}
+
 /// Ends a run; the sample waits for the next one.
 void end_run(gateway& self, std::uint64_t number, base::duration pause)
 {
     auto const at = self.runs.find(number);
     auto const run = std::move(at->second);
     self.runs.erase(at);
-    fleet::note_ended(self.pool, run.upstream);
+    release_upstream(self, run);
     if (auto const place = place_of(self, run))
     {
         place->progress->phase = sample_phase::waiting;
@@ -133,16 +141,15 @@
     auto const& run = self.runs.at(number);
     auto const now = base::mono_now();
     log_run("run_refused", run, *place_of(self, run), "the upstream did not run it", status);
-    if (auto* const upstream = fleet::find_upstream(self.pool, run.upstream))
-    {
-        upstream->loading_until = std::max(upstream->loading_until, now + loading_pause);
-    }
+    fleet::note_sample_refused(self.pool, run.upstream, now);
     end_run(self, number, refused_pause);
 }
 
 void on_head(gateway& self, std::uint64_t number, std::uint16_t status)
 {
     auto& run = self.runs.at(number);
+    run.answered = true;
+    fleet::note_sample_answered(self.pool, run.upstream);
     auto const place = place_of(self, run);
     auto const head =
         platform::decode_answer_head(status, http::answer_headers(run.call->message.get()));
@@ -172,6 +179,7 @@
         return;
     }
     fleet::note_weights(self.pool, run.upstream, place->spec->model, *head.weights);
+    fleet::note_sample_runs(self.pool, run.upstream);
     run.version = *head.weights;
     run.streams = true;
     if (run.version < place->job->spec.least_version)
@@ -272,7 +280,7 @@
     progress.phase = sample_phase::running;
     progress.upstream = chosen.id;
     job.upstream_by_group[spec.group] = chosen.id;
-    fleet::note_sent(self.pool, chosen.id, now);
+    fleet::note_sample_sent(self.pool, chosen.id, now);
     auto& run = self.runs[number];
     run.job_id = job.record.id;
     run.index = index;
@@ -341,14 +349,12 @@
     {
         return false;
     }
-    auto const named = self.named.find(spec.model);
     auto const& progress = job.samples[waiting.index];
     auto const group = job.upstream_by_group.find(spec.group);
     fleet::sample_need need;
     need.service = service;
     need.model = spec.model;
     need.least_version = job.spec.least_version;
-    need.newest_version = named != self.named.end() ? named->second : 1;
     need.preferred = group != job.upstream_by_group.end() ? std::string_view(group->second) : "";
     need.avoided = progress.broken_runs > 0 ? std::string_view(progress.upstream) : "";
     auto const chosen = fleet::choose_sample(self.pool, *self.configuration, need, now);
@@ -455,7 +461,7 @@
             ++at;
             continue;
         }
-        fleet::note_ended(self.pool, at->second.upstream);
+        release_upstream(self, at->second);
         at = self.runs.erase(at);
     }
 }
