Free the jobs of a dead process at once, and read the store less often

Cause: after the kill of all processes, and after hand-overs, jobs stood still until old leases ended and for half a second per rank of the claimant; reads of seven processes were the largest price.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -101,6 +101,11 @@
                    {{"jobs", static_cast<std::int64_t>(self.jobs.size())},
                     {"requests", static_cast<std::int64_t>(self.requests.size())}});
     self.stopping = true;
+    if (!self.callers)
+    {
+        process::stop(self.loop);
+        return;
+    }
     resign(self);
     hand_over_jobs(self, [&self] { end_lease(self); });
     auto const now = base::mono_now();
@@ -127,6 +132,11 @@
     {
         return tl::unexpected(ports.error());
     }
+    if (self.settings.listen_callers.empty())
+    {
+        // A process without callers keeps nothing and reads nothing.
+        return made;
+    }
     self.caller_check = base::every(caller_check_interval, [&self] { check_callers(self); });
     start_lease(self);
     start_leadership(self);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,10 @@
     std::uint64_t configuration_revision = 0;
     duty::named_versions named;
     fleet::pool pool;
+    /// Hosts with disks that the operator wants emptied.
+    std::vector<std::string> retiring_hosts;
+    /// Those that this leader has reported as empty.
+    std::set<std::string> retired_hosts;
     poller operator_poller;
     poller upstream_poller;
     poller shared_poller;
--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -27,7 +27,7 @@
 constexpr base::duration store_timeout = std::chrono::milliseconds(1000);
 
 // Processes take over one after the other, so that they don't all claim at once.
-constexpr base::duration claim_stagger = std::chrono::milliseconds(500);
+constexpr base::duration claim_stagger = std::chrono::milliseconds(150);
 
 base::mono_time to_mono(base::wall_time at)
 {
--- a/src/gateway/leadership.cpp
+++ b/src/gateway/leadership.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/usage_reports.hpp"
 #include "gateway/weights_orders.hpp"
+#include "platform/operator_state.hpp"
 #include "rollout/store_keys.hpp"
 
 #include <utility>
@@ -21,6 +22,7 @@
 {
     self.candidate.held = duty::authority{self.settings.host, fencing};
     self.weights = {};
+    self.retired_hosts.clear();
     base::log_line(base::log_level::info, "leadership_gained",
                    {{"fencing", static_cast<std::int64_t>(fencing)}});
 }
@@ -49,12 +51,34 @@
                           });
 }
 
+/// No host keeps anything of the service on its disk, so one that is to be emptied is empty.
+void report_retired(gateway& self)
+{
+    for (auto const& host : self.retiring_hosts)
+    {
+        if (!self.retired_hosts.insert(host).second)
+        {
+            continue;
+        }
+        base::log_line(base::log_level::info, "host_retired", {{"host", host}});
+        self.store.commit_all(platform::encode_retired(host), base::mono_now() + store_timeout,
+                              [&self, host](base::result<store::commit> const& outcome)
+                              {
+                                  if (!outcome)
+                                  {
+                                      self.retired_hosts.erase(host);
+                                  }
+                              });
+    }
+}
+
 void work(gateway& self)
 {
     auto const now = base::mono_now();
     leave_counts(self);
     if (auto const as = duty::acting_as(self.candidate, self.lease.valid_until, now))
     {
+        report_retired(self);
         order_weights(self, *as, now);
         report_usage(self, *as);
     }
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -6,6 +6,10 @@
 #include "lease/drift_margin.hpp"
 #include "rollout/store_keys.hpp"
 
+#include <charconv>
+#include <optional>
+#include <string>
+
 namespace gooseberrywood::gateway
 {
 
@@ -23,11 +27,52 @@
     return sent_at + lease_length - lease::drift_margin(lease_length);
 }
 
+/// Ends the lease of an earlier incarnation on this host, so that its jobs are free at once.
+void end_earlier_lease(gateway& self, std::uint64_t lease)
+{
+    base::log_line(base::log_level::info, "earlier_lease_ended",
+                   {{"lease", static_cast<std::int64_t>(lease)}});
+    self.store.revoke(lease, base::mono_now() + call_timeout, [](auto const&) {});
+}
+
+/// The lease that a member's entry names, if it is not the current one.
+std::optional<std::uint64_t> earlier_lease(gateway const& self, store::item const& entry)
+{
+    auto const mark = entry.value.rfind('#');
+    std::uint64_t lease = 0;
+    if (mark == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    auto const* const end = entry.value.data() + entry.value.size();
+    bool const valid =
+        std::from_chars(entry.value.data() + mark + 1, end, lease).ec == std::errc();
+    return valid && lease != self.lease.id ? std::optional(lease) : std::nullopt;
+}
+
+void write_member(gateway& self);
+
+void replace_earlier_incarnation(gateway& self)
+{
+    self.store.read(rollout::member_key(self.settings.host), base::mono_now() + call_timeout,
+                    [&self](base::result<std::optional<store::item>> const& read)
+                    {
+                        if (read && *read)
+                        {
+                            if (auto const lease = earlier_lease(self, **read))
+                            {
+                                end_earlier_lease(self, *lease);
+                            }
+                        }
+                        write_member(self);
+                    });
+}
+
 void write_member(gateway& self)
 {
     store::transaction entry;
     entry.writes.push_back(
-        {rollout::member_key(self.settings.host), self.settings.domain, self.lease.id});
+        {rollout::member_key(self.settings.host), own_mark(self), self.lease.id});
     self.store.commit_all(entry, base::mono_now() + call_timeout,
                           [](base::result<store::commit> const& outcome)
                           {
@@ -52,7 +97,7 @@
     self.lease.renew_at = sent_at + renew_interval;
     base::log_line(base::log_level::info, "lease_granted",
                    {{"lease", static_cast<std::int64_t>(*lease)}});
-    write_member(self);
+    replace_earlier_incarnation(self);
     reclaim_jobs(self);
 }
 
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -20,9 +20,11 @@
 namespace
 {
 
-// A change is in effect after one interval and one call. Reads that find nothing new are priced
-// too, so the intervals are as long as the bounds of configuration and draining (2 s) allow.
-constexpr base::duration interval = std::chrono::milliseconds(800);
+// A change is in effect after one interval and one call. Reads that find nothing new cost as much
+// as others, so the interval is as long as the bounds of configuration and draining (2 s) allow.
+constexpr base::duration listing_interval = std::chrono::milliseconds(1200);
+// Jobs without an owner stand still until this read finds them.
+constexpr base::duration shared_interval = std::chrono::milliseconds(700);
 constexpr base::duration retry_interval = std::chrono::milliseconds(200);
 constexpr base::duration call_timeout = std::chrono::milliseconds(1500);
 
@@ -39,14 +41,20 @@
 
 using items = std::vector<store::item>;
 
-void poll(gateway& self, poller& with, std::string_view prefix,
-          std::function<void(items const&, base::mono_time sent_at)> take);
+/// What a poller reads, how often, and who takes it.
+struct poll_plan
+{
+    std::string_view prefix;
+    base::duration interval{};
+    std::function<void(items const&, base::mono_time sent_at)> take;
+};
+
+void poll(gateway& self, poller& with, poll_plan const& plan);
 
-void poll_again(gateway& self, poller& with, std::string_view prefix, base::duration pause,
-                std::function<void(items const&, base::mono_time sent_at)> take)
+void poll_again(gateway& self, poller& with, poll_plan const& plan, base::duration pause)
 {
-    with.timer = base::at(base::mono_now() + pause, [&self, &with, prefix, take = std::move(take)]
-                          { poll(self, with, prefix, take); });
+    with.timer =
+        base::at(base::mono_now() + pause, [&self, &with, plan] { poll(self, with, plan); });
 }
 
 void note_reach(poller& with, std::string_view prefix, bool failing, std::string_view reason)
@@ -60,22 +68,20 @@
     with.failing = failing;
 }
 
-void poll(gateway& self, poller& with, std::string_view prefix,
-          std::function<void(items const&, base::mono_time sent_at)> take)
+void poll(gateway& self, poller& with, poll_plan const& plan)
 {
     auto const sent_at = base::mono_now();
-    store::list_all(
-        self.store, std::string(prefix), "", sent_at + call_timeout,
-        [&self, &with, prefix, sent_at, take = std::move(take)](base::result<items> const& read)
-        {
-            note_reach(with, prefix, !read, read ? "" : read.error().message);
-            if (read)
-            {
-                take(*read, sent_at);
-                with.confirmed_at = sent_at;
-            }
-            poll_again(self, with, prefix, read ? interval : retry_interval, take);
-        });
+    store::list_all(self.store, std::string(plan.prefix), "", sent_at + call_timeout,
+                    [&self, &with, plan, sent_at](base::result<items> const& read)
+                    {
+                        note_reach(with, plan.prefix, !read, read ? "" : read.error().message);
+                        if (read)
+                        {
+                            plan.take(*read, sent_at);
+                            with.confirmed_at = sent_at;
+                        }
+                        poll_again(self, with, plan, read ? plan.interval : retry_interval);
+                    });
 }
 
 void apply_configuration(gateway& self, platform::operator_state const& state)
@@ -109,6 +115,7 @@
                        {{"count", static_cast<std::int64_t>(state.domains_out.size())}});
     }
     self.pool.domains_out = state.domains_out;
+    self.retiring_hosts = state.retiring_hosts;
     for (auto const& [model, version] : state.named_versions)
     {
         auto& known = self.named[model];
@@ -193,13 +200,17 @@
 
 void start_refresh(gateway& self)
 {
-    poll(self, self.operator_poller, platform::store_keys::operator_prefix,
-         [&self](items const& read, base::mono_time) { take_operator_state(self, read); });
-    poll(self, self.upstream_poller, platform::store_keys::upstream_prefix,
-         [&self](items const& read, base::mono_time sent_at)
-         { take_upstreams(self, read, sent_at); });
-    poll(self, self.shared_poller, rollout::shared_prefix,
-         [&self](items const& read, base::mono_time sent_at) { take_shared(self, read, sent_at); });
+    poll(self, self.operator_poller,
+         {platform::store_keys::operator_prefix, listing_interval,
+          [&self](items const& read, base::mono_time) { take_operator_state(self, read); }});
+    poll(self, self.upstream_poller,
+         {platform::store_keys::upstream_prefix, listing_interval,
+          [&self](items const& read, base::mono_time sent_at)
+          { take_upstreams(self, read, sent_at); }});
+    poll(self, self.shared_poller,
+         {rollout::shared_prefix, shared_interval,
+          [&self](items const& read, base::mono_time sent_at)
+          { take_shared(self, read, sent_at); }});
 }
 
 bool may_trust_keys(gateway const& self, base::mono_time now)
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -18,8 +18,8 @@
     std::string domain;
     /// The whole deployment starts for the first time.
     bool first_start = false;
-    /// `IP:port` each. Without the first two the process has no callers: it only takes over jobs and
-    /// duties.
+    /// `IP:port` each. Without the first two the process has no callers and no work: it only
+    /// stands on a host that must not be empty.
     std::string listen_callers;
     std::string listen_ready;
     std::string listen_admin;
