--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -70,6 +70,7 @@
 }
 
 void wait_readable(call& c);
+void read_on_soon(call& c);
 
 gboolean on_readable(GObject*, gpointer data)
 {
@@ -79,17 +80,39 @@
     {
         return keep.use_count() > 1;
     };
-    for (int i = 0; i < max_reads_per_event && is_owned() && read_once(*keep); ++i)
+    bool more = true;
+    for (int i = 0; i < max_reads_per_event && is_owned() && more; ++i)
     {
+        more = read_once(*keep);
     }
-    if (is_owned() && !keep->ended)
+    if (!is_owned() || keep->ended)
     {
-        // Made anew: the stream may hold bytes that it has read already.
-        wait_readable(*keep);
+        return G_SOURCE_REMOVE;
     }
+    if (more)
+    {
+        read_on_soon(*keep);
+        return G_SOURCE_REMOVE;
+    }
+    // Made anew: the stream may hold bytes that it has read already.
+    wait_readable(*keep);
     return G_SOURCE_REMOVE;
 }
 
+/// Goes on reading after the other events. What is left is not waited for: it may lie in a buffer of
+/// the stream, where no readiness of the socket shows it.
+void read_on_soon(call& c)
+{
+    c.readable = base::soon(
+        [weak = c.weak_from_this()]
+        {
+            if (auto const keep = weak.lock())
+            {
+                on_readable(nullptr, keep.get());
+            }
+        });
+}
+
 void wait_readable(call& c)
 {
     GSource* const source = g_pollable_input_stream_create_source(
--- a/src/http/fetch.cpp
+++ b/src/http/fetch.cpp
@@ -2,6 +2,8 @@
 
 #include "http/header_list.hpp"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 namespace gooseberrywood::http
@@ -45,6 +47,19 @@
                             answer_headers(message), std::move(of.body)});
 }
 
+std::string describe_timeout(fetch const& of)
+{
+    if (!of.running || !of.running->sent)
+    {
+        return "not sent before the deadline";
+    }
+    auto const status = of.running->answer
+                            ? soup_message_get_status(of.running->message.get())
+                            : SOUP_STATUS_NONE;
+    return fmt::format("no whole answer before the deadline; status {}, {} bytes so far",
+                       static_cast<int>(status), of.body.size());
+}
+
 call_handlers handlers_of(std::shared_ptr<fetch> const& made)
 {
     std::weak_ptr<fetch> const weak = made;
@@ -78,8 +93,7 @@
                                {
                                    bool const sent = of->running && of->running->sent;
                                    on_failure(*of,
-                                              {base::result_code::timeout,
-                                               "no whole answer before the deadline"},
+                                              {base::result_code::timeout, describe_timeout(*of)},
                                               sent, true);
                                }
                            });
