Let long samples leave slow upstreams and survive their owner

Cause: a sample of 170 events that runs on a slow upstream, or whose owner is lost, decides when its group is whole; it stayed for up to 25 s or began anew. Ruled out: waiting for slots (steps start whole).

--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -141,6 +141,26 @@
     return *middle;
 }
 
+bool should_leave(pool& from, configuration const& in, std::string_view upstream,
+                  sample_need const& need, base::mono_time now)
+{
+    constexpr double worthwhile = 2;
+    auto const* const current = find_upstream(from, upstream);
+    auto const median_us = median_event_us(from, need.service);
+    if (current == nullptr || median_us == 0 || current->event_us < slow_factor * median_us)
+    {
+        return false;
+    }
+    auto const other = choose_sample(from, in, need, now);
+    if (!other || other->expected_version != 0)
+    {
+        return false;
+    }
+    auto const* const target = find_upstream(from, other->id);
+    auto const target_us = target->event_us > 0 ? target->event_us : median_us;
+    return current->event_us > worthwhile * target_us;
+}
+
 std::optional<chosen_upstream> choose_plain(pool& from, configuration const& in,
                                             plain_need const& need, base::mono_time now)
 {
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -68,6 +68,15 @@
                                                            sample_need const& need,
                                                            base::mono_time now);
 
+/// \ingroup fleet
+/// \brief Whether a sample that runs on an upstream should go on elsewhere: the upstream is slow and
+/// another one is at least twice as fast. The prompt and the text so far are read again there, which
+/// takes far less time than a few slow events.
+///
+/// Load pattern: some upstreams turn several times slower while the longest samples of a step run.
+[[nodiscard]] bool should_leave(pool& from, configuration const& in, std::string_view upstream,
+                                sample_need const& need, base::mono_time now);
+
 /// \ingroup fleet
 /// \brief Mean time between two events over all upstreams of a service, in microseconds; 0 before
 /// the first event.
--- a/src/fleet/pool.cpp
+++ b/src/fleet/pool.cpp
@@ -20,6 +20,9 @@
 // A full upstream has a place again after about one request.
 constexpr base::duration full_pause = std::chrono::milliseconds(50);
 
+// Slow phases of upstreams last some seconds.
+constexpr base::duration speed_lifetime = std::chrono::seconds(3);
+
 // An upstream that refuses samples usually loads weights, for about a second.
 constexpr base::duration refusal_pause = std::chrono::milliseconds(150);
 
@@ -142,15 +145,27 @@
     }
 }
 
-void note_event(pool& in, std::string_view id, base::duration pause)
+void note_event(pool& in, std::string_view id, base::duration pause, base::mono_time now)
 {
     if (auto* const found = find_upstream(in, id))
     {
         add_sample(found->event_us, pause);
+        found->event_measured_at = now;
         found->failures = 0;
     }
 }
 
+void forget_old_speeds(pool& in, base::mono_time now)
+{
+    for (auto& [id, one] : in.upstreams)
+    {
+        if (one.event_us > 0 && now - one.event_measured_at > speed_lifetime)
+        {
+            one.event_us = 0;
+        }
+    }
+}
+
 void note_failure(pool& in, std::string_view id, base::mono_time now)
 {
     auto* const found = find_upstream(in, id);
--- a/src/fleet/pool.hpp
+++ b/src/fleet/pool.hpp
@@ -62,7 +62,12 @@
 
 /// \ingroup fleet
 /// \brief An event arrived `pause` after the one before.
-void note_event(pool& in, std::string_view id, base::duration pause);
+void note_event(pool& in, std::string_view id, base::duration pause, base::mono_time now);
+
+/// \ingroup fleet
+/// \brief Forgets how fast upstreams were that have not been used for a while: a slow one gets work
+/// again, and shows whether it still is.
+void forget_old_speeds(pool& in, base::mono_time now);
 
 /// \ingroup fleet
 /// \brief A connection failed, broke or fell silent. The upstream is left out for a while that
--- a/src/fleet/upstream.hpp
+++ b/src/fleet/upstream.hpp
@@ -18,6 +18,7 @@
     std::uint32_t running = 0;
     /// Mean time between two events of a stream, in microseconds; 0 before the first.
     double event_us = 0;
+    base::mono_time event_measured_at{};
     /// Mean time of a plain request, in microseconds; 0 before the first.
     double answer_us = 0;
     /// Failures without a success in between.
--- a/src/gateway/owned_job.hpp
+++ b/src/gateway/owned_job.hpp
@@ -43,6 +43,9 @@
     bool write_running = false;
     base::event_source write_timer;
 
+    /// The text of long samples is saved from then on, for the case that this process is lost.
+    base::mono_time save_at{};
+
     base::mono_time due{};
     /// Samples without a result are given up then.
     base::mono_time give_up_at{};
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/job_ownership.hpp"
 #include "rollout/result_chunk.hpp"
+#include "rollout/saved_progress.hpp"
 #include "rollout/store_keys.hpp"
 #include "store/list_all.hpp"
 
@@ -21,6 +22,10 @@
 constexpr base::duration retry_pause = std::chrono::milliseconds(150);
 constexpr base::duration store_timeout = std::chrono::milliseconds(1000);
 
+// Long samples are saved about so often; a sample counts as long after about a second.
+constexpr base::duration save_interval = std::chrono::milliseconds(1200);
+constexpr std::size_t least_events_to_save = 24;
+
 // Stays below the limit of a value in the store; a single result may be larger.
 constexpr std::size_t max_chunk_bytes = 400'000;
 
@@ -108,6 +113,30 @@
     job->owner_revision = 0;
 }
 
+/// Long samples whose loss would make the job late. Empty while it is not their time.
+rollout::saved_progress progress_to_save(owned_job& job, base::mono_time now)
+{
+    rollout::saved_progress progress;
+    if (now < job.save_at)
+    {
+        return progress;
+    }
+    std::size_t bytes = 0;
+    for (auto const& [id, index] : job.index_by_id)
+    {
+        auto const& sample = job.samples[index];
+        bool const is_long = sample.phase == rollout::sample_phase::running &&
+                             sample.events >= least_events_to_save;
+        if (is_long && bytes + sample.text.size() < max_chunk_bytes)
+        {
+            bytes += sample.text.size();
+            progress[id] = sample;
+        }
+    }
+    job.save_at = now + save_interval;
+    return progress;
+}
+
 void write_results(gateway& self, owned_job& job)
 {
     if (job.write_running || !owns(self, job, base::mono_now()))
@@ -118,15 +147,24 @@
     {
         fill_chunk(job);
     }
-    if (job.writing.empty())
+    auto const progress = progress_to_save(job, base::mono_now());
+    if (job.writing.empty() && progress.empty())
     {
         return;
     }
     job.write_running = true;
     store::transaction write;
     write.expected.push_back({rollout::owner_key(job.record.id), job.owner_revision});
-    write.writes.push_back({rollout::result_key(job.record.id, job.listed.size()),
-                            rollout::encode_results(job.writing), 0});
+    if (!job.writing.empty())
+    {
+        write.writes.push_back({rollout::result_key(job.record.id, job.listed.size()),
+                                rollout::encode_results(job.writing), 0});
+    }
+    if (!progress.empty())
+    {
+        write.writes.push_back(
+            {rollout::progress_key(job.record.id), rollout::encode_progress(progress), 0});
+    }
     self.store.commit_all(write, base::mono_now() + store_timeout,
                           [&self, id = job.record.id, revision = job.owner_revision](
                               base::result<store::commit> const& outcome)
@@ -182,7 +220,8 @@
 {
     for (auto& [id, job] : self.jobs)
     {
-        bool const waits = !job.finished.empty() || !job.writing.empty();
+        bool const waits =
+            !job.finished.empty() || !job.writing.empty() || base::mono_now() >= job.save_at;
         if (waits && !job.write_running && !job.write_timer)
         {
             write_results(self, job);
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -23,9 +23,15 @@
 constexpr base::duration check_interval = std::chrono::milliseconds(100);
 
 // Longest wait for the first event: the upstream may have a queue.
-constexpr base::duration first_event_timeout = std::chrono::milliseconds(2000);
-// Longest pause between two events: the load of new weights stops a stream for about a second.
-constexpr base::duration event_timeout = std::chrono::milliseconds(1500);
+constexpr base::duration first_event_timeout = std::chrono::milliseconds(1200);
+// Longest pause between two events. A slow upstream takes 150 ms for one; going on elsewhere costs
+// little.
+constexpr base::duration event_timeout = std::chrono::milliseconds(700);
+
+// Samples that leave slow upstreams in one check, so that they don't fill the others at once.
+constexpr int most_moves = 2;
+// A sample that is nearly complete stays.
+constexpr std::uint32_t least_tokens_to_move = 200;
 
 // Pauses of a sample after a run that broke, was refused or came to the wrong weights.
 constexpr base::duration broken_pause = std::chrono::milliseconds(50);
@@ -114,7 +120,7 @@
     if (auto const place = place_of(self, run))
     {
         log_run("run_broken", run, *place, reason, 0);
-        ++place->progress->broken_runs;
+        place->progress->avoided_upstream = run.upstream;
     }
     fleet::note_failure(self.pool, run.upstream, base::mono_now());
     end_run(self, number, broken_pause);
@@ -207,7 +213,7 @@
     }
     if (run.last_event_at != base::mono_time{})
     {
-        fleet::note_event(self.pool, run.upstream, now - run.last_event_at);
+        fleet::note_event(self.pool, run.upstream, now - run.last_event_at, now);
     }
     run.last_event_at = now;
     run.silent_at = now + event_timeout;
@@ -278,7 +284,7 @@
     auto const& spec = job.spec.samples[index];
     auto& progress = job.samples[index];
     progress.phase = sample_phase::running;
-    progress.upstream = chosen.id;
+    progress.avoided_upstream.clear();
     job.upstream_by_group[spec.group] = chosen.id;
     fleet::note_sample_sent(self.pool, chosen.id, now);
     auto& run = self.runs[number];
@@ -351,12 +357,12 @@
     }
     auto const& progress = job.samples[waiting.index];
     auto const group = job.upstream_by_group.find(spec.group);
-    fleet::sample_need need;
-    need.service = service;
-    need.model = spec.model;
-    need.least_version = job.spec.least_version;
-    need.preferred = group != job.upstream_by_group.end() ? std::string_view(group->second) : "";
-    need.avoided = progress.broken_runs > 0 ? std::string_view(progress.upstream) : "";
+    fleet::sample_need need{service, spec.model, job.spec.least_version, "",
+                            progress.avoided_upstream};
+    if (group != job.upstream_by_group.end())
+    {
+        need.preferred = group->second;
+    }
     auto const chosen = fleet::choose_sample(self.pool, *self.configuration, need, now);
     if (!chosen)
     {
@@ -404,6 +410,36 @@
     }
 }
 
+void leave_slow_upstreams(gateway& self, base::mono_time now)
+{
+    std::vector<std::uint64_t> leaving;
+    for (auto const& [number, run] : self.runs)
+    {
+        auto const place = place_of(self, run);
+        if (!place || !run.streams || static_cast<int>(leaving.size()) >= most_moves ||
+            tokens_left(*place->spec, *place->progress) < least_tokens_to_move)
+        {
+            continue;
+        }
+        auto const* const upstream = fleet::find_upstream(self.pool, run.upstream);
+        auto const service = upstream != nullptr ? upstream->record.service : std::string();
+        fleet::sample_need const need{service, place->spec->model, place->job->spec.least_version,
+                                      "", run.upstream};
+        if (fleet::should_leave(self.pool, *self.configuration, run.upstream, need, now))
+        {
+            leaving.push_back(number);
+        }
+    }
+    for (auto const number : leaving)
+    {
+        auto const& run = self.runs.at(number);
+        auto const place = *place_of(self, run);
+        log_run("run_moved", run, place, "the upstream is slow", 0);
+        place.progress->avoided_upstream = run.upstream;
+        end_run(self, number, {});
+    }
+}
+
 void give_up_expired(gateway& self, base::mono_time now)
 {
     for (auto& [id, job] : self.jobs)
@@ -426,7 +462,12 @@
 void check(gateway& self)
 {
     auto const now = base::mono_now();
+    fleet::forget_old_speeds(self.pool, now);
     break_silent_runs(self, now);
+    if (self.configuration)
+    {
+        leave_slow_upstreams(self, now);
+    }
     give_up_expired(self, now);
     write_pending_results(self);
     dispatch_now(self);
--- a/src/rollout/sample_progress.hpp
+++ b/src/rollout/sample_progress.hpp
@@ -42,11 +42,9 @@
     /// Answers that count as failed attempts.
     std::uint32_t failed_runs = 0;
     std::uint32_t failed_rewards = 0;
-    /// Tries that ended without such an answer; lengthens the pause before the next.
-    std::uint32_t broken_runs = 0;
     std::string score;
-    /// The upstream of the last run.
-    std::string upstream;
+    /// The upstream that the last run left; the next run goes elsewhere if it can.
+    std::string avoided_upstream;
     /// The next run may start from then on.
     base::mono_time not_before{};
 };
