--- a/src/duty/weights_plan.cpp
+++ b/src/duty/weights_plan.cpp
@@ -20,29 +20,26 @@
     return at != versions.end() ? at->second : 0;
 }
 
-/// The model that an upstream visibly follows: it lags behind least for this one alone.
+// The version that every upstream starts with.
+constexpr std::uint32_t first_version = 1;
+
+/// The model that an upstream visibly follows: of those that it has loaded, the one that lags least.
 std::string followed_model(fleet::upstream_record const& record, fleet::service const& of,
                            named_versions const& named)
 {
     std::string best;
     std::int64_t least_lag = 0;
-    bool tie = false;
     for (auto const& model : of.models)
     {
-        std::int64_t const wanted = std::max(1U, version_of(named, model));
-        auto const lag = wanted - std::int64_t{version_of(record.weights, model)};
-        if (best.empty() || lag < least_lag)
+        auto const held = version_of(record.weights, model);
+        auto const lag = std::int64_t{version_of(named, model)} - std::int64_t{held};
+        if (held > first_version && (best.empty() || lag < least_lag))
         {
             best = model;
             least_lag = lag;
-            tie = false;
-        }
-        else if (lag == least_lag)
-        {
-            tie = true;
         }
     }
-    return tie ? std::string() : best;
+    return best;
 }
 
 /// Upstreams of a service by failure domain, so that neighbours in the list share one.
--- /dev/null
+++ b/test/duty_test.cpp
@@ -0,0 +1,195 @@
+#include "duty.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace gooseberrywood;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+base::mono_time at_ms(std::int64_t milliseconds)
+{
+    return base::mono_time{std::chrono::milliseconds(milliseconds)};
+}
+
+fleet::configuration two_models()
+{
+    fleet::configuration made;
+    made.services = {{"engines", 140, 18, {"m0", "m1"}}};
+    return made;
+}
+
+fleet::upstream_record make_record(std::string id, std::string domain)
+{
+    fleet::upstream_record record;
+    record.id = std::move(id);
+    record.service = "engines";
+    record.address = "127.0.0.1:1";
+    record.domain = std::move(domain);
+    record.slots = 8;
+    record.weights = {{"m0", 1}, {"m1", 1}};
+    return record;
+}
+
+std::vector<fleet::upstream_record> eight_upstreams()
+{
+    std::vector<fleet::upstream_record> listed;
+    for (int i = 0; i < 8; ++i)
+    {
+        listed.push_back(make_record("u" + std::to_string(i), i < 4 ? "krapina" : "zabok"));
+    }
+    return listed;
+}
+
+std::map<std::string, int> shares_of(duty::weights_plan const& plan)
+{
+    std::map<std::string, int> shares;
+    for (auto const& [id, one] : plan.upstreams)
+    {
+        ++shares[one.model];
+    }
+    return shares;
+}
+
+} // namespace
+
+SCENARIO("processes take the leadership in turns that are far enough apart")
+{
+    duty::candidate own;
+    own.host = "edge-1";
+    auto const lease = at_ms(10'000);
+    THEN("it applies when nobody leads and its lease holds")
+    {
+        CHECK(duty::should_apply(own, false, lease, at_ms(0)));
+        CHECK_FALSE(duty::should_apply(own, true, lease, at_ms(0)));
+        CHECK_FALSE(duty::should_apply(own, false, lease, at_ms(10'000)));
+    }
+    WHEN("it leads")
+    {
+        own.held = duty::authority{"edge-1", 7};
+        THEN("it acts only while its lease certainly holds")
+        {
+            CHECK(duty::acting_as(own, lease, at_ms(9'999))->fencing == 7);
+            CHECK_FALSE(duty::acting_as(own, lease, at_ms(10'000)).has_value());
+        }
+        AND_WHEN("it loses the leadership")
+        {
+            duty::note_lost(own, 3s, at_ms(1'000));
+            THEN("it does not lead again within the turn, so that A, B, A never happens in it")
+            {
+                CHECK_FALSE(duty::acting_as(own, lease, at_ms(1'001)).has_value());
+                CHECK_FALSE(duty::should_apply(own, false, lease, at_ms(4'000)));
+                CHECK(duty::should_apply(own, false, lease, at_ms(4'600)));
+            }
+        }
+    }
+}
+
+SCENARIO("each model has its own share of the upstreams")
+{
+    auto const in = two_models();
+    fleet::pool pool;
+    auto listed = eight_upstreams();
+    (void)fleet::apply_list(pool, listed, at_ms(0));
+    duty::weights_plan plan;
+    duty::named_versions named = {{"m0", 2}};
+    duty::assign_models(plan, pool, in, named);
+    THEN("shares are equal, also within a failure domain")
+    {
+        CHECK(shares_of(plan) == std::map<std::string, int>{{"m0", 4}, {"m1", 4}});
+        int krapina = 0;
+        for (int i = 0; i < 4; ++i)
+        {
+            krapina += plan.upstreams.at("u" + std::to_string(i)).model == "m0" ? 1 : 0;
+        }
+        CHECK(krapina == 2);
+    }
+    THEN("only the share of the named model is ordered, two at a time")
+    {
+        auto const due = duty::orders_due(plan, pool, named, at_ms(0));
+        REQUIRE(due.size() == 2);
+        CHECK(due[0].model == "m0");
+        CHECK(due[0].version == 2);
+    }
+    WHEN("two of them load")
+    {
+        for (auto const& order : duty::orders_due(plan, pool, named, at_ms(0)))
+        {
+            auto& known = plan.upstreams.at(order.upstream);
+            known.ordered_version = 2;
+            known.loaded_at = at_ms(1000);
+            known.retry_at = at_ms(4000);
+        }
+        THEN("the others wait, and are ordered when those are done")
+        {
+            CHECK(duty::orders_due(plan, pool, named, at_ms(500)).empty());
+            CHECK(duty::orders_due(plan, pool, named, at_ms(1100)).size() == 2);
+        }
+        AND_WHEN("one of them never shows the version")
+        {
+            THEN("it is ordered again after a while")
+            {
+                CHECK(duty::orders_due(plan, pool, named, at_ms(4100)).size() == 2);
+            }
+        }
+    }
+    WHEN("another process comes to lead")
+    {
+        for (auto const& [id, one] : plan.upstreams)
+        {
+            if (one.model == "m0")
+            {
+                fleet::note_weights(pool, id, "m0", 2);
+            }
+        }
+        named["m1"] = 2;
+        for (auto const& [id, one] : plan.upstreams)
+        {
+            if (one.model == "m1")
+            {
+                fleet::note_weights(pool, id, "m1", 2);
+            }
+        }
+        duty::weights_plan other;
+        duty::assign_models(other, pool, in, named);
+        THEN("it sees the shares in the versions and moves no upstream")
+        {
+            for (auto const& [id, one] : plan.upstreams)
+            {
+                CHECK(other.upstreams.at(id).model == one.model);
+            }
+        }
+    }
+    WHEN("the upstreams of one failure domain are lost")
+    {
+        listed.resize(4);
+        (void)fleet::apply_list(pool, listed, at_ms(1000));
+        duty::assign_models(plan, pool, in, named);
+        THEN("both models keep a share")
+        {
+            CHECK(shares_of(plan) == std::map<std::string, int>{{"m0", 2}, {"m1", 2}});
+        }
+    }
+}
+
+SCENARIO("requests are counted in the window in which they began")
+{
+    duty::usage_windows usage;
+    usage.length = 5s;
+    auto const at = [](std::int64_t milliseconds)
+    {
+        return base::wall_time{std::chrono::milliseconds(milliseconds)};
+    };
+    duty::count_request(usage, "a", at(9'999));
+    duty::count_request(usage, "a", at(10'000));
+    duty::count_request(usage, "b", at(14'999));
+    CHECK(usage.counts.at(1).at("a") == 1);
+    CHECK(usage.counts.at(2).at("a") == 1);
+    CHECK(usage.counts.at(2).at("b") == 1);
+    CHECK(duty::end_of(usage.length, 2) == at(15'000));
+    CHECK(duty::decode_counts(duty::encode_counts(usage.counts.at(2))) == usage.counts.at(2));
+    CHECK_FALSE(duty::decode_counts(R"({"a":-1})").has_value());
+}
--- /dev/null
+++ b/test/fleet_configuration_test.cpp
@@ -0,0 +1,78 @@
+#include "fleet.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace gooseberrywood;
+
+namespace
+{
+
+fleet::route make_route(std::string name, std::string host, std::string prefix)
+{
+    fleet::route route;
+    route.name = std::move(name);
+    route.host = std::move(host);
+    route.prefix = std::move(prefix);
+    route.services = {{"engines", 1}};
+    return route;
+}
+
+} // namespace
+
+SCENARIO("a request finds its route and its team")
+{
+    GIVEN("two hosts, one with nested prefixes, and a team with two keys")
+    {
+        fleet::configuration in;
+        in.routes = {make_route("all", "a.example", "/x/"), make_route("part", "a.example", "/x/y/"),
+                     make_route("other", "b.example", "/x/")};
+        in.teams = std::vector<fleet::team>{{"lepoglava", {"key-1", "key-2"}}};
+        fleet::build_indexes(in);
+        THEN("the longest prefix of the host wins")
+        {
+            CHECK(fleet::find_route(in, "a.example", "/x/y/z")->name == "part");
+            CHECK(fleet::find_route(in, "a.example", "/x/z")->name == "all");
+            CHECK(fleet::find_route(in, "b.example", "/x/y/z")->name == "other");
+        }
+        THEN("a port in the host is ignored")
+        {
+            CHECK(fleet::find_route(in, "a.example:8405", "/x/z")->name == "all");
+        }
+        THEN("a path that only shares letters with a prefix has no route")
+        {
+            CHECK(fleet::find_route(in, "a.example", "/xy") == nullptr);
+            CHECK(fleet::find_route(in, "c.example", "/x/") == nullptr);
+        }
+        THEN("each key names the team, and others none")
+        {
+            CHECK(*fleet::find_team(in, "key-2") == "lepoglava");
+            CHECK(fleet::find_team(in, "key-3") == nullptr);
+        }
+        WHEN("a newer configuration without one of the keys is indexed")
+        {
+            in.teams = std::vector<fleet::team>{{"lepoglava", {"key-2"}}};
+            fleet::build_indexes(in);
+            THEN("the withdrawn key is unknown")
+            {
+                CHECK(fleet::find_team(in, "key-1") == nullptr);
+            }
+        }
+    }
+    GIVEN("a route whose requests two services share")
+    {
+        auto route = make_route("split", "a.example", "/x/");
+        route.services = {{"old", 9}, {"new", 1}};
+        THEN("one id always goes to one service, and ids spread by weight")
+        {
+            int to_new = 0;
+            for (int i = 0; i < 1000; ++i)
+            {
+                auto const id = std::to_string(i);
+                CHECK(fleet::service_of(route, id) == fleet::service_of(route, id));
+                to_new += fleet::service_of(route, id) == "new" ? 1 : 0;
+            }
+            CHECK(to_new > 60);
+            CHECK(to_new < 150);
+        }
+    }
+}
--- /dev/null
+++ b/test/fleet_try_outcome_test.cpp
@@ -0,0 +1,56 @@
+#include "fleet/try_outcome.hpp"
+#include "property.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace gooseberrywood;
+using fleet::next_step;
+using fleet::try_outcome;
+
+SCENARIO("what follows a try keeps the promises of the answer")
+{
+    GIVEN("a request that may run once")
+    {
+        THEN("it is tried elsewhere only if it has not run")
+        {
+            CHECK(fleet::step_after({try_outcome::not_run, false, 0, 1, 0, true}) ==
+                  next_step::try_elsewhere);
+            CHECK(fleet::step_after({try_outcome::lost, false, 1, 1, 0, true}) ==
+                  next_step::give_up);
+            CHECK(fleet::step_after({try_outcome::failed, false, 1, 3, 0, true}) ==
+                  next_step::deliver);
+        }
+    }
+    GIVEN("an idempotent request")
+    {
+        THEN("it is tried on as many upstreams as the route allows")
+        {
+            CHECK(fleet::step_after({try_outcome::lost, true, 1, 2, 0, true}) ==
+                  next_step::try_elsewhere);
+            CHECK(fleet::step_after({try_outcome::lost, true, 2, 2, 0, true}) ==
+                  next_step::give_up);
+            CHECK(fleet::step_after({try_outcome::lost, true, 2, 2, 1, true}) == next_step::wait);
+        }
+        THEN("a refusal without time is final and true")
+        {
+            CHECK(fleet::step_after({try_outcome::not_run, true, 0, 2, 0, false}) ==
+                  next_step::refuse);
+        }
+    }
+    test::check_property("a refusal is only sent for what did not run",
+                         []
+                         {
+                             auto const any = [](int end)
+                             {
+                                 return static_cast<std::uint32_t>(*rc::gen::inRange(0, end));
+                             };
+                             fleet::try_summary const summary{
+                                 static_cast<try_outcome>(any(4)), *rc::gen::arbitrary<bool>(),
+                                 any(4), 1 + any(3), any(3), *rc::gen::arbitrary<bool>()};
+                             auto const step = fleet::step_after(summary);
+                             RC_ASSERT(step != next_step::refuse ||
+                                       (summary.runs == 0 && summary.running == 0));
+                             RC_ASSERT(step != next_step::try_elsewhere || summary.runs == 0 ||
+                                       (summary.idempotent && summary.runs < summary.most_runs));
+                         });
+}
--- /dev/null
+++ b/test/platform_adapter_test.cpp
@@ -0,0 +1,224 @@
+#include "platform/platform.hpp"
+#include "property.hpp"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace gooseberrywood;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+base::mono_time at_ms(std::int64_t milliseconds)
+{
+    return base::mono_time{std::chrono::milliseconds(milliseconds)};
+}
+
+constexpr std::string_view configuration = R"({"version":7,
+"routes":[{"name":"r","host":"h.example","prefix":"/p/","route_type":"idempotent","timeout_ms":800,
+"target_latency_ms":150,"priority":2,"traffic_split":[{"service":"s","weight":90},
+{"service":"t","weight":10}],"attempts":2,"public":false}],
+"services":[{"name":"s","health_path":"/healthz","max_conns":140,"cold_start_s":3.0,
+"cold_per_s":18.0,"engine":{"slots":8,"models":[{"name":"m0"},{"name":"m1"}]}}],
+"tenants":[{"name":"team","api_keys":["k1","k2"],"priority":1}]})";
+
+store::item upstream_item(std::string const& text)
+{
+    return {"servers/i-1", text, 3};
+}
+
+} // namespace
+
+SCENARIO("the operator's entries are decoded")
+{
+    GIVEN("a configuration")
+    {
+        auto const made = platform::decode_configuration(configuration);
+        REQUIRE(made.has_value());
+        CHECK(made->version == 7);
+        CHECK(made->routes[0].kind == fleet::route_kind::idempotent);
+        CHECK(made->routes[0].timeout == 800ms);
+        CHECK(made->routes[0].services.size() == 2);
+        CHECK(made->services[0].models == std::vector<std::string>{"m0", "m1"});
+        CHECK(made->services[0].cold_requests_per_s == 18);
+        CHECK(*fleet::find_team(*made, "k2") == "team");
+    }
+    GIVEN("text that is no configuration")
+    {
+        for (auto const* text : {"", "[]", "{}", R"({"version":1})", R"({"version":"1"})",
+                                 R"({"version":1,"routes":[{}],"services":[]})"})
+        {
+            CHECK_FALSE(platform::decode_configuration(text).has_value());
+        }
+    }
+    GIVEN("entries of all sorts, one of them unreadable")
+    {
+        std::vector<store::item> const items = {
+            {"op/config", std::string(configuration), 9},
+            {"op/evacuate/krapina", "{}", 10},
+            {"op/retire/store-1", R"({"duration_s":10})", 11},
+            {"op/version/m0", R"({"model":"m0","version":4})", 12},
+            {"op/version/m1", "damaged", 13},
+        };
+        auto const state = platform::decode_operator_state(items);
+        CHECK(state.configuration_revision == 9);
+        CHECK(state.domains_out.contains("krapina"));
+        CHECK(state.retiring_hosts == std::vector<std::string>{"store-1"});
+        CHECK(state.named_versions.at("m0") == 4);
+        CHECK_FALSE(state.named_versions.contains("m1"));
+    }
+}
+
+SCENARIO("entries of upstreams are decoded, and foreign ones name no upstream")
+{
+    std::string const good =
+        R"({"service":"s","address":"10.0.0.9:80","zone":"krapina","version":"v1","slots":8,)"
+        R"("state":"draining","cold_remaining_ms":1500,"stage":"dual",)"
+        R"("models":[{"name":"m0","version":3,"adapters":[]}],"seq":4,"born":17})";
+    auto const read = platform::decode_upstreams(std::vector{upstream_item(good)}, at_ms(100));
+    REQUIRE(read.size() == 1);
+    CHECK(read[0].id == "i-1");
+    CHECK(read[0].draining);
+    CHECK(read[0].cold_until == at_ms(1600));
+    CHECK(read[0].weights.at("m0") == 3);
+    CHECK(read[0].started_ms == 17);
+    for (std::string const field : {"\"service\":\"s\"", "\"slots\":8", "\"state\":\"draining\"",
+                                    "\"address\":\"10.0.0.9:80\"", "\"cold_remaining_ms\":1500"})
+    {
+        auto text = good;
+        text.replace(text.find(field), field.size(), "\"x\":1");
+        CAPTURE(field);
+        CHECK(platform::decode_upstreams(std::vector{upstream_item(text)}, at_ms(0)).empty());
+    }
+    auto unknown = good;
+    unknown.replace(unknown.find("draining"), 8, "sleeping");
+    CHECK(platform::decode_upstreams(std::vector{upstream_item(unknown)}, at_ms(0)).empty());
+    test::check_property("a damaged entry is never a crash",
+                         [&]
+                         {
+                             auto text = good;
+                             text[*rc::gen::inRange<std::size_t>(0, text.size())] =
+                                 *rc::gen::arbitrary<char>();
+                             (void)platform::decode_upstreams(std::vector{upstream_item(text)},
+                                                              at_ms(0));
+                         });
+}
+
+SCENARIO("batch jobs are decoded")
+{
+    std::string const body =
+        R"({"step":7,"model":"m","min_version":6,"desired_count":12,"items":[{"id":"i1",)"
+        R"("path":"/p/3","headers":{"Token-Counts":"540,400","Length-Hint":"90"},"body":"q80=",)"
+        R"("tokens":940,"group":"g","scorer":{"id":"s1","host":"h","path":"/q","body":"3g=="}}]})";
+    auto const job = platform::decode_batch_job(body);
+    REQUIRE(job.has_value());
+    CHECK(job->least_version == 6);
+    CHECK(job->wanted_groups == 12);
+    CHECK(job->samples[0].model == "m");
+    CHECK(job->samples[0].body == "\xab\xcd");
+    CHECK(job->samples[0].expected_tokens == 90);
+    CHECK(job->samples[0].reward->body == "\xde");
+    CHECK_FALSE(platform::decode_batch_job(R"({"items":[]})").has_value());
+    CHECK_FALSE(platform::decode_batch_job(R"({"items":[{"id":"a"}]})").has_value());
+    CHECK_FALSE(
+        platform::decode_batch_job(R"({"items":[{"id":"a","path":"/","body":"?"}]})").has_value());
+
+    auto const read = platform::decode_batch_call("GET", "/-/lots/j1?after=12");
+    CHECK(read->what == platform::batch_operation::read_results);
+    CHECK(read->job_id == "j1");
+    CHECK(read->from_position == 12);
+    auto const content = platform::decode_batch_call("GET", "/-/items/j1?id=a%20b");
+    CHECK(content->sample_id == "a b");
+    CHECK(platform::decode_batch_call("DELETE", "/-/lots/j1")->what ==
+          platform::batch_operation::end);
+    CHECK_FALSE(platform::decode_batch_call("POST", "/-/lots/j1").has_value());
+    CHECK_FALSE(platform::decode_batch_call("GET", "/p/1").has_value());
+}
+
+SCENARIO("pages of results are bounded, but never empty while there is a result")
+{
+    rollout::sample_result large;
+    large.id = "a";
+    large.done = true;
+    large.text = std::string(700'000, 'x');
+    std::vector<rollout::sample_result> const listed = {large, large, large};
+    auto const page = nlohmann::json::parse(platform::encode_results(10, 4, listed));
+    CHECK(page["results"].size() == 1);
+    CHECK(page["next"] == 5);
+    CHECK(page["total"] == 10);
+}
+
+SCENARIO("events are read from any pieces, and never from a part of one")
+{
+    std::string const bytes = "weight-versions: 5\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: ";
+    test::check_property("pieces",
+                         [&]
+                         {
+                             platform::event_stream stream;
+                             std::vector<rollout::stream_event> events;
+                             for (std::size_t at = 0; at < bytes.size();)
+                             {
+                                 auto const size = *rc::gen::inRange<std::size_t>(1, 20);
+                                 for (auto& event :
+                                      platform::feed(stream, bytes.substr(at, size)))
+                                 {
+                                     events.push_back(event);
+                                 }
+                                 at += size;
+                             }
+                             RC_ASSERT(events.size() == 2U);
+                             RC_ASSERT(events[0].version == std::optional<std::uint32_t>(5));
+                             RC_ASSERT(events[1].id == 2);
+                             RC_ASSERT(events[1].data == "b");
+                         });
+}
+
+SCENARIO("requests to upstreams carry what the platform wants")
+{
+    platform::upstream_target const to{"i-1", "10.0.0.9:80", "h.example",
+                                       "team", "r1",         at_ms(1000)};
+    auto const value = [](http::call_request const& request, char const* name)
+    {
+        return std::string(http::find_header(request.headers, name).value_or(""));
+    };
+    auto const plain = platform::encode_plain(
+        to, {"POST", "/p/1?q=%2F", "text/plain", "x", {{"Model", "m"}}, true}, at_ms(400));
+    CHECK(plain.url == "http://10.0.0.9:80/p/1?q=%2F");
+    CHECK(value(plain, "Deadline-Ms") == "600");
+    CHECK(value(plain, "Tenant") == "team");
+    CHECK(value(plain, "Expect-Instance") == "i-1");
+    CHECK(value(plain, "Model") == "m");
+    CHECK(value(platform::encode_plain(to, {}, at_ms(2000)), "Deadline-Ms") == "0");
+
+    auto const head = platform::decode_answer_head(
+        503, {{"not-executed", "1"}, {"attempt-id", "r1"}, {"Weight-Versions", "4"}});
+    CHECK(head.not_run);
+    CHECK(head.request_id == "r1");
+    CHECK(head.weights == 4);
+    CHECK(platform::decode_answer_head(421, {}).not_run);
+    CHECK_FALSE(platform::decode_answer_head(503, {}).not_run);
+    auto const kept = platform::caller_headers(
+        {{"Connection", "close"}, {"Content-Length", "4"}, {"Server-Stamp", "s"}});
+    REQUIRE(kept.size() == 1);
+    CHECK(kept[0].name == "Server-Stamp");
+}
+
+SCENARIO("what became of an order is told apart")
+{
+    auto const answered = [](std::uint16_t status)
+    {
+        return http::fetch_outcome(http::whole_answer{status, {}, ""});
+    };
+    using duty::order_outcome;
+    CHECK(platform::decode_order_outcome(answered(202)) == order_outcome::accepted);
+    CHECK(platform::decode_order_outcome(answered(200)) == order_outcome::already_holds);
+    CHECK(platform::decode_order_outcome(answered(409)) == order_outcome::conflict);
+    CHECK(platform::decode_order_outcome(answered(412)) == order_outcome::fenced);
+    CHECK(platform::decode_order_outcome(answered(421)) == order_outcome::refused);
+    http::failed_call const lost{{}, true, true};
+    http::failed_call const not_sent{{}, false, false};
+    CHECK(platform::decode_order_outcome(tl::unexpected(lost)) == order_outcome::unknown);
+    CHECK(platform::decode_order_outcome(tl::unexpected(not_sent)) == order_outcome::not_sent);
+    CHECK(platform::decode_report_outcome(answered(409)) == duty::report_outcome::fenced);
+}
