--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -151,6 +151,32 @@
     }
 }
 
+// libsoup sends a request again on a new connection when the answer is 421, and when a kept connection
+// breaks. Both are for the owner of the call to decide; besides, the body, which was read once, would not
+// be sent whole the second time.
+void on_misdirected(SoupMessage* message, gpointer data)
+{
+    if (soup_message_get_status(message) != SOUP_STATUS_MISDIRECTED_REQUEST)
+    {
+        return;
+    }
+    auto const keep = static_cast<call*>(data)->shared_from_this();
+    g_cancellable_cancel(keep->cancellable.get());
+    keep->handlers.on_status(SOUP_STATUS_MISDIRECTED_REQUEST, "application/octet-stream");
+    if (keep.use_count() > 1 && !keep->ended)
+    {
+        complete(*keep);
+    }
+}
+
+void on_restarted(SoupMessage*, gpointer data)
+{
+    auto const keep = static_cast<call*>(data)->shared_from_this();
+    g_cancellable_cancel(keep->cancellable.get());
+    fail(*keep, g_error_new_literal(G_IO_ERROR, G_IO_ERROR_CONNECTION_CLOSED,
+                                    "a kept connection broke before the answer"));
+}
+
 void on_starting(SoupMessage*, gpointer data)
 {
     auto& c = *static_cast<call*>(data);
@@ -226,6 +252,8 @@
         g_bytes_unref(body);
     }
     g_signal_connect(made->message.get(), "starting", G_CALLBACK(on_starting), made.get());
+    g_signal_connect(made->message.get(), "got-headers", G_CALLBACK(on_misdirected), made.get());
+    g_signal_connect(made->message.get(), "restarted", G_CALLBACK(on_restarted), made.get());
     soup_session_send_async(session, made->message.get(), G_PRIORITY_DEFAULT,
                             made->cancellable.get(), on_answer,
                             new weak_call(made->weak_from_this()));
--- /dev/null
+++ b/test/http_call_test.cpp
@@ -0,0 +1,194 @@
+#include "http/fetch.hpp"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <thread>
+
+using namespace gooseberrywood;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A server that speaks whatever bytes a test wants: each connection is given to a function.
+struct raw_server
+{
+    explicit raw_server(std::function<void(int connection, int number)> serve)
+        : listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* const generic = reinterpret_cast<sockaddr*>(&address);
+        if (bind(listener, generic, size) != 0 || listen(listener, 8) != 0 ||
+            getsockname(listener, generic, &size) != 0)
+        {
+            throw std::runtime_error("can't listen");
+        }
+        port = ntohs(address.sin_port);
+        thread = std::thread(
+            [this, serve = std::move(serve)]
+            {
+                for (int fd = accept(listener, nullptr, nullptr); fd >= 0;
+                     fd = accept(listener, nullptr, nullptr))
+                {
+                    serve(fd, ++connections);
+                    close(fd);
+                }
+            });
+    }
+    raw_server(raw_server const&) = delete;
+    raw_server& operator=(raw_server const&) = delete;
+    ~raw_server()
+    {
+        shutdown(listener, SHUT_RDWR);
+        thread.join();
+        close(listener);
+    }
+
+    int listener;
+    std::uint16_t port = 0;
+    std::atomic<int> connections = 0;
+    std::thread thread;
+};
+
+/// Reads until the end of a request's headers.
+void read_head(int connection)
+{
+    std::string head;
+    char byte = 0;
+    while (head.find("\r\n\r\n") == std::string::npos && read(connection, &byte, 1) == 1)
+    {
+        head.push_back(byte);
+    }
+}
+
+void send_text(int connection, std::string_view text)
+{
+    while (!text.empty())
+    {
+        auto const count = send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+        if (count <= 0)
+        {
+            return;
+        }
+        text.remove_prefix(static_cast<std::size_t>(count));
+    }
+}
+
+http::fetch_outcome fetch(SoupSession* session, std::uint16_t port, std::string body)
+{
+    http::call_request request;
+    request.method = "POST";
+    request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+    request.body = std::move(body);
+    request.may_repeat = true;
+    std::optional<http::fetch_outcome> outcome;
+    auto const running =
+        http::start_fetch(session, request, base::mono_now() + 5s, 64 * 1024 * 1024,
+                          [&](http::fetch_outcome got) { outcome = std::move(got); });
+    while (!outcome)
+    {
+        g_main_context_iteration(nullptr, TRUE);
+    }
+    return std::move(*outcome);
+}
+
+constexpr std::string_view empty_answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+SCENARIO("connections are kept between calls, and nothing is sent twice")
+{
+    auto const session = http::make_session();
+    GIVEN("a server that reads requests whole")
+    {
+        // Guards against a new connection for each request.
+        raw_server server(
+            [](int connection, int)
+            {
+                for (int i = 0; i < 3; ++i)
+                {
+                    read_head(connection);
+                    std::string body(4, '\0');
+                    (void)recv(connection, body.data(), body.size(), MSG_WAITALL);
+                    send_text(connection, empty_answer);
+                }
+            });
+        for (int i = 0; i < 3; ++i)
+        {
+            CHECK(fetch(session.get(), server.port, "body").has_value());
+        }
+        CHECK(server.connections == 1);
+    }
+    GIVEN("a server that says that it is not the one that was meant")
+    {
+        // Guards against the library's own second try, which sent another body.
+        raw_server server(
+            [](int connection, int)
+            {
+                read_head(connection);
+                std::string body(4, '\0');
+                (void)recv(connection, body.data(), body.size(), MSG_WAITALL);
+                send_text(connection,
+                          "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\n"
+                          "Content-Length: 0\r\n\r\n");
+                read_head(connection);
+            });
+        auto const answer = fetch(session.get(), server.port, "body");
+        REQUIRE(answer.has_value());
+        CHECK(answer->status == 421);
+        CHECK(http::find_header(answer->headers, "Instance-Id") == "other");
+        std::this_thread::sleep_for(50ms);
+        while (g_main_context_iteration(nullptr, FALSE) != 0)
+        {
+        }
+        CHECK(server.connections == 1);
+    }
+}
+
+SCENARIO("a large answer is read to its end, in whatever pieces it comes")
+{
+    // Guards against an answer that stands still after the first reads.
+    auto const session = http::make_session();
+    std::string const body(300'000, 'x');
+    raw_server server(
+        [&](int connection, int)
+        {
+            read_head(connection);
+            send_text(connection, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n");
+            for (std::size_t at = 0; at < body.size(); at += 60'000)
+            {
+                send_text(connection, std::string_view(body).substr(at, 60'000));
+                std::this_thread::sleep_for(5ms);
+            }
+        });
+    auto const answer = fetch(session.get(), server.port, "");
+    REQUIRE(answer.has_value());
+    CHECK(answer->body == body);
+}
+
+SCENARIO("an answer that ends early is a failure")
+{
+    auto const session = http::make_session();
+    raw_server server(
+        [](int connection, int)
+        {
+            read_head(connection);
+            send_text(connection, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+        });
+    auto const answer = fetch(session.get(), server.port, "");
+    REQUIRE_FALSE(answer.has_value());
+    CHECK(answer.error().sent);
+}
--- /dev/null
+++ b/test/standin/site/control.cpp
@@ -0,0 +1,99 @@
+#include "standin/site/site.hpp"
+
+namespace gooseberrywood::test
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+void show_state(site& self, SoupServerMessage* message)
+{
+    auto upstreams = json::array();
+    for (auto const& one : self.upstreams)
+    {
+        upstreams.push_back({{"id", one->id},
+                             {"running", one->running},
+                             {"refused", one->refused},
+                             {"orders", one->orders},
+                             {"weights", one->weights}});
+    }
+    auto keys = json::array();
+    for (auto const& [key, item] : self.values)
+    {
+        keys.push_back(key);
+    }
+    answer(message, SOUP_STATUS_OK,
+           {{"upstreams", upstreams},
+            {"runs", self.runs},
+            {"teams", self.teams},
+            {"resumed", self.resumed},
+            {"reports", self.reports},
+            {"calls", self.calls},
+            {"keys", keys}});
+}
+
+void put(site& self, json const& body)
+{
+    self.values[body.at("key").get<std::string>()] = {body.at("value").dump(), ++self.revision, 0};
+}
+
+void set_store(site& self, json const& body)
+{
+    auto const mode = body.at("mode").get<std::string>();
+    self.mode = mode == "refuses"         ? store_mode::refuses
+                : mode == "loses_answers" ? store_mode::loses_answers
+                                          : store_mode::serves;
+}
+
+void set_upstream(site& self, json const& body)
+{
+    for (auto const& one : self.upstreams)
+    {
+        if (one->id != body.at("id").get<std::string>())
+        {
+            continue;
+        }
+        one->refuses = body.value("refuses", one->refuses);
+        one->silent = body.value("silent", one->silent);
+        one->event_time =
+            std::chrono::milliseconds(body.value("event_ms", one->event_time.count() / 1000));
+        if (body.value("listed", true))
+        {
+            announce(self, *one);
+        }
+        else
+        {
+            self.values.erase("servers/" + one->id);
+        }
+    }
+}
+
+} // namespace
+
+void control(site& self, SoupServerMessage* message)
+{
+    auto const path = path_of(message);
+    if (path == "/standin/state")
+    {
+        show_state(self, message);
+        return;
+    }
+    auto const body = json::parse(body_of(message));
+    if (path == "/standin/put")
+    {
+        put(self, body);
+    }
+    else if (path == "/standin/store")
+    {
+        set_store(self, body);
+    }
+    else if (path == "/standin/upstream")
+    {
+        set_upstream(self, body);
+    }
+    answer(message, SOUP_STATUS_OK, json::object());
+}
+
+} // namespace gooseberrywood::test
--- /dev/null
+++ b/test/standin/site/site.hpp
@@ -0,0 +1,97 @@
+#ifndef GOOSEBERRYWOOD_TEST_STANDIN_SITE_SITE_HPP
+#define GOOSEBERRYWOOD_TEST_STANDIN_SITE_SITE_HPP
+
+#include "base/event_source.hpp"
+#include "base/time.hpp"
+#include "standin/http.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace gooseberrywood::test
+{
+
+/// A value in the store.
+struct stored_value
+{
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t lease = 0;
+};
+
+struct granted_lease
+{
+    base::duration length{};
+    base::mono_time ends_at{};
+};
+
+/// How the store behaves.
+enum class store_mode : std::uint8_t
+{
+    serves,
+    /// Answers 503 and does nothing.
+    refuses,
+    /// Does what it is asked and closes the connection instead of answering.
+    loses_answers,
+};
+
+/// An upstream of the site: an engine that streams samples, or a desk that answers lookups.
+struct site_upstream
+{
+    std::string id;
+    std::string service;
+    bool is_engine = false;
+    http_server server;
+    std::uint16_t port = 0;
+    std::map<std::string, std::uint32_t> weights = {{"m", 1}};
+    std::uint64_t orders = 0;
+    std::uint64_t fencing = 0;
+    std::uint32_t running = 0;
+    std::uint64_t refused = 0;
+    /// Answers 503 without running anything.
+    bool refuses = false;
+    /// Takes requests and stays silent.
+    bool silent = false;
+    /// Time between two events.
+    base::duration event_time = std::chrono::milliseconds(5);
+};
+
+/// Stands in for the machines of the users: their store, their interface for duties, and upstreams,
+/// each on a port of its own.
+struct site
+{
+    http_server store_server;
+    std::map<std::string, stored_value> values;
+    std::map<std::uint64_t, granted_lease> leases;
+    std::uint64_t revision = 1;
+    std::uint64_t leases_granted = 0;
+    store_mode mode = store_mode::serves;
+    std::uint64_t calls = 0;
+
+    std::vector<std::unique_ptr<site_upstream>> upstreams;
+    /// How often each request id was run, and with which team.
+    std::map<std::string, std::uint32_t> runs;
+    std::map<std::string, std::string> teams;
+    /// Ids whose runs went on after an event.
+    std::uint32_t resumed = 0;
+    nlohmann::json reports = nlohmann::json::array();
+};
+
+/// Serves the store's and the duties' calls.
+void serve_store(site& self, SoupServerMessage* message);
+
+/// Serves a request of an upstream.
+void serve_upstream(site& self, site_upstream& at, SoupServerMessage* message);
+
+/// Writes an upstream's entry into the store.
+void announce(site& self, site_upstream const& which);
+
+/// Serves the test's own calls under /standin/.
+void control(site& self, SoupServerMessage* message);
+
+} // namespace gooseberrywood::test
+
+#endif
--- /dev/null
+++ b/test/standin/site/upstream.cpp
@@ -0,0 +1,186 @@
+#include "standin/site/site.hpp"
+
+#include <cstdlib>
+
+namespace gooseberrywood::test
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+std::string header(SoupServerMessage* message, char const* name)
+{
+    auto const* const value =
+        soup_message_headers_get_one(soup_server_message_get_request_headers(message), name);
+    return value == nullptr ? "" : value;
+}
+
+void set_header(SoupServerMessage* message, char const* name, std::string const& value)
+{
+    soup_message_headers_replace(soup_server_message_get_response_headers(message), name,
+                                 value.c_str());
+}
+
+void refuse(SoupServerMessage* message, unsigned status)
+{
+    set_header(message, "Not-Executed", "1");
+    answer(message, status, json::object());
+}
+
+/// A running stream; owns itself through its timer.
+struct event_run
+{
+    site* owner = nullptr;
+    site_upstream* at = nullptr;
+    base::object_ptr<SoupServerMessage> message;
+    std::string id;
+    std::int64_t next = 0;
+    std::int64_t last = 0;
+    base::event_source timer;
+};
+
+void send_event(std::shared_ptr<event_run> const& run)
+{
+    auto* const message = run->message.get();
+    if (peer_closed(message))
+    {
+        --run->at->running;
+        run->timer.reset();
+        close_connection(message);
+        return;
+    }
+    auto* const body = soup_server_message_get_response_body(message);
+    if (run->next > run->last)
+    {
+        --run->at->running;
+        run->timer.reset();
+        soup_message_body_complete(body);
+        soup_server_message_unpause(message);
+        return;
+    }
+    auto const event = fmt::format("id: {}\ndata: {}-{}\n\n", run->next, run->id, run->next);
+    soup_message_body_append(body, SOUP_MEMORY_COPY, event.data(), event.size());
+    soup_server_message_unpause(message);
+    ++run->next;
+    run->timer = base::at(base::mono_now() + run->at->event_time, [run] { send_event(run); });
+}
+
+/// Streams as many events as the body says.
+void start_stream(site& self, site_upstream& at, SoupServerMessage* message)
+{
+    auto const run = std::make_shared<event_run>();
+    auto const after = header(message, "Last-Event-Id");
+    run->owner = &self;
+    run->at = &at;
+    run->message = base::share(message);
+    run->id = header(message, "Attempt-Id");
+    run->next = std::strtoll(after.c_str(), nullptr, 10) + 1;
+    run->last = std::strtoll(body_of(message).c_str(), nullptr, 10);
+    self.resumed += after.empty() ? 0 : 1;
+    ++at.running;
+    soup_server_message_set_status(message, SOUP_STATUS_OK, nullptr);
+    set_header(message, "Content-Type", "text/event-stream");
+    set_header(message, "Weight-Versions", std::to_string(at.weights.at("m")));
+    soup_message_headers_set_encoding(soup_server_message_get_response_headers(message),
+                                      SOUP_ENCODING_CHUNKED);
+    soup_server_message_pause(message);
+    send_event(run);
+}
+
+void take_order(site_upstream& at, SoupServerMessage* message)
+{
+    auto const body = json::parse(body_of(message));
+    auto const fencing = body.at("fencing_token").get<std::uint64_t>();
+    if (fencing < at.fencing)
+    {
+        answer(message, SOUP_STATUS_PRECONDITION_FAILED, json::object());
+        return;
+    }
+    at.fencing = fencing;
+    if (body.value("expected", at.orders) != at.orders)
+    {
+        answer(message, SOUP_STATUS_CONFLICT, json::object());
+        return;
+    }
+    ++at.orders;
+    at.weights["m"] = body.at("version").get<std::uint32_t>();
+    answer(message, SOUP_STATUS_ACCEPTED, json::object());
+}
+
+} // namespace
+
+void serve_upstream(site& self, site_upstream& at, SoupServerMessage* message)
+{
+    auto const path = path_of(message);
+    if (path == "/-/report")
+    {
+        answer(message, SOUP_STATUS_OK, {{"seq", at.orders}});
+        return;
+    }
+    if (path == "/-/order")
+    {
+        take_order(at, message);
+        announce(self, at);
+        return;
+    }
+    auto const id = header(message, "Attempt-Id");
+    set_header(message, "Attempt-Id", id);
+    if (header(message, "Expect-Instance") != at.id)
+    {
+        refuse(message, SOUP_STATUS_MISDIRECTED_REQUEST);
+        return;
+    }
+    auto const expected = header(message, "Expect-Version");
+    if (!expected.empty() && expected != std::to_string(at.weights.at("m")))
+    {
+        refuse(message, SOUP_STATUS_MISDIRECTED_REQUEST);
+        return;
+    }
+    if (at.refuses)
+    {
+        ++at.refused;
+        refuse(message, SOUP_STATUS_SERVICE_UNAVAILABLE);
+        return;
+    }
+    ++self.runs[id];
+    self.teams[id] = header(message, "Tenant");
+    if (at.silent)
+    {
+        soup_server_message_pause(message);
+        return;
+    }
+    set_header(message, "Server-Stamp", "stamp-" + id);
+    if (at.is_engine)
+    {
+        start_stream(self, at, message);
+        return;
+    }
+    answer(message, SOUP_STATUS_OK, {{"echo", body_of(message)}});
+}
+
+void announce(site& self, site_upstream const& which)
+{
+    auto models = json::array();
+    if (which.is_engine)
+    {
+        for (auto const& [name, version] : which.weights)
+        {
+            models.push_back({{"name", name}, {"version", version}});
+        }
+    }
+    json const entry = {{"service", which.service},
+                        {"address", fmt::format("127.0.0.1:{}", which.port)},
+                        {"zone", "krapina"},
+                        {"version", "v1"},
+                        {"slots", 8},
+                        {"state", "ready"},
+                        {"cold_remaining_ms", 0},
+                        {"models", models},
+                        {"seq", 1},
+                        {"born", 1}};
+    self.values["servers/" + which.id] = {entry.dump(), ++self.revision, 0};
+}
+
+} // namespace gooseberrywood::test
