--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -101,7 +101,8 @@
         bool const known = version >= need.least_version;
         // The list tells of new weights up to two seconds late. An upstream that follows the model
         // may hold the version already; one sample finds out.
-        bool const may_follow = version + 1 == need.least_version && one.unanswered == 0;
+        bool const may_follow = version + 1 == need.least_version && one.unanswered == 0 &&
+                                now >= one.ask_weights_at;
         if (!known && !may_follow)
         {
             continue;
--- a/src/fleet/pool.cpp
+++ b/src/fleet/pool.cpp
@@ -20,6 +20,9 @@
 // A full upstream has a place again after about one request.
 constexpr base::duration full_pause = std::chrono::milliseconds(50);
 
+// A load takes about a second, and an upstream that follows another model never has the weights.
+constexpr base::duration ask_weights_pause = std::chrono::milliseconds(1000);
+
 // Slow phases of upstreams last some seconds.
 constexpr base::duration speed_lifetime = std::chrono::seconds(3);
 
@@ -197,6 +200,14 @@
     }
 }
 
+void note_weights_missing(pool& in, std::string_view id, base::mono_time now)
+{
+    if (auto* const found = find_upstream(in, id))
+    {
+        found->ask_weights_at = now + ask_weights_pause;
+    }
+}
+
 void note_sample_runs(pool& in, std::string_view id)
 {
     if (auto* const found = find_upstream(in, id))
--- a/src/fleet/pool.hpp
+++ b/src/fleet/pool.hpp
@@ -84,6 +84,10 @@
 /// don't all learn the same.
 void note_sample_refused(pool& in, std::string_view id, base::mono_time now);
 
+/// \ingroup fleet
+/// \brief The upstream does not hold the weights that a sample expected.
+void note_weights_missing(pool& in, std::string_view id, base::mono_time now);
+
 /// \ingroup fleet
 /// \brief The upstream runs a sample.
 void note_sample_runs(pool& in, std::string_view id);
--- a/src/fleet/upstream.hpp
+++ b/src/fleet/upstream.hpp
@@ -29,6 +29,8 @@
     base::mono_time loading_until{};
     /// Its last answer to a sample was a refusal; it gets one sample at a time until one runs.
     bool on_probation = false;
+    /// Not asked before this whether it holds weights that the list does not show.
+    base::mono_time ask_weights_at{};
     /// Samples that were sent and have no answer yet.
     std::uint32_t unanswered = 0;
     /// Budget of a cold upstream: what may be sent at once.
--- a/src/gateway/sample_run.hpp
+++ b/src/gateway/sample_run.hpp
@@ -22,6 +22,8 @@
     std::string upstream;
     std::shared_ptr<http::call> call;
     platform::event_stream stream;
+    /// Version of the weights that the upstream was told to have; 0 for any.
+    std::uint32_t expected_version = 0;
     /// Version of the weights of the events that come now.
     std::uint32_t version = 0;
     /// The head of the answer has come.
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -147,7 +147,14 @@
     auto const& run = self.runs.at(number);
     auto const now = base::mono_now();
     log_run("run_refused", run, *place_of(self, run), "the upstream did not run it", status);
-    fleet::note_sample_refused(self.pool, run.upstream, now);
+    if (status == status_misdirected && run.expected_version != 0)
+    {
+        fleet::note_weights_missing(self.pool, run.upstream, now);
+    }
+    else
+    {
+        fleet::note_sample_refused(self.pool, run.upstream, now);
+    }
     end_run(self, number, refused_pause);
 }
 
@@ -291,6 +298,7 @@
     run.job_id = job.record.id;
     run.index = index;
     run.upstream = chosen.id;
+    run.expected_version = chosen.expected_version;
     run.started_at = now;
     run.silent_at = now + first_event_timeout;
     platform::upstream_target const to{
--- a/test/fleet_choose_test.cpp
+++ b/test/fleet_choose_test.cpp
@@ -145,6 +145,17 @@
             }
             CHECK_FALSE(fleet::choose_sample(pool, in, need_of(4), at_ms(0)).has_value());
         }
+        THEN("not again for a while once it has said no, and it keeps its places for other samples")
+        {
+            // Guards against asking upstreams that follow another model again and again.
+            for (auto const* id : {"a", "b", "c"})
+            {
+                fleet::note_weights_missing(pool, id, at_ms(0));
+            }
+            CHECK_FALSE(fleet::choose_sample(pool, in, need_of(4), at_ms(500)).has_value());
+            CHECK(fleet::choose_sample(pool, in, need_of(3), at_ms(500)).has_value());
+            CHECK(fleet::choose_sample(pool, in, need_of(4), at_ms(1500)).has_value());
+        }
         THEN("those that lag further are not asked")
         {
             CHECK_FALSE(fleet::choose_sample(pool, in, need_of(5), at_ms(0)).has_value());
