Hand over whole texts and results that are not stored yet

The hand-over stores results that are not listed and marks texts that are whole; the next owner only scores those.

--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "base/log.hpp"
 #include "gateway/result_writer.hpp"
+#include "gateway/reward_runner.hpp"
 #include "gateway/sample_runner.hpp"
 #include "platform/batch_calls.hpp"
 #include "rollout/result_chunk.hpp"
@@ -147,7 +148,15 @@
                    {{"job", record.id},
                     {"listed", static_cast<std::int64_t>(job.listed.size())},
                     {"resumed", static_cast<std::int64_t>(stored.progress.size())}});
-    self.jobs.insert_or_assign(record.id, std::move(job));
+    auto& running = self.jobs.insert_or_assign(record.id, std::move(job)).first->second;
+    for (std::size_t i = 0; i < running.samples.size(); ++i)
+    {
+        auto const& sample = running.samples[i];
+        if (sample.complete && sample.phase == rollout::sample_phase::waiting)
+        {
+            score_sample(self, running, i);
+        }
+    }
     dispatch_samples(self);
 }
 
@@ -193,6 +202,42 @@
                           });
 }
 
+void write_chunk(store::transaction& into, std::string const& id, std::size_t position,
+                 std::vector<rollout::sample_result> const& results)
+{
+    if (!results.empty())
+    {
+        into.writes.push_back(
+            {rollout::result_key(id, position), rollout::encode_results(results), 0});
+    }
+}
+
+/// Leaves everything that is known of a job in the store and gives up the ownership.
+store::transaction hand_over_write(owned_job const& job)
+{
+    auto const& id = job.record.id;
+    rollout::saved_progress left;
+    for (auto const& [sample_id, index] : job.index_by_id)
+    {
+        if (rollout::has_unfinished_text(job.samples[index]))
+        {
+            left[sample_id] = job.samples[index];
+        }
+    }
+    store::transaction write;
+    write.expected.push_back({rollout::owner_key(id), job.owner_revision});
+    // The same as in a write of them that may still be under way.
+    write_chunk(write, id, job.listed.size(), job.writing);
+    write_chunk(write, id, job.listed.size() + job.writing.size(), job.finished);
+    write.writes.push_back({rollout::progress_key(id), rollout::encode_progress(left), 0});
+    write.removals.push_back(rollout::owner_key(id));
+    base::log_line(base::log_level::info, "job_handed_over",
+                   {{"job", id},
+                    {"unlisted", static_cast<std::int64_t>(job.writing.size() + job.finished.size())},
+                    {"unfinished", static_cast<std::int64_t>(left.size())}});
+    return write;
+}
+
 /// Position of this process in the order in which processes take over a job.
 std::int64_t claim_rank(gateway const& self, std::string const& id)
 {
@@ -358,23 +403,8 @@
     auto const deadline = base::mono_now() + store_timeout;
     for (auto& [id, job] : self.jobs)
     {
-        rollout::saved_progress left;
-        for (auto const& [sample_id, index] : job.index_by_id)
-        {
-            auto const& sample = job.samples[index];
-            if (sample.events > 0 && sample.phase == rollout::sample_phase::running)
-            {
-                left[sample_id] = sample;
-            }
-        }
         cancel_runs(self, id);
-        store::transaction write;
-        write.expected.push_back({rollout::owner_key(id), job.owner_revision});
-        write.writes.push_back({rollout::progress_key(id), rollout::encode_progress(left), 0});
-        write.removals.push_back(rollout::owner_key(id));
-        base::log_line(base::log_level::info, "job_handed_over",
-                       {{"job", id}, {"unfinished", static_cast<std::int64_t>(left.size())}});
-        self.store.commit_all(write, deadline, one_done);
+        self.store.commit_all(hand_over_write(job), deadline, one_done);
     }
     self.jobs.clear();
 }
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -125,8 +125,8 @@
     for (auto const& [id, index] : job.index_by_id)
     {
         auto const& sample = job.samples[index];
-        bool const is_long = sample.phase == rollout::sample_phase::running &&
-                             sample.events >= least_events_to_save;
+        bool const is_long =
+            rollout::has_unfinished_text(sample) && sample.events >= least_events_to_save;
         if (is_long && bytes + sample.text.size() < max_chunk_bytes)
         {
             bytes += sample.text.size();
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -268,6 +268,7 @@
         return;
     }
     log_run("run_complete", run, *place, "", status_ok);
+    place->progress->complete = true;
     auto const index = run.index;
     auto& job = *place->job;
     end_run(self, number, {});
--- a/src/rollout/sample_progress.cpp
+++ b/src/rollout/sample_progress.cpp
@@ -20,12 +20,18 @@
     return true;
 }
 
+bool has_unfinished_text(sample_progress const& of)
+{
+    return of.events > 0 && of.phase < sample_phase::finished;
+}
+
 void restart(sample_progress& of)
 {
     of.text.clear();
     of.events = 0;
     of.last_event_id.reset();
     of.versions.clear();
+    of.complete = false;
 }
 
 } // namespace gooseberrywood::rollout
--- a/src/rollout/sample_progress.hpp
+++ b/src/rollout/sample_progress.hpp
@@ -39,6 +39,8 @@
     /// Id of the last event in the text.
     std::optional<std::int64_t> last_event_id;
     std::set<std::uint32_t> versions;
+    /// The text is whole; only its score is missing.
+    bool complete = false;
     /// Answers that count as failed attempts.
     std::uint32_t failed_runs = 0;
     std::uint32_t failed_rewards = 0;
@@ -55,6 +57,10 @@
 [[nodiscard]] bool append_event(sample_progress& to, stream_event const& event,
                                 std::uint32_t version);
 
+/// \ingroup rollout
+/// \brief Whether the sample has text that a next owner of its job can go on from.
+[[nodiscard]] bool has_unfinished_text(sample_progress const& of);
+
 /// \ingroup rollout
 /// \brief Discards the text, so that the next run starts at the beginning.
 void restart(sample_progress& of);
--- a/src/rollout/saved_progress.cpp
+++ b/src/rollout/saved_progress.cpp
@@ -19,6 +19,7 @@
             {"events", from.events},
             {"last_event_id", from.last_event_id.value_or(0)},
             {"versions", from.versions},
+            {"complete", from.complete},
             {"failed_runs", from.failed_runs},
             {"failed_rewards", from.failed_rewards}};
 }
@@ -46,10 +47,11 @@
     auto text = base::read_text(from, "text");
     auto const events = base::read_unsigned(from, "events");
     auto const last = base::read_unsigned(from, "last_event_id");
+    auto const complete = base::read_flag(from, "complete");
     auto const failed_runs = base::read_unsigned(from, "failed_runs");
     auto const failed_rewards = base::read_unsigned(from, "failed_rewards");
     sample_progress progress;
-    if (!text || !events || !last || !failed_runs || !failed_rewards ||
+    if (!text || !events || !last || !complete || !failed_runs || !failed_rewards ||
         !read_versions(from, progress.versions))
     {
         return std::nullopt;
@@ -60,6 +62,7 @@
     {
         progress.last_event_id = static_cast<std::int64_t>(*last);
     }
+    progress.complete = *complete;
     progress.failed_runs = static_cast<std::uint32_t>(*failed_runs);
     progress.failed_rewards = static_cast<std::uint32_t>(*failed_rewards);
     return progress;
--- a/test/process/gateway_test.cpp
+++ b/test/process/gateway_test.cpp
@@ -138,6 +138,29 @@
             CHECK(wait_exit(*service.gateways[0].program) == 0);
         }
     }
+    WHEN("the owner is told to stop while whole texts wait for their scores")
+    {
+        // Guards against texts that are dropped between their last event and their score.
+        set_site(service, "upstream", {{"id", "desk-0"}, {"refuses", true}});
+        set_site(service, "upstream", {{"id", "desk-1"}, {"refuses", true}});
+        REQUIRE(submit(service.gateways[0], "late", {60, 60}) == 202);
+        (void)wait_event(*service.gateways[0].program, "run_complete",
+                         [](json const& line) { return line.at("job") == "late"; });
+        auto const runs = site_state(service).at("runs").value("late-s0", 0) +
+                          site_state(service).at("runs").value("late-s1", 0);
+        send_signal(*service.gateways[0].program, SIGTERM);
+        (void)wait_event(*service.gateways[1].program, "job_taken_over",
+                         [](json const& line) { return line.at("job") == "late"; });
+        set_site(service, "upstream", {{"id", "desk-0"}, {"refuses", false}});
+        set_site(service, "upstream", {{"id", "desk-1"}, {"refuses", false}});
+        THEN("they are scored by the next owner and not generated again")
+        {
+            check_whole(wait_results(service.gateways[1], "late", 2), "late", {60, 60});
+            auto const state = site_state(service);
+            CHECK(state.at("runs").value("late-s0", 0) + state.at("runs").value("late-s1", 0) <=
+                  runs + 1);
+        }
+    }
     WHEN("the owner is paused for longer than its lease and wakes again")
     {
         send_signal(*service.gateways[0].program, SIGSTOP);
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -100,6 +100,9 @@
     }
     WHEN("an owner leaves it to the next")
     {
+        progress.complete = true;
+        progress.phase = rollout::sample_phase::scoring;
+        CHECK(rollout::has_unfinished_text(progress));
         auto const left = rollout::decode_progress(rollout::encode_progress({{"id", progress}}));
         THEN("the next goes on after the last event")
         {
@@ -107,6 +110,7 @@
             CHECK(left->at("id").text == "a\nb");
             CHECK(left->at("id").last_event_id == 2);
             CHECK(left->at("id").versions == progress.versions);
+            CHECK(left->at("id").complete);
             CHECK(left->at("id").phase == rollout::sample_phase::waiting);
         }
     }
