Take over free jobs at once

Cause: after a kill of all processes, or a hand-over, a job stood still for up to one reading interval (0.7 s) and another one per rank of its claimant.

--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -190,8 +190,8 @@
 
 void claim(gateway& self, rollout::job_record const& record)
 {
-    // Not tried again before the next review has shown what became of it.
-    self.shared.orphaned_since.erase(record.id);
+    // Not tried again before a later review has shown what became of it.
+    self.shared.orphaned_since[record.id] = base::mono_now() + store_timeout;
     self.store.commit_all(claim_write(self, record.id), base::mono_now() + store_timeout,
                           [&self, record](base::result<store::commit> const& outcome)
                           {
@@ -371,6 +371,8 @@
     {
         review_job(self, stored, now);
     }
+    std::erase_if(self.shared.orphaned_since,
+                  [&](auto const& one) { return !self.shared.records.contains(one.first); });
     std::erase_if(self.caches, [&](auto const& one) { return now >= one.second.drop_at; });
 }
 
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/job_ownership.hpp"
 #include "gateway/leadership.hpp"
+#include "gateway/refresh.hpp"
 #include "lease/drift_margin.hpp"
 #include "rollout/store_keys.hpp"
 
@@ -17,9 +18,9 @@
 {
 
 // A dead owner's jobs stand still for this long; a pause of the store up to it changes nothing.
-constexpr base::duration lease_length = std::chrono::milliseconds(2500);
-constexpr base::duration renew_interval = std::chrono::milliseconds(600);
-constexpr base::duration call_timeout = std::chrono::milliseconds(1000);
+constexpr base::duration lease_length = std::chrono::milliseconds(2000);
+constexpr base::duration renew_interval = std::chrono::milliseconds(500);
+constexpr base::duration call_timeout = std::chrono::milliseconds(800);
 constexpr base::duration tick = std::chrono::milliseconds(150);
 
 base::mono_time deadline_of_lease(base::mono_time sent_at)
@@ -32,7 +33,8 @@
 {
     base::log_line(base::log_level::info, "earlier_lease_ended",
                    {{"lease", static_cast<std::int64_t>(lease)}});
-    self.store.revoke(lease, base::mono_now() + call_timeout, [](auto const&) {});
+    self.store.revoke(lease, base::mono_now() + call_timeout,
+                      [&self](auto const&) { refresh_shared_now(self); });
 }
 
 /// The lease that a member's entry names, if it is not the current one.
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -25,6 +25,8 @@
 constexpr base::duration listing_interval = std::chrono::milliseconds(1200);
 // Jobs without an owner stand still until this read finds them.
 constexpr base::duration shared_interval = std::chrono::milliseconds(700);
+// While there are such jobs, processes claim them one after the other.
+constexpr base::duration orphan_interval = std::chrono::milliseconds(150);
 constexpr base::duration retry_interval = std::chrono::milliseconds(200);
 constexpr base::duration call_timeout = std::chrono::milliseconds(1500);
 
@@ -45,7 +47,7 @@
 struct poll_plan
 {
     std::string_view prefix;
-    base::duration interval{};
+    std::function<base::duration()> interval;
     std::function<void(items const&, base::mono_time sent_at)> take;
 };
 
@@ -80,7 +82,7 @@
                             plan.take(*read, sent_at);
                             with.confirmed_at = sent_at;
                         }
-                        poll_again(self, with, plan, read ? plan.interval : retry_interval);
+                        poll_again(self, with, plan, read ? plan.interval() : retry_interval);
                     });
 }
 
@@ -196,21 +198,39 @@
     review_leader(self);
 }
 
+base::duration listing_pause()
+{
+    return listing_interval;
+}
+
+poll_plan shared_plan(gateway& self)
+{
+    return {rollout::shared_prefix,
+            [&self]
+            {
+                return self.shared.orphaned_since.empty() ? shared_interval : orphan_interval;
+            },
+            [&self](items const& read, base::mono_time sent_at)
+            { take_shared(self, read, sent_at); }};
+}
+
 } // namespace
 
 void start_refresh(gateway& self)
 {
     poll(self, self.operator_poller,
-         {platform::store_keys::operator_prefix, listing_interval,
+         {platform::store_keys::operator_prefix, listing_pause,
           [&self](items const& read, base::mono_time) { take_operator_state(self, read); }});
     poll(self, self.upstream_poller,
-         {platform::store_keys::upstream_prefix, listing_interval,
+         {platform::store_keys::upstream_prefix, listing_pause,
           [&self](items const& read, base::mono_time sent_at)
           { take_upstreams(self, read, sent_at); }});
-    poll(self, self.shared_poller,
-         {rollout::shared_prefix, shared_interval,
-          [&self](items const& read, base::mono_time sent_at)
-          { take_shared(self, read, sent_at); }});
+    poll(self, self.shared_poller, shared_plan(self));
+}
+
+void refresh_shared_now(gateway& self)
+{
+    poll_again(self, self.shared_poller, shared_plan(self), {});
 }
 
 bool may_trust_keys(gateway const& self, base::mono_time now)
--- a/src/gateway/refresh.hpp
+++ b/src/gateway/refresh.hpp
@@ -10,6 +10,10 @@
 /// \brief Starts to read the operator's entries, the list of upstreams and the shared entries.
 void start_refresh(gateway& self);
 
+/// \ingroup gateway
+/// \brief Reads the shared entries now instead of at the next turn.
+void refresh_shared_now(gateway& self);
+
 /// \ingroup gateway
 /// \brief Whether the configuration is fresh enough for requests that need a key: one that was
 /// withdrawn in the meantime must not work.
