--- a/src/base/json_fields.cpp
+++ b/src/base/json_fields.cpp
@@ -79,9 +79,9 @@
 {
     std::string bytes(text.size(), '\0');
     std::size_t size = 0;
-    int const failed = sodium_base642bin(
-        reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(), text.size(),
-        nullptr, &size, nullptr, sodium_base64_VARIANT_ORIGINAL);
+    int const failed =
+        sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(),
+                          text.size(), nullptr, &size, nullptr, sodium_base64_VARIANT_ORIGINAL);
     if (failed != 0)
     {
         return std::nullopt;
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -6,8 +6,11 @@
 #include <nlohmann/json.hpp>
 
 #include <climits>
+#include <map>
+#include <optional>
 #include <poll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace gooseberrywood::base
 {
@@ -35,6 +38,43 @@
 
 // Lines that were not written since the last one that was.
 std::uint64_t dropped_lines = 0;
+std::uint64_t all_dropped_lines = 0;
+
+/// Lines of one event in the current second.
+struct event_rate
+{
+    std::int64_t second = 0;
+    std::uint32_t written = 0;
+    std::uint32_t left_out = 0;
+};
+
+std::map<std::string, event_rate, std::less<>> event_rates;
+
+/// \returns how many lines of the event were left out before this one, or nothing when it is left
+/// out too.
+std::optional<std::uint32_t> admit(std::string_view event)
+{
+    constexpr std::int64_t micros_per_second = 1'000'000;
+    auto at = event_rates.find(event);
+    if (at == event_rates.end())
+    {
+        at = event_rates.emplace(event, event_rate{}).first;
+    }
+    auto& rate = at->second;
+    auto const second = micros(mono_now()) / micros_per_second;
+    if (rate.second != second)
+    {
+        rate.second = second;
+        rate.written = 0;
+    }
+    if (rate.written >= max_lines_per_event)
+    {
+        ++rate.left_out;
+        return std::nullopt;
+    }
+    ++rate.written;
+    return std::exchange(rate.left_out, 0U);
+}
 
 /// A pipe that is writable takes this much without blocking.
 constexpr std::size_t most_at_once = PIPE_BUF;
@@ -57,6 +97,7 @@
         write(STDOUT_FILENO, line.data(), line.size()) != static_cast<ssize_t>(line.size()))
     {
         ++dropped_lines;
+        ++all_dropped_lines;
         return;
     }
     if (dropped_lines > 0 && is_writable())
@@ -72,6 +113,11 @@
 
 } // namespace
 
+std::uint64_t dropped_log_lines()
+{
+    return all_dropped_lines;
+}
+
 void set_log_level(log_level lowest)
 {
     lowest_level = lowest;
@@ -111,6 +157,20 @@
     {
         return;
     }
+    if (level == log_level::info)
+    {
+        auto const left_out = admit(event);
+        if (!left_out)
+        {
+            return;
+        }
+        if (*left_out > 0)
+        {
+            write_line(format_log_line(micros(wall_now()), level, "log_lines_left_out",
+                                       {{"of", event}, {"count", std::int64_t{*left_out}}}) +
+                       '\n');
+        }
+    }
     write_line(format_log_line(micros(wall_now()), level, event, fields) + '\n');
 }
 
--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -30,6 +30,15 @@
     std::variant<std::string_view, std::int64_t, result_code> value;
 };
 
+/// \ingroup base
+/// \brief Lines that the output did not take, since the start.
+[[nodiscard]] std::uint64_t dropped_log_lines();
+
+/// \ingroup base
+/// \brief Most lines a second of one event at level `info`; further ones are left out, and the next
+/// one that is written tells how many were.
+inline constexpr std::uint32_t max_lines_per_event = 100;
+
 /// \ingroup base
 /// \brief Sets the lowest level that is written. The start value is `info`.
 void set_log_level(log_level lowest);
@@ -43,10 +52,10 @@
                                           std::initializer_list<log_field> fields);
 
 /// \ingroup base
-/// \brief Writes one JSON object and a line end to standard output. It never blocks: a line that the
-/// output does not take at once is dropped, and the next one that gets through tells how many were.
-/// \param event what happened, in snake_case.
-/// \param fields further values; they must not contain a key.
+/// \brief Writes one JSON object and a line end to standard output. It never blocks: a line that
+/// the output does not take at once is dropped, and the next one that gets through tells how many
+/// were. \param event what happened, in snake_case. \param fields further values; they must not
+/// contain a key.
 void log_line(log_level level, std::string_view event, std::initializer_list<log_field> fields);
 
 } // namespace gooseberrywood::base
--- a/src/duty/weights_plan.cpp
+++ b/src/duty/weights_plan.cpp
@@ -23,7 +23,8 @@
 // The version that every upstream starts with.
 constexpr std::uint32_t first_version = 1;
 
-/// The model that an upstream visibly follows: of those that it has loaded, the one that lags least.
+/// The model that an upstream visibly follows: of those that it has loaded, the one that lags
+/// least.
 std::string followed_model(fleet::upstream_record const& record, fleet::service const& of,
                            named_versions const& named)
 {
@@ -154,13 +155,13 @@
     std::vector<weights_order> picked;
     while (picked.size() < most && !due.empty())
     {
-        auto const best = std::min_element(
-            due.begin(), due.end(),
-            [&](due_order const& a, due_order const& b)
-            {
-                return std::pair(ordered_at[a.order.model], a.running) <
-                       std::pair(ordered_at[b.order.model], b.running);
-            });
+        auto const best =
+            std::min_element(due.begin(), due.end(),
+                             [&](due_order const& a, due_order const& b)
+                             {
+                                 return std::pair(ordered_at[a.order.model], a.running) <
+                                        std::pair(ordered_at[b.order.model], b.running);
+                             });
         ordered_at[best->order.model] = now;
         picked.push_back(std::move(best->order));
         due.erase(best);
@@ -205,9 +206,9 @@
                                (known.ordered_version < wanted || now >= known.retry_at);
         if (may_order)
         {
-            due.push_back({{id, at->second.record.address, known.model, wanted,
-                            known.accepted.value_or(0)},
-                           at->second.running});
+            due.push_back(
+                {{id, at->second.record.address, known.model, wanted, known.accepted.value_or(0)},
+                 at->second.running});
         }
     }
     auto const most = std::max(least_loading, plan.upstreams.size() / loading_share);
--- a/src/duty/weights_plan.hpp
+++ b/src/duty/weights_plan.hpp
@@ -57,11 +57,12 @@
                    named_versions const& named);
 
 /// \ingroup duty
-/// \brief The upstreams that are to be ordered now: of the models in turn, each time the least busy.
+/// \brief The upstreams that are to be ordered now: of the models in turn, each time the least
+/// busy.
 ///
-/// Load pattern: a new version every few seconds for each trainer, all of them together at the limit
-/// of what can be loaded. Few upstreams load at once, so that the others go on with their steps, and no
-/// model falls behind the others.
+/// Load pattern: a new version every few seconds for each trainer, all of them together at the
+/// limit of what can be loaded. Few upstreams load at once, so that the others go on with their
+/// steps, and no model falls behind the others.
 [[nodiscard]] std::vector<weights_order> orders_due(weights_plan const& plan,
                                                     fleet::pool const& pool,
                                                     named_versions const& named,
--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -101,8 +101,8 @@
         bool const known = version >= need.least_version;
         // The list tells of new weights up to two seconds late. An upstream that follows the model
         // may hold the version already; one sample finds out.
-        bool const may_follow = version + 1 == need.least_version && one.unanswered == 0 &&
-                                now >= one.ask_weights_at;
+        bool const may_follow =
+            version + 1 == need.least_version && one.unanswered == 0 && now >= one.ask_weights_at;
         if (!known && !may_follow)
         {
             continue;
@@ -193,8 +193,7 @@
     sample_candidate const* best = nullptr;
     for (auto const& one : candidates)
     {
-        bool const is_slow =
-            median_us > 0 && one.which->event_us > slow_factor * median_us;
+        bool const is_slow = median_us > 0 && one.which->event_us > slow_factor * median_us;
         if (one.is_known_new_enough && one.which->record.id == need.preferred && !is_slow)
         {
             return make_choice(one, need);
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -54,9 +54,8 @@
 ///
 /// Load pattern: a steady stream of short lookups beside reward calls that come in bursts when a
 /// step's samples end together.
-[[nodiscard]] std::optional<chosen_upstream> choose_plain(pool& from, configuration const& in,
-                                                          plain_need const& need,
-                                                          base::mono_time now);
+[[nodiscard]] std::optional<chosen_upstream>
+choose_plain(pool& from, configuration const& in, plain_need const& need, base::mono_time now);
 
 /// \ingroup fleet
 /// \brief Chooses an upstream for a sample: the group's upstream while it has a free slot and is
@@ -64,14 +63,13 @@
 ///
 /// Load pattern: a step of a trainer arrives at once, a multiple of the free slots, while some
 /// upstreams are slow, cold or load weights.
-[[nodiscard]] std::optional<chosen_upstream> choose_sample(pool& from, configuration const& in,
-                                                           sample_need const& need,
-                                                           base::mono_time now);
+[[nodiscard]] std::optional<chosen_upstream>
+choose_sample(pool& from, configuration const& in, sample_need const& need, base::mono_time now);
 
 /// \ingroup fleet
-/// \brief Whether a sample that runs on an upstream should go on elsewhere: the upstream is slow and
-/// another one is at least twice as fast. The prompt and the text so far are read again there, which
-/// takes far less time than a few slow events.
+/// \brief Whether a sample that runs on an upstream should go on elsewhere: the upstream is slow
+/// and another one is at least twice as fast. The prompt and the text so far are read again there,
+/// which takes far less time than a few slow events.
 ///
 /// Load pattern: some upstreams turn several times slower while the longest samples of a step run.
 [[nodiscard]] bool should_leave(pool& from, configuration const& in, std::string_view upstream,
--- a/src/fleet/configuration.cpp
+++ b/src/fleet/configuration.cpp
@@ -84,9 +84,9 @@
 
 std::string const& service_of(route const& which, std::string_view request_id)
 {
-    auto const total = std::accumulate(which.services.begin(), which.services.end(), 0.0,
-                                       [](double sum, service_share const& one)
-                                       { return sum + one.weight; });
+    auto const total =
+        std::accumulate(which.services.begin(), which.services.end(), 0.0,
+                        [](double sum, service_share const& one) { return sum + one.weight; });
     auto const fraction = static_cast<double>(base::hash64(request_id)) /
                           static_cast<double>(std::numeric_limits<std::uint64_t>::max());
     double left = fraction * total;
--- a/src/gateway/answer_caller.cpp
+++ b/src/gateway/answer_caller.cpp
@@ -1,6 +1,9 @@
 #include "gateway/answer_caller.hpp"
 
+#include "base/log.hpp"
+#include "gateway/measure.hpp"
 #include "http/error_answer.hpp"
+#include "platform/words.hpp"
 
 #include <fmt/format.h>
 
@@ -14,28 +17,40 @@
 
 constexpr std::uint16_t service_unavailable = 503;
 
-void answer(http::exchange& to, std::uint16_t status, base::error const& why,
+void answer(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why,
             std::vector<http::header> const& headers)
 {
+    auto const id = http::request_header(to, platform::header_names::attempt_id).value_or("");
+    base::log_line(
+        base::log_level::info, "answered_with_error",
+        {{"request", id},
+         {"path", to.path},
+         {"status", std::int64_t{status}},
+         {"code", why.code},
+         {"reason", why.message},
+         {"configuration",
+          static_cast<std::int64_t>(self.configuration ? self.configuration->version : 0)},
+         {"configuration_age_us", (base::mono_now() - self.operator_poller.confirmed_at).count()}});
+    count_error(self, info(why.code).name);
     http::respond(to, status, "application/json", http::error_json(why), headers);
 }
 
 } // namespace
 
-void refuse(http::exchange& to, base::error const& why, base::duration come_back)
+void refuse(gateway& self, http::exchange& to, base::error const& why, base::duration come_back)
 {
     auto const seconds = std::chrono::duration<double>(come_back).count();
-    answer(to, service_unavailable, why, {{"Retry-After", fmt::format("{:.3f}", seconds)}});
+    answer(self, to, service_unavailable, why, {{"Retry-After", fmt::format("{:.3f}", seconds)}});
 }
 
-void fail_request(http::exchange& to, std::uint16_t status, base::error const& why)
+void fail_request(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why)
 {
-    answer(to, status, why, {});
+    answer(self, to, status, why, {});
 }
 
-void reject(http::exchange& to, std::uint16_t status, base::error const& why)
+void reject(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why)
 {
-    answer(to, status, why, {});
+    answer(self, to, status, why, {});
 }
 
 } // namespace gooseberrywood::gateway
--- a/src/gateway/answer_caller.hpp
+++ b/src/gateway/answer_caller.hpp
@@ -3,6 +3,7 @@
 
 #include "base/error.hpp"
 #include "base/time.hpp"
+#include "gateway/gateway.hpp"
 #include "http/exchange.hpp"
 
 #include <cstdint>
@@ -12,17 +13,17 @@
 {
 
 /// \ingroup gateway
-/// \brief Refuses a request that has not run and never will.
-/// \param come_back when the caller should try again.
-void refuse(http::exchange& to, base::error const& why, base::duration come_back);
+/// \brief Refuses a request that has not run and never will. Like the functions below, it writes a
+/// log line and counts the answer. \param come_back when the caller should try again.
+void refuse(gateway& self, http::exchange& to, base::error const& why, base::duration come_back);
 
 /// \ingroup gateway
 /// \brief Answers with an error that promises nothing about whether the request ran.
-void fail_request(http::exchange& to, std::uint16_t status, base::error const& why);
+void fail_request(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why);
 
 /// \ingroup gateway
 /// \brief Answers that the request itself is wrong.
-void reject(http::exchange& to, std::uint16_t status, base::error const& why);
+void reject(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why);
 
 } // namespace gooseberrywood::gateway
 
--- a/src/gateway/batch_callers.cpp
+++ b/src/gateway/batch_callers.cpp
@@ -46,14 +46,14 @@
     http::respond(to, status, "application/json", "{}");
 }
 
-void answer_unsure(http::exchange& to, base::error const& why)
+void answer_unsure(gateway& self, http::exchange& to, base::error const& why)
 {
-    refuse(to, {result_code::store_unavailable, why.message}, come_back);
+    refuse(self, to, {result_code::store_unavailable, why.message}, come_back);
 }
 
-void answer_missing(http::exchange& to)
+void answer_missing(gateway& self, http::exchange& to)
 {
-    reject(to, not_found, {result_code::not_found, "there is no such batch job"});
+    reject(self, to, not_found, {result_code::not_found, "there is no such batch job"});
 }
 
 /// Calls a function with the job's record, from memory or the store; answers if there is none.
@@ -65,29 +65,29 @@
     {
         if (known->second.record.team != team)
         {
-            answer_missing(*from);
+            answer_missing(self, *from);
             return;
         }
         then(known->second);
         return;
     }
-    self.store.read(rollout::record_key(id), base::mono_now() + store_timeout,
-                    [from, id, team, then](base::result<std::optional<store::item>> const& read)
-                    {
-                        if (!read)
-                        {
-                            answer_unsure(*from, read.error());
-                            return;
-                        }
-                        auto record = *read ? rollout::decode_job_record(id, (*read)->value)
-                                            : std::nullopt;
-                        if (!record || record->team != team)
-                        {
-                            answer_missing(*from);
-                            return;
-                        }
-                        then({std::move(*record), (*read)->revision});
-                    });
+    self.store.read(
+        rollout::record_key(id), base::mono_now() + store_timeout,
+        [&self, from, id, team, then](base::result<std::optional<store::item>> const& read)
+        {
+            if (!read)
+            {
+                answer_unsure(self, *from, read.error());
+                return;
+            }
+            auto record = *read ? rollout::decode_job_record(id, (*read)->value) : std::nullopt;
+            if (!record || record->team != team)
+            {
+                answer_missing(self, *from);
+                return;
+            }
+            then({std::move(*record), (*read)->revision});
+        });
 }
 
 // Submission.
@@ -128,12 +128,11 @@
     auto const key = rollout::record_key(what.record.id);
     auto const at = std::find_if(current.begin(), current.end(),
                                  [&](store::item const& one) { return one.key == key; });
-    auto const record = at != current.end()
-                            ? rollout::decode_job_record(what.record.id, at->value)
-                            : std::nullopt;
+    auto const record =
+        at != current.end() ? rollout::decode_job_record(what.record.id, at->value) : std::nullopt;
     if (!record || record->team != what.record.team)
     {
-        reject(*what.from, bad_request,
+        reject(self, *what.from, bad_request,
                {result_code::duplicate_attempt, "the id of the batch job is taken"});
         return;
     }
@@ -148,7 +147,7 @@
                    {{"job", what->record.id}, {"code", why.code}, {"reason", why.message}});
     if (why.code != result_code::store_outcome_unknown && what->tries == 1)
     {
-        answer_unsure(*what->from, why);
+        answer_unsure(self, *what->from, why);
         return;
     }
     if (what->tries < most_tries)
@@ -157,7 +156,7 @@
                                [&self, what] { send_submission(self, what); });
         return;
     }
-    fail_request(*what->from, gateway_timeout, why);
+    fail_request(self, *what->from, gateway_timeout, why);
 }
 
 void on_submitted(gateway& self, shared_submission const& what,
@@ -237,12 +236,12 @@
             auto& known = self.caches[id];
             if (read && !extend_cache(known, *read))
             {
-                answer_unsure(*from, {result_code::internal, "stored results can't be read"});
+                answer_unsure(self, *from, {result_code::internal, "stored results can't be read"});
                 return;
             }
             if (!read && known.results.size() <= from_position)
             {
-                answer_unsure(*from, read.error());
+                answer_unsure(self, *from, read.error());
                 return;
             }
             answer_results(*from, total, from_position, known.results);
@@ -260,21 +259,21 @@
         return;
     }
     with_record(self, from, call.job_id, team,
-                [&self, from, call](stored_record const& found)
-                {
+                [&self, from, call](stored_record const& found) {
                     read_stored_results(self, from, call.job_id, found.record.samples,
                                         call.from_position);
                 });
 }
 
-void answer_body(http::exchange& to, rollout::batch_job const& job, std::string const& sample_id)
+void answer_body(gateway& self, http::exchange& to, rollout::batch_job const& job,
+                 std::string const& sample_id)
 {
-    auto const at = std::find_if(job.samples.begin(), job.samples.end(),
-                                 [&](rollout::sample_spec const& one)
-                                 { return one.id == sample_id; });
+    auto const at =
+        std::find_if(job.samples.begin(), job.samples.end(),
+                     [&](rollout::sample_spec const& one) { return one.id == sample_id; });
     if (at == job.samples.end())
     {
-        reject(to, not_found, {result_code::not_found, "the batch job has no such item"});
+        reject(self, to, not_found, {result_code::not_found, "the batch job has no such item"});
         return;
     }
     http::respond(to, ok, "application/octet-stream", at->body);
@@ -286,21 +285,21 @@
     auto const own = self.jobs.find(call.job_id);
     if (own != self.jobs.end() && own->second.record.team == team)
     {
-        answer_body(*from, own->second.spec, call.sample_id);
+        answer_body(self, *from, own->second.spec, call.sample_id);
         return;
     }
     with_record(self, from, call.job_id, team,
                 [&self, from, call](stored_record const&)
                 {
                     load_spec(self, call.job_id,
-                              [from, call](base::result<rollout::batch_job> const& spec)
+                              [&self, from, call](base::result<rollout::batch_job> const& spec)
                               {
                                   if (!spec)
                                   {
-                                      answer_unsure(*from, spec.error());
+                                      answer_unsure(self, *from, spec.error());
                                       return;
                                   }
-                                  answer_body(*from, *spec, call.sample_id);
+                                  answer_body(self, *from, *spec, call.sample_id);
                               });
                 });
 }
@@ -335,11 +334,10 @@
 {
     if (what->tries >= most_tries)
     {
-        fail_request(*what->from, gateway_timeout, why);
+        fail_request(self, *what->from, gateway_timeout, why);
         return;
     }
-    what->timer =
-        base::at(base::mono_now() + retry_pause, [&self, what] { send_end(self, what); });
+    what->timer = base::at(base::mono_now() + retry_pause, [&self, what] { send_end(self, what); });
 }
 
 void send_end(gateway& self, std::shared_ptr<ending> const& what)
@@ -370,7 +368,7 @@
                                      : rollout::decode_job_record(id, outcome->current[0].value);
             if (!current)
             {
-                answer_missing(*what->from);
+                answer_missing(self, *what->from);
                 return;
             }
             what->found = {*current, outcome->current[0].revision};
@@ -410,7 +408,7 @@
     auto spec = platform::decode_batch_job(from->body);
     if (!spec || head.request_id.empty())
     {
-        reject(*from, bad_request,
+        reject(self, *from, bad_request,
                spec ? base::error{result_code::bad_request, "the batch job has no id"}
                     : spec.error());
         return;
@@ -423,12 +421,12 @@
     }
     if (!has_lease(self, base::mono_now()) || self.stopping)
     {
-        answer_unsure(*from, {result_code::store_unavailable, "this entry has no lease"});
+        answer_unsure(self, *from, {result_code::store_unavailable, "this entry has no lease"});
         return;
     }
     auto const what = std::make_shared<submission>();
     what->from = from;
-    what->record = {head.request_id, team,       head.host, from->path, base::wall_now(),
+    what->record = {head.request_id,      team, head.host, from->path, base::wall_now(),
                     spec->samples.size(), false};
     what->write = submission_write(self, what->record, from->body);
     what->spec = std::move(*spec);
@@ -437,8 +435,8 @@
     send_submission(self, what);
 }
 
-void handle_batch_call(gateway& self, shared_exchange const& from,
-                       platform::batch_call const& call, std::string const& team)
+void handle_batch_call(gateway& self, shared_exchange const& from, platform::batch_call const& call,
+                       std::string const& team)
 {
     switch (call.what)
     {
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
 #include "gateway/batch_callers.hpp"
+#include "gateway/measure.hpp"
 #include "gateway/refresh.hpp"
 #include "gateway/route_request.hpp"
 #include "platform/batch_calls.hpp"
@@ -47,14 +48,14 @@
     }
     if (!may_trust_keys(self, now))
     {
-        refuse(to, {result_code::configuration_stale, "keys can't be checked at the moment"},
+        refuse(self, to, {result_code::configuration_stale, "keys can't be checked at the moment"},
                come_back_stale);
         return std::nullopt;
     }
     auto const* const team = head.key ? fleet::find_team(configuration, *head.key) : nullptr;
     if (team == nullptr)
     {
-        reject(to, unauthorized,
+        reject(self, to, unauthorized,
                {head.key ? result_code::key_unknown : result_code::key_missing,
                 "the request carries no key that is known"});
         return std::nullopt;
@@ -62,22 +63,37 @@
     return *team;
 }
 
-void log_end(platform::caller_head const& head, fleet::route const& route,
-             routed_outcome const& outcome, base::mono_time arrived_at)
+std::string_view outcome_name(routed_outcome const& outcome)
+{
+    switch (outcome.end)
+    {
+    case routed_end::answered:
+        return outcome.answer.status < 500 ? "answered" : "failed";
+    case routed_end::refused:
+        return "refused";
+    case routed_end::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+void note_end(gateway& self, platform::caller_head const& head, fleet::route const& route,
+              routed_outcome const& outcome, base::mono_time arrived_at)
 {
     auto const took = base::mono_now() - arrived_at;
-    bool const good = outcome.end == routed_end::answered && outcome.answer.status < 500;
-    base::log_line(good ? base::log_level::debug : base::log_level::warning, "request_ended",
+    auto const name = outcome_name(outcome);
+    count_answer(self, route.name, name, took);
+    base::log_line(base::log_level::info, "request_ended",
                    {{"request", head.request_id},
                     {"route", route.name},
+                    {"outcome", name},
                     {"upstream", outcome.upstream},
                     {"status", std::int64_t{outcome.answer.status}},
-                    {"code", outcome.why.code},
                     {"tries", std::int64_t{outcome.tries}},
                     {"took_us", took.count()}});
 }
 
-void deliver(http::exchange& to, routed_outcome const& outcome)
+void deliver(gateway& self, http::exchange& to, routed_outcome const& outcome)
 {
     switch (outcome.end)
     {
@@ -90,10 +106,10 @@
         break;
     }
     case routed_end::refused:
-        refuse(to, outcome.why, come_back_full);
+        refuse(self, to, outcome.why, come_back_full);
         break;
     case routed_end::unknown:
-        fail_request(to,
+        fail_request(self, to,
                      outcome.why.code == result_code::deadline_passed ? gateway_timeout
                                                                       : bad_gateway,
                      outcome.why);
@@ -114,8 +130,8 @@
     spec.deadline = std::min(now + route.timeout, head.deadline.value_or(base::mono_time::max()));
     spec.patience = std::min(spec.deadline, now + route.target_latency / patience_part);
     spec.hedge_after = route.target_latency / hedge_part;
-    spec.call = {head.method,        head.target,     head.content_type,
-                 std::string(from.body), head.passed_on, spec.idempotent};
+    spec.call = {head.method,    head.target,    head.content_type, std::string(from.body),
+                 head.passed_on, spec.idempotent};
     return spec;
 }
 
@@ -124,17 +140,17 @@
                  base::mono_time now)
 {
     auto spec = plain_spec(*from, head, route, team, now);
-    auto const number = start_request(
-        self, std::move(spec),
-        [&self, from, head, route, team, now](routed_outcome const& outcome)
-        {
-            log_end(head, route, outcome, now);
-            if (outcome.began && !team.empty())
-            {
-                duty::count_request(self.usage, team, *outcome.began);
-            }
-            deliver(*from, outcome);
-        });
+    auto const number =
+        start_request(self, std::move(spec),
+                      [&self, from, head, route, team, now](routed_outcome const& outcome)
+                      {
+                          note_end(self, head, route, outcome, now);
+                          if (outcome.began && !team.empty())
+                          {
+                              duty::count_request(self.usage, team, *outcome.began);
+                          }
+                          deliver(self, *from, outcome);
+                      });
     from->on_gone = [&self, number, team, id = head.request_id]
     {
         base::log_line(base::log_level::info, "caller_gone", {{"request", id}});
@@ -150,11 +166,11 @@
 void serve_request(gateway& self, std::shared_ptr<http::exchange> const& from,
                    platform::caller_head const& head, base::mono_time now)
 {
-    auto const* const route =
-        fleet::find_route(*self.configuration, head.host, from->path);
+    auto const* const route = fleet::find_route(*self.configuration, head.host, from->path);
     if (route == nullptr)
     {
-        reject(*from, not_found, {result_code::unknown_route, "no route for this host and path"});
+        reject(self, *from, not_found,
+               {result_code::unknown_route, "no route for this host and path"});
         return;
     }
     auto const team = authorize(self, *from, head, route, now);
@@ -177,7 +193,7 @@
     auto const now = base::mono_now();
     if (!self.configuration)
     {
-        refuse(*from, {result_code::configuration_stale, "there is no configuration yet"},
+        refuse(self, *from, {result_code::configuration_stale, "there is no configuration yet"},
                come_back_stale);
         return;
     }
--- a/src/gateway/dump.cpp
+++ b/src/gateway/dump.cpp
@@ -68,18 +68,4 @@
             {"jobs", dump_jobs(self)}};
 }
 
-std::string exposition(gateway& self)
-{
-    auto& in = self.metrics;
-    base::gauge_at(in, {"gateway_jobs", "batch jobs that this process runs"}).value =
-        static_cast<double>(self.jobs.size());
-    base::gauge_at(in, {"gateway_runs", "samples that upstreams generate for this process"}).value =
-        static_cast<double>(self.runs.size());
-    base::gauge_at(in, {"gateway_requests", "plain requests in progress"}).value =
-        static_cast<double>(self.requests.size());
-    base::gauge_at(in, {"gateway_leads", "1 while this process leads"}).value =
-        self.candidate.held ? 1 : 0;
-    return base::exposition(in);
-}
-
 } // namespace gooseberrywood::gateway
--- a/src/gateway/dump.hpp
+++ b/src/gateway/dump.hpp
@@ -5,8 +5,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <string>
-
 namespace gooseberrywood::gateway
 {
 
@@ -14,10 +12,6 @@
 /// \brief The state of the process; it contains no key.
 [[nodiscard]] nlohmann::ordered_json dump(gateway const& self);
 
-/// \ingroup gateway
-/// \brief The metrics of the process in text form.
-[[nodiscard]] std::string exposition(gateway& self);
-
 } // namespace gooseberrywood::gateway
 
 #endif
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "gateway/job_ownership.hpp"
 #include "gateway/leadership.hpp"
 #include "gateway/lease_keeper.hpp"
+#include "gateway/measure.hpp"
 #include "gateway/refresh.hpp"
 #include "gateway/sample_runner.hpp"
 #include "http/call.hpp"
@@ -63,10 +64,13 @@
             return opened;
         }
     }
-    auto admin = process::serve_admin(self.settings.listen_admin,
-                                      {[&self] { return dump(self); },
-                                       [&self] { return exposition(self); },
-                                       [&self] { return is_ready(self, base::mono_now()); }});
+    auto admin =
+        process::serve_admin(self.settings.listen_admin,
+                             {[&self] { return dump(self); }, [&self] { return exposition(self); },
+                              [&self]
+                              {
+                                  return is_ready(self, base::mono_now());
+                              }});
     if (!admin)
     {
         return tl::unexpected(admin.error());
@@ -109,11 +113,10 @@
     resign(self);
     hand_over_jobs(self, [&self] { end_lease(self); });
     auto const now = base::mono_now();
-    self.stop_timer = base::every(
-        stop_check_interval,
-        [&self, listen_until = now + listen_after_stop,
-         latest = now + self.settings.stop_grace - stop_margin]
-        { stop_when_idle(self, listen_until, latest); });
+    self.stop_timer =
+        base::every(stop_check_interval, [&self, listen_until = now + listen_after_stop,
+                                          latest = now + self.settings.stop_grace - stop_margin]
+                    { stop_when_idle(self, listen_until, latest); });
 }
 
 } // namespace
@@ -126,7 +129,7 @@
     self.started_at = base::mono_now();
     self.upstream_session = http::make_session();
     self.control_session = http::make_session();
-    self.store = platform::make_store_client(self.settings.store);
+    self.store = measured(self, platform::make_store_client(self.settings.store));
     self.usage.length = self.settings.usage_window;
     if (auto const ports = open_ports(self); !ports)
     {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -129,8 +129,8 @@
 }
 
 /// \ingroup gateway
-/// \brief What this process writes where it owns something: it names the host and the lease, so that
-/// entries of an earlier incarnation of the process count as another's.
+/// \brief What this process writes where it owns something: it names the host and the lease, so
+/// that entries of an earlier incarnation of the process count as another's.
 [[nodiscard]] inline std::string own_mark(gateway const& self)
 {
     return fmt::format("{}#{}", self.settings.host, self.lease.id);
--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "gateway/measure.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runner.hpp"
@@ -57,8 +58,8 @@
     }
 }
 
-owned_job make_job(gateway const& self, rollout::job_record const& record,
-                   rollout::batch_job spec, std::uint64_t owner_revision)
+owned_job make_job(gateway const& self, rollout::job_record const& record, rollout::batch_job spec,
+                   std::uint64_t owner_revision)
 {
     owned_job job;
     job.record = record;
@@ -144,6 +145,7 @@
     }
     mark_listed(job, stored.results);
     job.listed = std::move(stored.results);
+    count_change(self, "job_taken_over");
     base::log_line(base::log_level::info, "job_taken_over",
                    {{"job", record.id},
                     {"listed", static_cast<std::int64_t>(job.listed.size())},
@@ -231,10 +233,11 @@
     write_chunk(write, id, job.listed.size() + job.writing.size(), job.finished);
     write.writes.push_back({rollout::progress_key(id), rollout::encode_progress(left), 0});
     write.removals.push_back(rollout::owner_key(id));
-    base::log_line(base::log_level::info, "job_handed_over",
-                   {{"job", id},
-                    {"unlisted", static_cast<std::int64_t>(job.writing.size() + job.finished.size())},
-                    {"unfinished", static_cast<std::int64_t>(left.size())}});
+    base::log_line(
+        base::log_level::info, "job_handed_over",
+        {{"job", id},
+         {"unlisted", static_cast<std::int64_t>(job.writing.size() + job.finished.size())},
+         {"unfinished", static_cast<std::int64_t>(left.size())}});
     return write;
 }
 
@@ -263,22 +266,21 @@
 void reclaim(gateway& self, owned_job& job)
 {
     job.claiming = true;
-    self.store.commit_all(
-        claim_write(self, job.record.id), base::mono_now() + store_timeout,
-        [&self, id = job.record.id](base::result<store::commit> const& outcome)
-        {
-            auto const at = self.jobs.find(id);
-            if (at == self.jobs.end())
-            {
-                return;
-            }
-            at->second.claiming = false;
-            if (outcome && outcome->done)
-            {
-                // What a lost answer left in doubt is read again.
-                reload_results(self, id, outcome->revision);
-            }
-        });
+    self.store.commit_all(claim_write(self, job.record.id), base::mono_now() + store_timeout,
+                          [&self, id = job.record.id](base::result<store::commit> const& outcome)
+                          {
+                              auto const at = self.jobs.find(id);
+                              if (at == self.jobs.end())
+                              {
+                                  return;
+                              }
+                              at->second.claiming = false;
+                              if (outcome && outcome->done)
+                              {
+                                  // What a lost answer left in doubt is read again.
+                                  reload_results(self, id, outcome->revision);
+                              }
+                          });
 }
 
 void review_owned(gateway& self, owned_job& job, store::item const& owner, base::mono_time now)
@@ -325,6 +327,7 @@
         bool const is_newer = owner->second.revision > own->second.owner_revision;
         if (!is_own && is_newer)
         {
+            count_change(self, "job_lost");
             base::log_line(base::log_level::info, "job_lost", {{"job", record.id}});
             stop_job(self, record.id);
             return;
@@ -348,8 +351,7 @@
 void adopt_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
                std::uint64_t owner_revision)
 {
-    self.jobs.insert_or_assign(record.id,
-                               make_job(self, record, std::move(spec), owner_revision));
+    self.jobs.insert_or_assign(record.id, make_job(self, record, std::move(spec), owner_revision));
     dispatch_samples(self);
 }
 
--- a/src/gateway/leadership.cpp
+++ b/src/gateway/leadership.cpp
@@ -1,6 +1,7 @@
 #include "gateway/leadership.hpp"
 
 #include "base/log.hpp"
+#include "gateway/measure.hpp"
 #include "gateway/usage_reports.hpp"
 #include "gateway/weights_orders.hpp"
 #include "platform/operator_state.hpp"
@@ -23,12 +24,14 @@
     self.candidate.held = duty::authority{self.settings.host, fencing};
     self.weights = {};
     self.retired_hosts.clear();
+    count_change(self, "leadership_gained");
     base::log_line(base::log_level::info, "leadership_gained",
                    {{"fencing", static_cast<std::int64_t>(fencing)}});
 }
 
 void end_term(gateway& self, std::string_view reason)
 {
+    count_change(self, "leadership_lost");
     base::log_line(base::log_level::warning, "leadership_lost", {{"reason", reason}});
     duty::note_lost(self.candidate, self.settings.leader_turn, base::mono_now());
 }
@@ -119,8 +122,7 @@
         begin_term(self, leader->revision);
         return;
     }
-    if (!self.stopping &&
-        duty::should_apply(own, leader.has_value(), self.lease.valid_until, now))
+    if (!self.stopping && duty::should_apply(own, leader.has_value(), self.lease.valid_until, now))
     {
         apply(self);
     }
@@ -145,14 +147,14 @@
                         std::function<void(http::fetch_outcome)> then)
 {
     auto const number = ++self.numbers;
-    self.control_calls[number] = http::start_fetch(
-        self.control_session.get(), what, deadline, max_answer_bytes,
-        [&self, number, then = std::move(then)](http::fetch_outcome outcome)
-        {
-            auto const keep = std::move(self.control_calls[number]);
-            self.control_calls.erase(number);
-            then(std::move(outcome));
-        });
+    self.control_calls[number] =
+        http::start_fetch(self.control_session.get(), what, deadline, max_answer_bytes,
+                          [&self, number, then = std::move(then)](http::fetch_outcome outcome)
+                          {
+                              auto const keep = std::move(self.control_calls[number]);
+                              self.control_calls.erase(number);
+                              then(std::move(outcome));
+                          });
 }
 
 } // namespace gooseberrywood::gateway
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/job_ownership.hpp"
 #include "gateway/leadership.hpp"
+#include "gateway/measure.hpp"
 #include "gateway/refresh.hpp"
 #include "lease/drift_margin.hpp"
 #include "rollout/store_keys.hpp"
@@ -47,8 +48,7 @@
         return std::nullopt;
     }
     auto const* const end = entry.value.data() + entry.value.size();
-    bool const valid =
-        std::from_chars(entry.value.data() + mark + 1, end, lease).ec == std::errc();
+    bool const valid = std::from_chars(entry.value.data() + mark + 1, end, lease).ec == std::errc();
     return valid && lease != self.lease.id ? std::optional(lease) : std::nullopt;
 }
 
@@ -97,6 +97,7 @@
     self.lease.id = *lease;
     self.lease.valid_until = deadline_of_lease(sent_at);
     self.lease.renew_at = sent_at + renew_interval;
+    count_change(self, "lease_granted");
     base::log_line(base::log_level::info, "lease_granted",
                    {{"lease", static_cast<std::int64_t>(*lease)}});
     replace_earlier_incarnation(self);
@@ -105,6 +106,7 @@
 
 void lose_lease(gateway& self)
 {
+    count_change(self, "lease_lost");
     base::log_line(base::log_level::warning, "lease_lost",
                    {{"lease", static_cast<std::int64_t>(self.lease.id)}});
     self.lease.id = 0;
@@ -165,7 +167,8 @@
         return;
     }
     self.store.revoke(self.lease.id, base::mono_now() + call_timeout,
-                      [](auto const&) { base::log_line(base::log_level::info, "lease_ended", {}); });
+                      [](auto const&)
+                      { base::log_line(base::log_level::info, "lease_ended", {}); });
     self.lease.id = 0;
 }
 
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -207,11 +207,11 @@
 {
     return {rollout::shared_prefix,
             [&self]
-            {
-                return self.shared.orphaned_since.empty() ? shared_interval : orphan_interval;
-            },
+            { return self.shared.orphaned_since.empty() ? shared_interval : orphan_interval; },
             [&self](items const& read, base::mono_time sent_at)
-            { take_shared(self, read, sent_at); }};
+            {
+                take_shared(self, read, sent_at);
+            }};
 }
 
 } // namespace
@@ -220,11 +220,16 @@
 {
     poll(self, self.operator_poller,
          {platform::store_keys::operator_prefix, listing_pause,
-          [&self](items const& read, base::mono_time) { take_operator_state(self, read); }});
+          [&self](items const& read, base::mono_time)
+          {
+              take_operator_state(self, read);
+          }});
     poll(self, self.upstream_poller,
          {platform::store_keys::upstream_prefix, listing_pause,
           [&self](items const& read, base::mono_time sent_at)
-          { take_upstreams(self, read, sent_at); }});
+          {
+              take_upstreams(self, read, sent_at);
+          }});
     poll(self, self.shared_poller, shared_plan(self));
 }
 
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "gateway/job_ownership.hpp"
+#include "gateway/measure.hpp"
 #include "rollout/result_chunk.hpp"
 #include "rollout/saved_progress.hpp"
 #include "rollout/store_keys.hpp"
@@ -58,8 +59,7 @@
     {
         bytes += end->text.size() + 1;
     }
-    job.writing.assign(std::make_move_iterator(job.finished.begin()),
-                       std::make_move_iterator(end));
+    job.writing.assign(std::make_move_iterator(job.finished.begin()), std::make_move_iterator(end));
     job.finished.erase(job.finished.begin(), end);
 }
 
@@ -70,6 +70,8 @@
         auto& sample = job.samples[job.index_by_id.at(result.id)];
         sample.phase = rollout::sample_phase::listed;
         sample.text.clear();
+        count_sample(self, result.done,
+                     base::duration((base::wall_now() - job.record.submitted_at).count()));
         base::log_line(base::log_level::info, "sample_listed",
                        {{"job", job.record.id},
                         {"sample", result.id},
@@ -96,10 +98,9 @@
     job->write_running = false;
     if (!outcome)
     {
-        base::log_line(base::log_level::warning, "results_not_stored",
-                       {{"job", id},
-                        {"code", outcome.error().code},
-                        {"reason", outcome.error().message}});
+        base::log_line(
+            base::log_level::warning, "results_not_stored",
+            {{"job", id}, {"code", outcome.error().code}, {"reason", outcome.error().message}});
         write_later(self, *job, retry_pause);
         return;
     }
@@ -195,12 +196,9 @@
     std::move(job.finished.begin(), job.finished.end(), std::back_inserter(job.writing));
     job.finished = std::move(job.writing);
     job.writing.clear();
-    std::erase_if(job.finished,
-                  [&](rollout::sample_result const& one)
-                  {
-                      return job.samples[job.index_by_id.at(one.id)].phase ==
-                             rollout::sample_phase::listed;
-                  });
+    std::erase_if(
+        job.finished, [&](rollout::sample_result const& one)
+        { return job.samples[job.index_by_id.at(one.id)].phase == rollout::sample_phase::listed; });
     job.listed = std::move(listed);
     write_results(self, job);
 }
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "fleet/choose_upstream.hpp"
 #include "fleet/try_outcome.hpp"
+#include "gateway/measure.hpp"
 
 #include <algorithm>
 #include <array>
@@ -120,10 +121,11 @@
     }
 }
 
-void log_try(routed_request const& of, routed_try const& one, fleet::try_outcome outcome,
-             http::fetch_outcome const& answer)
+void log_try(gateway& self, routed_request const& of, routed_try const& one,
+             fleet::try_outcome outcome, http::fetch_outcome const& answer)
 {
     constexpr std::array<std::string_view, 4> names = {"answered", "failed", "not_run", "lost"};
+    count_try(self, of.spec.service, names.at(static_cast<std::size_t>(outcome)));
     if (outcome == fleet::try_outcome::answered)
     {
         return;
@@ -189,7 +191,7 @@
                              : platform::answer_head{};
     auto const outcome = outcome_of(answer, head, of->spec.request_id);
     learn(self, ended, outcome, answer, now);
-    log_try(*of, ended, outcome, answer);
+    log_try(self, *of, ended, outcome, answer);
     if (outcome == fleet::try_outcome::not_run)
     {
         --of->runs;
@@ -244,11 +246,11 @@
     made.upstream = chosen.id;
     made.sent_at = now;
     made.began = base::wall_now();
-    made.fetch = http::start_fetch(
-        self.upstream_session.get(), platform::encode_plain(to, of.spec.call, now),
-        of.spec.deadline, max_answer_bytes,
-        [&self, number = of.number, index](http::fetch_outcome answer)
-        { on_try_ended(self, number, index, std::move(answer)); });
+    made.fetch = http::start_fetch(self.upstream_session.get(),
+                                   platform::encode_plain(to, of.spec.call, now), of.spec.deadline,
+                                   max_answer_bytes,
+                                   [&self, number = of.number, index](http::fetch_outcome answer)
+                                   { on_try_ended(self, number, index, std::move(answer)); });
     plan_hedge(self, of);
 }
 
@@ -271,8 +273,7 @@
         return;
     }
     // Upstreams that it was tried at are as good as none; what they answered counts.
-    take_step(self, of,
-              of.runs == 0 ? fleet::next_step::refuse : fleet::next_step::give_up);
+    take_step(self, of, of.runs == 0 ? fleet::next_step::refuse : fleet::next_step::give_up);
 }
 
 void on_deadline(gateway& self, routed_request& of)
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "fleet/choose_upstream.hpp"
+#include "gateway/measure.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "platform/upstream_calls.hpp"
@@ -63,9 +64,10 @@
                      &at->second.samples[run.index]};
 }
 
-void log_run(std::string_view event, sample_run const& run, run_place const& place,
+void log_run(gateway& self, std::string_view event, sample_run const& run, run_place const& place,
              std::string_view reason, std::int64_t status)
 {
+    count_run(self, event);
     base::log_line(base::log_level::info, event,
                    {{"sample", place.spec->id},
                     {"job", run.job_id},
@@ -106,7 +108,7 @@
 {
     auto const& run = self.runs.at(number);
     auto const place = *place_of(self, run);
-    log_run("sample_given_up", run, place, reason, 0);
+    log_run(self, "sample_given_up", run, place, reason, 0);
     auto const index = run.index;
     auto& job = *place.job;
     end_run(self, number, {});
@@ -119,7 +121,7 @@
     auto const& run = self.runs.at(number);
     if (auto const place = place_of(self, run))
     {
-        log_run("run_broken", run, *place, reason, 0);
+        log_run(self, "run_broken", run, *place, reason, 0);
         place->progress->avoided_upstream = run.upstream;
     }
     fleet::note_failure(self.pool, run.upstream, base::mono_now());
@@ -132,7 +134,7 @@
     auto const place = *place_of(self, run);
     auto const* const route =
         fleet::find_route(*self.configuration, place.job->record.host, place.job->record.path);
-    log_run("run_failed", run, place, "the upstream answered 500", status_failed);
+    log_run(self, "run_failed", run, place, "the upstream answered 500", status_failed);
     ++place.progress->failed_runs;
     if (route != nullptr && place.progress->failed_runs >= route->attempts)
     {
@@ -146,7 +148,7 @@
 {
     auto const& run = self.runs.at(number);
     auto const now = base::mono_now();
-    log_run("run_refused", run, *place_of(self, run), "the upstream did not run it", status);
+    log_run(self, "run_refused", run, *place_of(self, run), "the upstream did not run it", status);
     if (status == status_misdirected && run.expected_version != 0)
     {
         fleet::note_weights_missing(self.pool, run.upstream, now);
@@ -197,7 +199,7 @@
     run.streams = true;
     if (run.version < place->job->spec.least_version)
     {
-        log_run("run_too_old", run, *place, "the weights are too old", status);
+        log_run(self, "run_too_old", run, *place, "the weights are too old", status);
         if (auto* const upstream = fleet::find_upstream(self.pool, run.upstream))
         {
             upstream->record.weights[place->spec->model] = run.version;
@@ -267,7 +269,7 @@
         break_run(self, number, "the stream ended without its end");
         return;
     }
-    log_run("run_complete", run, *place, "", status_ok);
+    log_run(self, "run_complete", run, *place, "", status_ok);
     place->progress->complete = true;
     auto const index = run.index;
     auto& job = *place->job;
@@ -282,7 +284,9 @@
             [&self, number](std::string_view bytes) { on_bytes(self, number, bytes); },
             [&self, number] { on_complete(self, number); },
             [&self, number](base::error const& why, bool)
-            { break_run(self, number, why.message); }};
+            {
+                break_run(self, number, why.message);
+            }};
 }
 
 void start_run(gateway& self, owned_job& job, std::size_t index,
@@ -443,7 +447,7 @@
     {
         auto const& run = self.runs.at(number);
         auto const place = *place_of(self, run);
-        log_run("run_moved", run, place, "the upstream is slow", 0);
+        log_run(self, "run_moved", run, place, "the upstream is slow", 0);
         place.progress->avoided_upstream = run.upstream;
         end_run(self, number, {});
     }
--- a/src/gateway/weights_orders.cpp
+++ b/src/gateway/weights_orders.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "gateway/leadership.hpp"
+#include "gateway/measure.hpp"
 #include "platform/control_calls.hpp"
 
 #include <array>
@@ -74,48 +75,49 @@
 
 void send_order(gateway& self, duty::weights_order const& order, duty::authority const& as,
                 base::mono_time now)
+{
+    start_control_call(self, platform::encode_order(order, as), now + call_timeout,
+                       [&self, order, as](http::fetch_outcome const& answer)
+                       {
+                           auto const outcome = platform::decode_order_outcome(answer);
+                           count_order(self, outcome_names.at(static_cast<std::size_t>(outcome)));
+                           base::log_line(
+                               base::log_level::info, "weights_ordered",
+                               {{"upstream", order.upstream},
+                                {"model", order.model},
+                                {"version", std::int64_t{order.version}},
+                                {"fencing", static_cast<std::int64_t>(as.fencing)},
+                                {"accepted_before", static_cast<std::int64_t>(order.accepted)},
+                                {"outcome", outcome_names.at(static_cast<std::size_t>(outcome))}});
+                           if (auto* const known = find(self, order.upstream))
+                           {
+                               known->busy = false;
+                               note_outcome(self, *known, order, outcome, base::mono_now());
+                           }
+                       });
+}
+
+void ask_count(gateway& self, duty::weights_order const& order, base::mono_time now)
 {
     start_control_call(
-        self, platform::encode_order(order, as), now + call_timeout,
-        [&self, order, as](http::fetch_outcome const& answer)
+        self, platform::encode_order_query(order.address), now + call_timeout,
+        [&self, id = order.upstream, version = order.version](http::fetch_outcome const& answer)
         {
-            auto const outcome = platform::decode_order_outcome(answer);
-            base::log_line(base::log_level::info, "weights_ordered",
-                           {{"upstream", order.upstream},
-                            {"model", order.model},
-                            {"version", std::int64_t{order.version}},
-                            {"fencing", static_cast<std::int64_t>(as.fencing)},
-                            {"accepted_before", static_cast<std::int64_t>(order.accepted)},
-                            {"outcome", outcome_names.at(static_cast<std::size_t>(outcome))}});
-            if (auto* const known = find(self, order.upstream))
+            auto* const known = find(self, id);
+            if (known == nullptr)
+            {
+                return;
+            }
+            known->busy = false;
+            known->accepted = platform::decode_order_count(answer);
+            if (!known->accepted)
             {
-                known->busy = false;
-                note_outcome(self, *known, order, outcome, base::mono_now());
+                known->ordered_version = version;
+                known->retry_at = base::mono_now() + retry_pause;
             }
         });
 }
 
-void ask_count(gateway& self, duty::weights_order const& order, base::mono_time now)
-{
-    start_control_call(self, platform::encode_order_query(order.address), now + call_timeout,
-                       [&self, id = order.upstream,
-                        version = order.version](http::fetch_outcome const& answer)
-                       {
-                           auto* const known = find(self, id);
-                           if (known == nullptr)
-                           {
-                               return;
-                           }
-                           known->busy = false;
-                           known->accepted = platform::decode_order_count(answer);
-                           if (!known->accepted)
-                           {
-                               known->ordered_version = version;
-                               known->retry_at = base::mono_now() + retry_pause;
-                           }
-                       });
-}
-
 } // namespace
 
 void order_weights(gateway& self, duty::authority const& as, base::mono_time now)
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -34,8 +34,8 @@
 void complete(call& c)
 {
     c.ended = true;
-    // Closing the whole answer gives its connection back to the session. Cancelling the call, as its
-    // destructor does, would close the connection.
+    // Closing the whole answer gives its connection back to the session. Cancelling the call, as
+    // its destructor does, would close the connection.
     c.answer.reset();
     c.cancellable.reset();
     auto const handlers = std::move(c.handlers);
@@ -99,8 +99,8 @@
     return G_SOURCE_REMOVE;
 }
 
-/// Goes on reading after the other events. What is left is not waited for: it may lie in a buffer of
-/// the stream, where no readiness of the socket shows it.
+/// Goes on reading after the other events. What is left is not waited for: it may lie in a buffer
+/// of the stream, where no readiness of the socket shows it.
 void read_on_soon(call& c)
 {
     c.readable = base::soon(
@@ -151,9 +151,9 @@
     }
 }
 
-// libsoup sends a request again on a new connection when the answer is 421, and when a kept connection
-// breaks. Both are for the owner of the call to decide; besides, the body, which was read once, would not
-// be sent whole the second time.
+// libsoup sends a request again on a new connection when the answer is 421, and when a kept
+// connection breaks. Both are for the owner of the call to decide; besides, the body, which was
+// read once, would not be sent whole the second time.
 void on_misdirected(SoupMessage* message, gpointer data)
 {
     if (soup_message_get_status(message) != SOUP_STATUS_MISDIRECTED_REQUEST)
@@ -233,9 +233,8 @@
         return made;
     }
     // Without the flag, libsoup makes a new connection for each POST.
-    int const flags =
-        SOUP_MESSAGE_NO_REDIRECT |
-        (what.may_repeat ? SOUP_MESSAGE_IDEMPOTENT : SOUP_MESSAGE_NEW_CONNECTION);
+    int const flags = SOUP_MESSAGE_NO_REDIRECT |
+                      (what.may_repeat ? SOUP_MESSAGE_IDEMPOTENT : SOUP_MESSAGE_NEW_CONNECTION);
     soup_message_set_flags(made->message.get(), static_cast<SoupMessageFlags>(flags));
     auto* const out = soup_message_get_request_headers(made->message.get());
     for (auto const& [name, value] : what.headers)
--- a/src/http/call.hpp
+++ b/src/http/call.hpp
@@ -27,8 +27,8 @@
     std::string content_type;
     std::string body;
     std::vector<header> headers;
-    /// A call that must not run twice goes on a connection of its own: on a kept one it can't be told
-    /// whether a request that got no answer has run.
+    /// A call that must not run twice goes on a connection of its own: on a kept one it can't be
+    /// told whether a request that got no answer has run.
     bool may_repeat = false;
 };
 
--- a/src/http/fetch.cpp
+++ b/src/http/fetch.cpp
@@ -53,9 +53,8 @@
     {
         return "not sent before the deadline";
     }
-    auto const status = of.running->answer
-                            ? soup_message_get_status(of.running->message.get())
-                            : SOUP_STATUS_NONE;
+    auto const status =
+        of.running->answer ? soup_message_get_status(of.running->message.get()) : SOUP_STATUS_NONE;
     return fmt::format("no whole answer before the deadline; status {}, {} bytes so far",
                        static_cast<int>(status), of.body.size());
 }
@@ -74,7 +73,9 @@
             [with](std::string_view bytes) { with([&](fetch& of) { on_body(of, bytes); }); },
             [with] { with([](fetch& of) { on_whole(of); }); },
             [with](base::error const& why, bool sent)
-            { with([&](fetch& of) { on_failure(of, why, sent, false); }); }};
+            {
+                with([&](fetch& of) { on_failure(of, why, sent, false); });
+            }};
 }
 
 } // namespace
@@ -86,17 +87,16 @@
     auto made = std::make_shared<fetch>();
     made->max_body_bytes = max_body_bytes;
     made->done = std::move(done);
-    made->timer = base::at(deadline,
-                           [weak = std::weak_ptr<fetch>(made)]
-                           {
-                               if (auto const of = weak.lock())
-                               {
-                                   bool const sent = of->running && of->running->sent;
-                                   on_failure(*of,
-                                              {base::result_code::timeout, describe_timeout(*of)},
-                                              sent, true);
-                               }
-                           });
+    made->timer = base::at(
+        deadline,
+        [weak = std::weak_ptr<fetch>(made)]
+        {
+            if (auto const of = weak.lock())
+            {
+                bool const sent = of->running && of->running->sent;
+                on_failure(*of, {base::result_code::timeout, describe_timeout(*of)}, sent, true);
+            }
+        });
     made->running = start_call(session, what, handlers_of(made));
     return made;
 }
--- a/src/rollout/job_record.cpp
+++ b/src/rollout/job_record.cpp
@@ -9,12 +9,10 @@
 
 std::string encode(job_record const& record)
 {
-    nlohmann::json const text = {{"team", record.team},
-                                 {"host", record.host},
-                                 {"path", record.path},
-                                 {"submitted_us", base::micros(record.submitted_at)},
-                                 {"samples", record.samples},
-                                 {"ended", record.ended}};
+    nlohmann::json const text = {
+        {"team", record.team},       {"host", record.host},
+        {"path", record.path},       {"submitted_us", base::micros(record.submitted_at)},
+        {"samples", record.samples}, {"ended", record.ended}};
     return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -35,14 +33,14 @@
     {
         return std::nullopt;
     }
-    return job_record{std::move(id),
-                      std::move(*team),
-                      std::move(*host),
-                      std::move(*path),
-                      base::wall_time{base::wall_clock::duration{
-                          static_cast<std::int64_t>(*submitted_us)}},
-                      *samples,
-                      *ended};
+    return job_record{
+        std::move(id),
+        std::move(*team),
+        std::move(*host),
+        std::move(*path),
+        base::wall_time{base::wall_clock::duration{static_cast<std::int64_t>(*submitted_us)}},
+        *samples,
+        *ended};
 }
 
 } // namespace gooseberrywood::rollout
--- a/src/rollout/result_chunk.cpp
+++ b/src/rollout/result_chunk.cpp
@@ -53,8 +53,7 @@
     {
         list.push_back(to_json(one));
     }
-    return json{{"results", std::move(list)}}.dump(-1, ' ', false,
-                                                   json::error_handler_t::replace);
+    return json{{"results", std::move(list)}}.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<std::vector<sample_result>> decode_results(std::string_view text)
--- a/test/fleet_choose_test.cpp
+++ b/test/fleet_choose_test.cpp
@@ -184,7 +184,8 @@
     }
     WHEN("an upstream refuses samples, as while it loads weights")
     {
-        // Guards against the storm in which every waiting sample learnt the same from each upstream.
+        // Guards against the storm in which every waiting sample learnt the same from each
+        // upstream.
         fleet::note_sample_refused(pool, "a", at_ms(0));
         THEN("it gets none for a moment, then one until one runs")
         {
@@ -203,7 +204,8 @@
 
 SCENARIO("a long sample leaves an upstream that turned slow")
 {
-    // Replays a step whose longest samples run while a fifth of the upstreams turn four times slower.
+    // Replays a step whose longest samples run while a fifth of the upstreams turn four times
+    // slower.
     auto const in = make_configuration();
     fleet::pool pool;
     std::vector<fleet::upstream_record> const listed = {make_record("a", "engines", "krapina"),
--- a/test/fleet_configuration_test.cpp
+++ b/test/fleet_configuration_test.cpp
@@ -24,7 +24,8 @@
     GIVEN("two hosts, one with nested prefixes, and a team with two keys")
     {
         fleet::configuration in;
-        in.routes = {make_route("all", "a.example", "/x/"), make_route("part", "a.example", "/x/y/"),
+        in.routes = {make_route("all", "a.example", "/x/"),
+                     make_route("part", "a.example", "/x/y/"),
                      make_route("other", "b.example", "/x/")};
         in.teams = std::vector<fleet::team>{{"lepoglava", {"key-1", "key-2"}}};
         fleet::build_indexes(in);
--- a/test/fleet_try_outcome_test.cpp
+++ b/test/fleet_try_outcome_test.cpp
@@ -44,9 +44,12 @@
                              {
                                  return static_cast<std::uint32_t>(*rc::gen::inRange(0, end));
                              };
-                             fleet::try_summary const summary{
-                                 static_cast<try_outcome>(any(4)), *rc::gen::arbitrary<bool>(),
-                                 any(4), 1 + any(3), any(3), *rc::gen::arbitrary<bool>()};
+                             fleet::try_summary const summary{static_cast<try_outcome>(any(4)),
+                                                              *rc::gen::arbitrary<bool>(),
+                                                              any(4),
+                                                              1 + any(3),
+                                                              any(3),
+                                                              *rc::gen::arbitrary<bool>()};
                              auto const step = fleet::step_after(summary);
                              RC_ASSERT(step != next_step::refuse ||
                                        (summary.runs == 0 && summary.running == 0));
--- a/test/http_call_test.cpp
+++ b/test/http_call_test.cpp
@@ -141,9 +141,8 @@
                 read_head(connection);
                 std::string body(4, '\0');
                 (void)recv(connection, body.data(), body.size(), MSG_WAITALL);
-                send_text(connection,
-                          "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\n"
-                          "Content-Length: 0\r\n\r\n");
+                send_text(connection, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\n"
+                                      "Content-Length: 0\r\n\r\n");
                 read_head(connection);
             });
         auto const answer = fetch(session.get(), server.port, "body");
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -94,15 +94,14 @@
     auto unknown = good;
     unknown.replace(unknown.find("draining"), 8, "sleeping");
     CHECK(platform::decode_upstreams(std::vector{upstream_item(unknown)}, at_ms(0)).empty());
-    test::check_property("a damaged entry is never a crash",
-                         [&]
-                         {
-                             auto text = good;
-                             text[*rc::gen::inRange<std::size_t>(0, text.size())] =
-                                 *rc::gen::arbitrary<char>();
-                             (void)platform::decode_upstreams(std::vector{upstream_item(text)},
-                                                              at_ms(0));
-                         });
+    test::check_property(
+        "a damaged entry is never a crash",
+        [&]
+        {
+            auto text = good;
+            text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+            (void)platform::decode_upstreams(std::vector{upstream_item(text)}, at_ms(0));
+        });
 }
 
 SCENARIO("batch jobs are decoded")
@@ -151,7 +150,8 @@
 
 SCENARIO("events are read from any pieces, and never from a part of one")
 {
-    std::string const bytes = "weight-versions: 5\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: ";
+    std::string const bytes =
+        "weight-versions: 5\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: ";
     test::check_property("pieces",
                          [&]
                          {
@@ -160,8 +160,7 @@
                              for (std::size_t at = 0; at < bytes.size();)
                              {
                                  auto const size = *rc::gen::inRange<std::size_t>(1, 20);
-                                 for (auto& event :
-                                      platform::feed(stream, bytes.substr(at, size)))
+                                 for (auto& event : platform::feed(stream, bytes.substr(at, size)))
                                  {
                                      events.push_back(event);
                                  }
@@ -176,8 +175,8 @@
 
 SCENARIO("requests to upstreams carry what the platform wants")
 {
-    platform::upstream_target const to{"i-1", "10.0.0.9:80", "h.example",
-                                       "team", "r1",         at_ms(1000)};
+    platform::upstream_target const to{"i-1",  "10.0.0.9:80", "h.example",
+                                       "team", "r1",          at_ms(1000)};
     auto const value = [](http::call_request const& request, char const* name)
     {
         return std::string(http::find_header(request.headers, name).value_or(""));
--- a/test/process/gateway_test.cpp
+++ b/test/process/gateway_test.cpp
@@ -233,15 +233,13 @@
             CHECK(call_gateway(service.gateways[0], "POST", "/q/1", "desk.example", "k1").status ==
                   200);
             CHECK(eventually(
-                [&]
-                {
+                [&] {
                     return call_gateway(service.gateways[0], "POST", "/q/1", "desk.example", "k2")
                                .status == 503;
                 }));
             set_site(service, "store", {{"mode", "serves"}});
             CHECK(eventually(
-                [&]
-                {
+                [&] {
                     return call_gateway(service.gateways[0], "POST", "/q/1", "desk.example", "k3")
                                .status == 200;
                 }));
--- a/test/process/platform_test.cpp
+++ b/test/process/platform_test.cpp
@@ -1,7 +1,7 @@
 #include "lease.hpp"
-#include "provider.hpp"
 #include "process/support/http_client.hpp"
 #include "process/support/process.hpp"
+#include "provider.hpp"
 
 #include <doctest/doctest.h>
 
--- a/test/process/support/site_service.cpp
+++ b/test/process/support/site_service.cpp
@@ -17,18 +17,10 @@
 json route(char const* name, char const* host, char const* prefix, char const* kind,
            char const* service, bool is_public)
 {
-    return {{"name", name},
-            {"host", host},
-            {"prefix", prefix},
-            {"route_type", kind},
-            {"timeout_ms", 3000},
-            {"target_latency_ms", 400},
-            {"run_target_ms", 20000},
-            {"retention_s", 60},
-            {"priority", 1},
-            {"service", service},
-            {"attempts", 2},
-            {"public", is_public}};
+    return {{"name", name},           {"host", host},       {"prefix", prefix},
+            {"route_type", kind},     {"timeout_ms", 3000}, {"target_latency_ms", 400},
+            {"run_target_ms", 20000}, {"retention_s", 60},  {"priority", 1},
+            {"service", service},     {"attempts", 2},      {"public", is_public}};
 }
 
 json configuration()
@@ -91,8 +83,7 @@
     bool const is_ready = eventually(
         [&]
         {
-            auto const answer =
-                fetch({fmt::format("http://127.0.0.1:{}/readyz", made.admin_port)});
+            auto const answer = fetch({fmt::format("http://127.0.0.1:{}/readyz", made.admin_port)});
             return answer && answer->status == 200;
         });
     if (!is_ready)
@@ -129,8 +120,7 @@
     return *answer;
 }
 
-std::string make_batch_job(std::string const& id, std::vector<int> const& events,
-                           int least_version)
+std::string make_batch_job(std::string const& id, std::vector<int> const& events, int least_version)
 {
     auto items = json::array();
     for (std::size_t i = 0; i < events.size(); ++i)
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -118,7 +118,8 @@
 
 SCENARIO("what is stored of a job is read back as it was")
 {
-    rollout::job_record const record{"id", "team", "host", "/path/", base::wall_time{12us}, 40, true};
+    rollout::job_record const record{"id", "team", "host", "/path/", base::wall_time{12us},
+                                     40,   true};
     auto const read = rollout::decode_job_record("id", rollout::encode(record));
     REQUIRE(read.has_value());
     CHECK(read->team == "team");
@@ -132,7 +133,8 @@
                              rollout::sample_result one;
                              one.id = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
                              one.done = *rc::gen::arbitrary<bool>();
-                             one.text = *rc::gen::container<std::string>(rc::gen::inRange(' ', '~'));
+                             one.text =
+                                 *rc::gen::container<std::string>(rc::gen::inRange(' ', '~'));
                              one.versions = {1, 2};
                              std::vector<rollout::sample_result> const stored = {one, one};
                              auto const back =
