--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -137,6 +137,16 @@
             {"address"},
             {rc::io_error, rc::not_found, rc::timeout, rc::connection_lost},
             state_command},
+    command{
+        "explain",
+        "ID < LOGS",
+        "Reads log lines of any number of processes from standard input, prints those about one "
+        "request, sample, job, upstream or window in their order, and says how it ended.",
+        "cat logs/*.jsonl | gooseberrywood explain 9c41d07be2a35f68",
+        1,
+        {},
+        {rc::not_found},
+        explain_command},
     command{"version",
             "",
             "Prints the version of this program.",
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -15,6 +15,7 @@
 // Bodies of the subcommands, one file each: NAME_command.cpp. See `command::call`.
 int entry_command(std::span<char const* const> args);
 int gateway_command(std::span<char const* const> args);
+int explain_command(std::span<char const* const> args);
 int agent_command(std::span<char const* const> args);
 int bundle_check_command(std::span<char const* const> args);
 int bundle_keygen_command(std::span<char const* const> args);
--- /dev/null
+++ b/src/explain.hpp
@@ -0,0 +1,9 @@
+#ifndef GOOSEBERRYWOOD_EXPLAIN_HPP
+#define GOOSEBERRYWOOD_EXPLAIN_HPP
+
+/// \defgroup explain explain
+/// \brief Finds in the logs of all processes what became of one id.
+
+#include "explain/story.hpp"
+
+#endif
--- a/src/gateway/batch_callers.cpp
+++ b/src/gateway/batch_callers.cpp
@@ -58,7 +58,7 @@
 
 /// Calls a function with the job's record, from memory or the store; answers if there is none.
 void with_record(gateway& self, shared_exchange const& from, std::string const& id,
-                 std::string const& team, std::function<void(stored_record const&)> then)
+                 std::string const& team, std::function<void(stored_record const&)> const& then)
 {
     auto const known = self.shared.records.find(id);
     if (known != self.shared.records.end())
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -136,8 +136,8 @@
 }
 
 void serve_plain(gateway& self, std::shared_ptr<http::exchange> const& from,
-                 platform::caller_head const& head, fleet::route const& route, std::string team,
-                 base::mono_time now)
+                 platform::caller_head const& head, fleet::route const& route,
+                 std::string const& team, base::mono_time now)
 {
     auto spec = plain_spec(*from, head, route, team, now);
     auto const number =
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,7 +59,7 @@
 {
     if (!self.settings.listen_callers.empty())
     {
-        if (auto const opened = open_caller_ports(self); !opened)
+        if (auto opened = open_caller_ports(self); !opened)
         {
             return opened;
         }
--- a/src/store/list_all.cpp
+++ b/src/store/list_all.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 void list_all(client const& from, std::string const& prefix, std::string const& after,
-              base::mono_time deadline, done<std::vector<item>> then)
+              base::mono_time deadline, done<std::vector<item>> const& then)
 {
     read_on(from, prefix, after, {}, deadline, then);
 }
--- a/src/store/list_all.hpp
+++ b/src/store/list_all.hpp
@@ -13,7 +13,7 @@
 /// \brief Lists all items under a prefix that come after a key, page by page.
 /// \param from must outlive the calls.
 void list_all(client const& from, std::string const& prefix, std::string const& after,
-              base::mono_time deadline, done<std::vector<item>> then);
+              base::mono_time deadline, done<std::vector<item>> const& then);
 
 } // namespace gooseberrywood::store
 
--- a/test/duty_test.cpp
+++ b/test/duty_test.cpp
@@ -37,6 +37,7 @@
 std::vector<fleet::upstream_record> eight_upstreams()
 {
     std::vector<fleet::upstream_record> listed;
+    listed.reserve(8);
     for (int i = 0; i < 8; ++i)
     {
         listed.push_back(make_record("u" + std::to_string(i), i < 4 ? "krapina" : "zabok"));
--- a/test/standin/site/main.cpp
+++ b/test/standin/site/main.cpp
@@ -33,7 +33,7 @@
         {
             serve_upstream(self, *at, message);
         };
-        if (auto const served = serve(made->server, "127.0.0.1:0"); !served)
+        if (auto served = serve(made->server, "127.0.0.1:0"); !served)
         {
             return served;
         }
--- a/test/store_list_all_test.cpp
+++ b/test/store_list_all_test.cpp
@@ -12,7 +12,7 @@
     bool fails_at_second = false;
     store::client client;
     client.list = [&](std::string const&, std::string const& after, base::mono_time,
-                      store::done<store::page> then)
+                      store::done<store::page> const& then)
     {
         asked_after.push_back(after);
         if (fails_at_second && !after.empty())
