--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,6 +31,10 @@
 // Kept free before the process would be killed.
 constexpr base::duration stop_margin = std::chrono::milliseconds(1000);
 
+// Without the store a process takes no jobs, and soon no keys. The balancer needs two seconds more to
+// send callers elsewhere, so the process says so before its keys lapse.
+constexpr base::duration ready_without_store = std::chrono::milliseconds(2200);
+
 base::result<void> open_caller_ports(gateway& self)
 {
     auto callers = http::serve(self.settings.listen_callers,
@@ -163,7 +167,8 @@
 
 bool is_ready(gateway const& self, base::mono_time now)
 {
-    return !self.stopping && may_trust_keys(self, now) && !self.pool.upstreams.empty();
+    return !self.stopping && may_trust_keys(self, now) && !self.pool.upstreams.empty() &&
+           now < self.shared_poller.confirmed_at + ready_without_store;
 }
 
 } // namespace gooseberrywood::gateway
--- a/test/process/gateway_test.cpp
+++ b/test/process/gateway_test.cpp
@@ -228,6 +228,15 @@
                 call_gateway(service.gateways[0], "GET", "/-/lots/job", "train.example", "r");
             CHECK(read.status == 503);
         }
+        THEN("the gateway asks for no more callers, while it still serves those that come")
+        {
+            // Guards against jobs that are sent to a gateway which can't store them.
+            auto const ready =
+                fmt::format("http://127.0.0.1:{}/readyz", service.gateways[0].admin_port);
+            CHECK(eventually([&] { return fetch({ready})->status == 503; }));
+            CHECK(call_gateway(service.gateways[0], "POST", "/q/1", "desk.example", "k0").status ==
+                  200);
+        }
         THEN("keys work on until one that was withdrawn may not any more")
         {
             CHECK(call_gateway(service.gateways[0], "POST", "/q/1", "desk.example", "k1").status ==
