Split the callers' batch calls and the runs of samples into files of one job each

Names and places only, but for one fault that the reading showed: a stopping process whose ownership of a job was in doubt wrote its results all the same, where another owner may have listed others.

--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -2,10 +2,12 @@
 
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
-#include "gateway/batch_callers.hpp"
+#include "gateway/end_job.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/read_job.hpp"
 #include "gateway/refresh.hpp"
 #include "gateway/route_request.hpp"
+#include "gateway/submit_job.hpp"
 #include "platform/batch_calls.hpp"
 #include "platform/caller_head.hpp"
 
@@ -186,6 +188,23 @@
     serve_plain(self, from, head, *route, *team, now);
 }
 
+void handle_batch_call(gateway& self, std::shared_ptr<http::exchange> const& from,
+                       platform::batch_call const& call, std::string const& team)
+{
+    switch (call.what)
+    {
+    case platform::batch_operation::read_results:
+        read_results(self, from, call, team);
+        break;
+    case platform::batch_operation::read_body:
+        read_body(self, from, call, team);
+        break;
+    case platform::batch_operation::end:
+        end_job(self, from, call, team);
+        break;
+    }
+}
+
 } // namespace
 
 void handle_caller(gateway& self, std::shared_ptr<http::exchange> const& from)
--- /dev/null
+++ b/src/gateway/end_job.cpp
@@ -0,0 +1,116 @@
+#include "gateway/end_job.hpp"
+
+#include "base/log.hpp"
+#include "gateway/answer_caller.hpp"
+#include "gateway/job_ownership.hpp"
+#include "rollout/store_keys.hpp"
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+using base::result_code;
+
+constexpr std::uint16_t ok = 200;
+constexpr std::uint16_t gateway_timeout = 504;
+
+struct ending
+{
+    shared_exchange from;
+    stored_record found;
+    int tries = 0;
+    base::event_source timer;
+};
+
+void send_end(gateway& self, std::shared_ptr<ending> const& what);
+
+void on_ended(gateway& self, ending const& what)
+{
+    auto record = what.found.record;
+    record.ended = true;
+    base::log_line(base::log_level::info, "job_ended", {{"job", record.id}});
+    auto const known = self.shared.records.find(record.id);
+    if (known != self.shared.records.end())
+    {
+        known->second.record.ended = true;
+    }
+    stop_job(self, record.id);
+    answer_empty(*what.from, ok);
+}
+
+void try_end_again(gateway& self, std::shared_ptr<ending> const& what, base::error const& why)
+{
+    if (what->tries >= most_store_tries)
+    {
+        fail_request(self, *what->from, gateway_timeout, why);
+        return;
+    }
+    what->timer =
+        base::at(base::mono_now() + store_retry_pause, [&self, what] { send_end(self, what); });
+}
+
+void send_end(gateway& self, std::shared_ptr<ending> const& what)
+{
+    ++what->tries;
+    auto record = what->found.record;
+    record.ended = true;
+    auto const key = rollout::record_key(record.id);
+    store::transaction write;
+    write.expected.push_back({key, what->found.revision});
+    write.writes.push_back({key, rollout::encode(record), 0});
+    self.store.commit_all(
+        write, base::mono_now() + caller_store_timeout,
+        [&self, what, id = record.id](base::result<store::commit> const& outcome)
+        {
+            if (!outcome)
+            {
+                try_end_again(self, what, outcome.error());
+                return;
+            }
+            if (outcome->done)
+            {
+                on_ended(self, *what);
+                return;
+            }
+            auto const current = outcome->current.empty()
+                                     ? std::nullopt
+                                     : rollout::decode_job_record(id, outcome->current[0].value);
+            if (!current)
+            {
+                answer_missing(self, *what->from);
+                return;
+            }
+            what->found = {*current, outcome->current[0].revision};
+            if (current->ended)
+            {
+                on_ended(self, *what);
+                return;
+            }
+            try_end_again(self, what,
+                          {result_code::compare_failed, "the batch job changed meanwhile"});
+        });
+}
+
+} // namespace
+
+void end_job(gateway& self, shared_exchange const& from, platform::batch_call const& call,
+             std::string const& team)
+{
+    with_record(self, from, call.job_id, team,
+                [&self, from](stored_record const& found)
+                {
+                    auto const what = std::make_shared<ending>();
+                    what->from = from;
+                    what->found = found;
+                    if (found.record.ended)
+                    {
+                        answer_empty(*from, ok);
+                        return;
+                    }
+                    send_end(self, what);
+                });
+}
+
+} // namespace gooseberrywood::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,8 +31,8 @@
 // Kept free before the process would be killed.
 constexpr base::duration stop_margin = std::chrono::milliseconds(1000);
 
-// Without the store a process takes no jobs, and soon no keys. The balancer needs two seconds more to
-// send callers elsewhere, so the process says so before its keys lapse.
+// Without the store a process takes no jobs, and soon no keys. The balancer needs two seconds more
+// to send callers elsewhere, so the process says so before its keys lapse.
 constexpr base::duration ready_without_store = std::chrono::milliseconds(2200);
 
 base::result<void> open_caller_ports(gateway& self)
--- /dev/null
+++ b/src/gateway/job_answers.cpp
@@ -0,0 +1,71 @@
+#include "gateway/job_answers.hpp"
+
+#include "gateway/answer_caller.hpp"
+#include "rollout/store_keys.hpp"
+
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+using base::result_code;
+
+constexpr std::uint16_t not_found = 404;
+
+// The store is reached again soon, here or at another entry.
+constexpr base::duration come_back = std::chrono::milliseconds(250);
+
+} // namespace
+
+void answer_empty(http::exchange& to, std::uint16_t status)
+{
+    http::respond(to, status, "application/json", "{}");
+}
+
+void answer_unsure(gateway& self, http::exchange& to, base::error const& why)
+{
+    refuse(self, to, {result_code::store_unavailable, why.message}, come_back);
+}
+
+void answer_missing(gateway& self, http::exchange& to)
+{
+    reject(self, to, not_found, {result_code::not_found, "there is no such batch job"});
+}
+
+void with_record(gateway& self, shared_exchange const& from, std::string const& id,
+                 std::string const& team, std::function<void(stored_record const&)> const& then)
+{
+    auto const known = self.shared.records.find(id);
+    if (known != self.shared.records.end())
+    {
+        if (known->second.record.team != team)
+        {
+            answer_missing(self, *from);
+            return;
+        }
+        then(known->second);
+        return;
+    }
+    self.store.read(
+        rollout::record_key(id), base::mono_now() + caller_store_timeout,
+        [&self, from, id, team, then](base::result<std::optional<store::item>> const& read)
+        {
+            if (!read)
+            {
+                answer_unsure(self, *from, read.error());
+                return;
+            }
+            auto record = *read ? rollout::decode_job_record(id, (*read)->value) : std::nullopt;
+            if (!record || record->team != team)
+            {
+                answer_missing(self, *from);
+                return;
+            }
+            then({std::move(*record), (*read)->revision});
+        });
+}
+
+} // namespace gooseberrywood::gateway
--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -6,6 +6,7 @@
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runner.hpp"
+#include "gateway/sample_runs.hpp"
 #include "platform/batch_calls.hpp"
 #include "rollout/result_chunk.hpp"
 #include "rollout/saved_progress.hpp"
@@ -408,6 +409,12 @@
     for (auto& [id, job] : self.jobs)
     {
         cancel_runs(self, id);
+        if (job.owner_revision == 0)
+        {
+            // What this process holds may be older than what another owner has listed.
+            one_done(store::commit{});
+            continue;
+        }
         self.store.commit_all(hand_over_write(job), deadline, one_done);
     }
     self.jobs.clear();
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -145,7 +145,7 @@
                    {{"change", change}}));
 }
 
-store::client measured(gateway& self, store::client inner)
+store::client measured(gateway& self, store::client const& inner)
 {
     store::client made;
     made.read = [&self, call = inner.read](auto key, auto deadline, auto then)
--- a/src/gateway/measure.hpp
+++ b/src/gateway/measure.hpp
@@ -43,7 +43,7 @@
 
 /// \ingroup gateway
 /// \brief Wraps a store so that its calls are counted and timed by kind and outcome.
-[[nodiscard]] store::client measured(gateway& self, store::client inner);
+[[nodiscard]] store::client measured(gateway& self, store::client const& inner);
 
 /// \ingroup gateway
 /// \brief The metrics of the process in text form.
--- /dev/null
+++ b/src/gateway/read_job.cpp
@@ -0,0 +1,145 @@
+#include "gateway/read_job.hpp"
+
+#include "base/log.hpp"
+#include "gateway/answer_caller.hpp"
+#include "gateway/job_ownership.hpp"
+#include "rollout/result_chunk.hpp"
+#include "rollout/store_keys.hpp"
+#include "store/list_all.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <span>
+#include <vector>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+using base::result_code;
+
+constexpr std::uint16_t ok = 200;
+constexpr std::uint16_t not_found = 404;
+
+// Results of jobs of other owners are kept for readers that come back, about once a second.
+constexpr base::duration cache_time = std::chrono::seconds(20);
+
+void answer_results(http::exchange& to, std::size_t total, std::size_t from_position,
+                    std::span<rollout::sample_result const> results)
+{
+    auto const skipped = std::min(from_position, results.size());
+    http::respond(to, ok, "application/json",
+                  platform::encode_results(total, from_position, results.subspan(skipped)));
+}
+
+bool extend_cache(result_cache& cache, std::vector<store::item> const& chunks)
+{
+    for (auto const& chunk : chunks)
+    {
+        auto results = rollout::decode_results(chunk.value);
+        if (!results)
+        {
+            base::log_line(base::log_level::error, "unreadable_results", {{"key", chunk.key}});
+            return false;
+        }
+        // A read that ran beside this one may have brought the chunk already.
+        if (chunk.key > cache.last_key)
+        {
+            std::move(results->begin(), results->end(), std::back_inserter(cache.results));
+            cache.last_key = chunk.key;
+        }
+    }
+    return true;
+}
+
+void read_stored_results(gateway& self, shared_exchange const& from, std::string const& id,
+                         std::size_t total, std::size_t from_position)
+{
+    auto& cache = self.caches[id];
+    cache.drop_at = base::mono_now() + cache_time;
+    if (cache.results.size() >= total)
+    {
+        answer_results(*from, total, from_position, cache.results);
+        return;
+    }
+    store::list_all(
+        self.store, rollout::result_prefix(id), cache.last_key,
+        base::mono_now() + caller_store_timeout,
+        [&self, from, id, total, from_position](base::result<std::vector<store::item>> const& read)
+        {
+            auto& known = self.caches[id];
+            if (read && !extend_cache(known, *read))
+            {
+                answer_unsure(self, *from, {result_code::internal, "stored results can't be read"});
+                return;
+            }
+            if (!read && known.results.size() <= from_position)
+            {
+                answer_unsure(self, *from, read.error());
+                return;
+            }
+            answer_results(*from, total, from_position, known.results);
+        });
+}
+
+void answer_body(gateway& self, http::exchange& to, rollout::batch_job const& job,
+                 std::string const& sample_id)
+{
+    auto const at =
+        std::find_if(job.samples.begin(), job.samples.end(),
+                     [&](rollout::sample_spec const& one) { return one.id == sample_id; });
+    if (at == job.samples.end())
+    {
+        reject(self, to, not_found, {result_code::not_found, "the batch job has no such item"});
+        return;
+    }
+    http::respond(to, ok, "application/octet-stream", at->body);
+}
+
+} // namespace
+
+void read_results(gateway& self, shared_exchange const& from, platform::batch_call const& call,
+                  std::string const& team)
+{
+    auto const own = self.jobs.find(call.job_id);
+    if (own != self.jobs.end() && owns(self, own->second, base::mono_now()) &&
+        own->second.record.team == team)
+    {
+        answer_results(*from, own->second.record.samples, call.from_position, own->second.listed);
+        return;
+    }
+    with_record(self, from, call.job_id, team,
+                [&self, from, call](stored_record const& found) {
+                    read_stored_results(self, from, call.job_id, found.record.samples,
+                                        call.from_position);
+                });
+}
+
+void read_body(gateway& self, shared_exchange const& from, platform::batch_call const& call,
+               std::string const& team)
+{
+    auto const own = self.jobs.find(call.job_id);
+    if (own != self.jobs.end() && own->second.record.team == team)
+    {
+        answer_body(self, *from, own->second.spec, call.sample_id);
+        return;
+    }
+    with_record(self, from, call.job_id, team,
+                [&self, from, call](stored_record const&)
+                {
+                    load_spec(self, call.job_id,
+                              [&self, from, call](base::result<rollout::batch_job> const& spec)
+                              {
+                                  if (!spec)
+                                  {
+                                      answer_unsure(self, *from, spec.error());
+                                      return;
+                                  }
+                                  answer_body(self, *from, *spec, call.sample_id);
+                              });
+                });
+}
+
+} // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/read_job.hpp
@@ -0,0 +1,24 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_READ_JOB_HPP
+#define GOOSEBERRYWOOD_GATEWAY_READ_JOB_HPP
+
+#include "gateway/job_answers.hpp"
+#include "platform/batch_calls.hpp"
+
+#include <string>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief Answers with results: from memory if this process owns the job, else from the store.
+void read_results(gateway& self, shared_exchange const& from, platform::batch_call const& call,
+                  std::string const& team);
+
+/// \ingroup gateway
+/// \brief Answers with the body of a sample as it was submitted.
+void read_body(gateway& self, shared_exchange const& from, platform::batch_call const& call,
+               std::string const& team);
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -1,17 +1,14 @@
 #include "gateway/sample_runner.hpp"
 
-#include "base/log.hpp"
 #include "fleet/choose_upstream.hpp"
-#include "gateway/measure.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
-#include "platform/upstream_calls.hpp"
+#include "gateway/sample_runs.hpp"
 #include "rollout/waiting_sample.hpp"
 
-#include <algorithm>
 #include <set>
-#include <tuple>
-#include <utility>
+#include <string>
+#include <vector>
 
 namespace gooseberrywood::gateway
 {
@@ -22,299 +19,11 @@
 using rollout::sample_phase;
 
 constexpr base::duration check_interval = std::chrono::milliseconds(100);
-
-// Longest wait for the first event: the upstream may have a queue.
-constexpr base::duration first_event_timeout = std::chrono::milliseconds(1200);
-// Longest pause between two events. A slow upstream takes 150 ms for one; going on elsewhere costs
-// little.
-constexpr base::duration event_timeout = std::chrono::milliseconds(700);
-
 // Samples that leave slow upstreams in one check, so that they don't fill the others at once.
 constexpr int most_moves = 2;
 // A sample that is nearly complete stays.
 constexpr std::uint32_t least_tokens_to_move = 200;
 
-// Pauses of a sample after a run that broke, was refused or came to the wrong weights.
-constexpr base::duration broken_pause = std::chrono::milliseconds(50);
-constexpr base::duration refused_pause = std::chrono::milliseconds(20);
-
-// Longest useful time of one run.
-constexpr base::duration longest_run = std::chrono::seconds(60);
-
-constexpr std::uint16_t status_ok = 200;
-constexpr std::uint16_t status_misdirected = 421;
-constexpr std::uint16_t status_unprocessable = 422;
-constexpr std::uint16_t status_failed = 500;
-
-struct run_place
-{
-    owned_job* job = nullptr;
-    rollout::sample_spec const* spec = nullptr;
-    rollout::sample_progress* progress = nullptr;
-};
-
-std::optional<run_place> place_of(gateway& self, sample_run const& run)
-{
-    auto const at = self.jobs.find(run.job_id);
-    if (at == self.jobs.end())
-    {
-        return std::nullopt;
-    }
-    return run_place{&at->second, &at->second.spec.samples[run.index],
-                     &at->second.samples[run.index]};
-}
-
-void log_run(gateway& self, std::string_view event, sample_run const& run, run_place const& place,
-             std::string_view reason, std::int64_t status)
-{
-    count_run(self, event);
-    base::log_line(base::log_level::info, event,
-                   {{"sample", place.spec->id},
-                    {"job", run.job_id},
-                    {"upstream", run.upstream},
-                    {"reason", reason},
-                    {"status", status},
-                    {"weights", std::int64_t{run.version}},
-                    {"events", static_cast<std::int64_t>(place.progress->events)},
-                    {"took_us", (base::mono_now() - run.started_at).count()}});
-}
-
-/// Takes a run out of the load of its upstream.
-void release_upstream(gateway& self, sample_run const& run)
-{
-    fleet::note_ended(self.pool, run.upstream);
-    if (!run.answered)
-    {
-        fleet::note_sample_answered(self.pool, run.upstream);
-    }
-}
-
-/// Ends a run; the sample waits for the next one.
-void end_run(gateway& self, std::uint64_t number, base::duration pause)
-{
-    auto const at = self.runs.find(number);
-    auto const run = std::move(at->second);
-    self.runs.erase(at);
-    release_upstream(self, run);
-    if (auto const place = place_of(self, run))
-    {
-        place->progress->phase = sample_phase::waiting;
-        place->progress->not_before = base::mono_now() + pause;
-    }
-    dispatch_samples(self);
-}
-
-void give_up(gateway& self, std::uint64_t number, std::string_view reason)
-{
-    auto const& run = self.runs.at(number);
-    auto const place = *place_of(self, run);
-    log_run(self, "sample_given_up", run, place, reason, 0);
-    auto const index = run.index;
-    auto& job = *place.job;
-    end_run(self, number, {});
-    finish_sample(self, job, index, false);
-}
-
-/// The run broke or fell silent; another upstream goes on after the last event.
-void break_run(gateway& self, std::uint64_t number, std::string_view reason)
-{
-    auto const& run = self.runs.at(number);
-    if (auto const place = place_of(self, run))
-    {
-        log_run(self, "run_broken", run, *place, reason, 0);
-        place->progress->avoided_upstream = run.upstream;
-    }
-    fleet::note_failure(self.pool, run.upstream, base::mono_now());
-    end_run(self, number, broken_pause);
-}
-
-void count_failed_run(gateway& self, std::uint64_t number)
-{
-    auto const& run = self.runs.at(number);
-    auto const place = *place_of(self, run);
-    auto const* const route =
-        fleet::find_route(*self.configuration, place.job->record.host, place.job->record.path);
-    log_run(self, "run_failed", run, place, "the upstream answered 500", status_failed);
-    ++place.progress->failed_runs;
-    if (route != nullptr && place.progress->failed_runs >= route->attempts)
-    {
-        give_up(self, number, "too many failed runs");
-        return;
-    }
-    end_run(self, number, broken_pause);
-}
-
-void on_refused(gateway& self, std::uint64_t number, std::uint16_t status)
-{
-    auto const& run = self.runs.at(number);
-    auto const now = base::mono_now();
-    log_run(self, "run_refused", run, *place_of(self, run), "the upstream did not run it", status);
-    if (status == status_misdirected && run.expected_version != 0)
-    {
-        fleet::note_weights_missing(self.pool, run.upstream, now);
-    }
-    else
-    {
-        fleet::note_sample_refused(self.pool, run.upstream, now);
-    }
-    end_run(self, number, refused_pause);
-}
-
-void on_head(gateway& self, std::uint64_t number, std::uint16_t status)
-{
-    auto& run = self.runs.at(number);
-    run.answered = true;
-    fleet::note_sample_answered(self.pool, run.upstream);
-    auto const place = place_of(self, run);
-    auto const head =
-        platform::decode_answer_head(status, http::answer_headers(run.call->message.get()));
-    if (!place || (head.request_id && *head.request_id != place->spec->id))
-    {
-        break_run(self, number, "the answer belongs to another request");
-        return;
-    }
-    if (head.not_run || status == status_misdirected)
-    {
-        on_refused(self, number, status);
-        return;
-    }
-    if (status == status_unprocessable)
-    {
-        give_up(self, number, "the upstream can never run it");
-        return;
-    }
-    if (status == status_failed)
-    {
-        count_failed_run(self, number);
-        return;
-    }
-    if (status != status_ok || !head.weights)
-    {
-        break_run(self, number, "unexpected answer");
-        return;
-    }
-    fleet::note_weights(self.pool, run.upstream, place->spec->model, *head.weights);
-    fleet::note_sample_runs(self.pool, run.upstream);
-    run.version = *head.weights;
-    run.streams = true;
-    if (run.version < place->job->spec.least_version)
-    {
-        log_run(self, "run_too_old", run, *place, "the weights are too old", status);
-        if (auto* const upstream = fleet::find_upstream(self.pool, run.upstream))
-        {
-            upstream->record.weights[place->spec->model] = run.version;
-        }
-        end_run(self, number, refused_pause);
-    }
-}
-
-bool take_event(gateway& self, sample_run& run, run_place const& place,
-                rollout::stream_event const& event, base::mono_time now)
-{
-    if (event.version)
-    {
-        run.version = *event.version;
-        fleet::note_weights(self.pool, run.upstream, place.spec->model, run.version);
-    }
-    if (!rollout::append_event(*place.progress, event, run.version))
-    {
-        return false;
-    }
-    if (run.last_event_at != base::mono_time{})
-    {
-        fleet::note_event(self.pool, run.upstream, now - run.last_event_at, now);
-    }
-    run.last_event_at = now;
-    run.silent_at = now + event_timeout;
-    return true;
-}
-
-bool keeps_to_one_version(gateway const& self, run_place const& place)
-{
-    auto const* const route =
-        fleet::find_route(*self.configuration, place.job->record.host, place.job->record.path);
-    return route == nullptr || !route->single_version || place.progress->versions.size() <= 1;
-}
-
-void on_bytes(gateway& self, std::uint64_t number, std::string_view bytes)
-{
-    auto& run = self.runs.at(number);
-    auto const place = place_of(self, run);
-    if (!run.streams || !place)
-    {
-        return;
-    }
-    auto const now = base::mono_now();
-    for (auto const& event : platform::feed(run.stream, bytes))
-    {
-        if (!take_event(self, run, *place, event, now))
-        {
-            break_run(self, number, "an event is missing");
-            return;
-        }
-    }
-    if (!keeps_to_one_version(self, *place))
-    {
-        rollout::restart(*place->progress);
-        break_run(self, number, "the version of the weights changed");
-    }
-}
-
-void on_complete(gateway& self, std::uint64_t number)
-{
-    auto const& run = self.runs.at(number);
-    auto const place = place_of(self, run);
-    if (!place || !run.streams || place->progress->events == 0 || !run.stream.unread.empty())
-    {
-        break_run(self, number, "the stream ended without its end");
-        return;
-    }
-    log_run(self, "run_complete", run, *place, "", status_ok);
-    place->progress->complete = true;
-    auto const index = run.index;
-    auto& job = *place->job;
-    end_run(self, number, {});
-    score_sample(self, job, index);
-}
-
-http::call_handlers handlers_of(gateway& self, std::uint64_t number)
-{
-    return {[&self, number](std::uint16_t status, std::string_view)
-            { on_head(self, number, status); },
-            [&self, number](std::string_view bytes) { on_bytes(self, number, bytes); },
-            [&self, number] { on_complete(self, number); },
-            [&self, number](base::error const& why, bool)
-            {
-                break_run(self, number, why.message);
-            }};
-}
-
-void start_run(gateway& self, owned_job& job, std::size_t index,
-               fleet::chosen_upstream const& chosen, base::mono_time now)
-{
-    auto const number = ++self.numbers;
-    auto const& spec = job.spec.samples[index];
-    auto& progress = job.samples[index];
-    progress.phase = sample_phase::running;
-    progress.avoided_upstream.clear();
-    job.upstream_by_group[spec.group] = chosen.id;
-    fleet::note_sample_sent(self.pool, chosen.id, now);
-    auto& run = self.runs[number];
-    run.job_id = job.record.id;
-    run.index = index;
-    run.upstream = chosen.id;
-    run.expected_version = chosen.expected_version;
-    run.started_at = now;
-    run.silent_at = now + first_event_timeout;
-    platform::upstream_target const to{
-        chosen.id,       chosen.address, job.record.host,
-        job.record.team, spec.id,        std::min(job.give_up_at, now + longest_run)};
-    platform::sample_resumption const resumption{progress.last_event_id, chosen.expected_version};
-    run.call = http::start_call(self.upstream_session.get(),
-                                platform::encode_sample(to, spec, resumption, now),
-                                handlers_of(self, number));
-}
-
 std::uint32_t tokens_left(rollout::sample_spec const& spec,
                           rollout::sample_progress const& progress)
 {
@@ -445,11 +154,7 @@
     }
     for (auto const number : leaving)
     {
-        auto const& run = self.runs.at(number);
-        auto const place = *place_of(self, run);
-        log_run(self, "run_moved", run, place, "the upstream is slow", 0);
-        place.progress->avoided_upstream = run.upstream;
-        end_run(self, number, {});
+        leave_upstream(self, number);
     }
 }
 
@@ -506,18 +211,4 @@
     }
 }
 
-void cancel_runs(gateway& self, std::string const& job_id)
-{
-    for (auto at = self.runs.begin(); at != self.runs.end();)
-    {
-        if (at->second.job_id != job_id)
-        {
-            ++at;
-            continue;
-        }
-        release_upstream(self, at->second);
-        at = self.runs.erase(at);
-    }
-}
-
 } // namespace gooseberrywood::gateway
--- a/src/gateway/sample_runner.hpp
+++ b/src/gateway/sample_runner.hpp
@@ -3,8 +3,6 @@
 
 #include "gateway/gateway.hpp"
 
-#include <string>
-
 namespace gooseberrywood::gateway
 {
 
@@ -16,10 +14,6 @@
 /// \brief Sends waiting samples to upstreams, as soon as the loop has handled what is pending.
 void dispatch_samples(gateway& self);
 
-/// \ingroup gateway
-/// \brief Ends the runs of a job.
-void cancel_runs(gateway& self, std::string const& job_id);
-
 } // namespace gooseberrywood::gateway
 
 #endif
--- /dev/null
+++ b/src/gateway/submit_job.cpp
@@ -0,0 +1,159 @@
+#include "gateway/submit_job.hpp"
+
+#include "base/log.hpp"
+#include "gateway/answer_caller.hpp"
+#include "gateway/job_ownership.hpp"
+#include "platform/batch_calls.hpp"
+#include "rollout/store_keys.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+using base::result_code;
+
+constexpr std::uint16_t accepted = 202;
+constexpr std::uint16_t bad_request = 400;
+constexpr std::uint16_t gateway_timeout = 504;
+
+// Values in the store hold less than 1 MiB.
+constexpr std::size_t spec_part_bytes = 900'000;
+
+struct submission
+{
+    shared_exchange from;
+    rollout::job_record record;
+    rollout::batch_job spec;
+    store::transaction write;
+    int tries = 0;
+    base::event_source timer;
+};
+
+using shared_submission = std::shared_ptr<submission>;
+
+store::transaction submission_write(gateway const& self, rollout::job_record const& record,
+                                    std::string_view body)
+{
+    store::transaction write;
+    write.expected.push_back({rollout::record_key(record.id), 0});
+    write.writes.push_back({rollout::record_key(record.id), rollout::encode(record), 0});
+    write.writes.push_back({rollout::owner_key(record.id), own_mark(self), self.lease.id});
+    for (std::size_t part = 0; part * spec_part_bytes < body.size(); ++part)
+    {
+        write.writes.push_back({rollout::spec_key(record.id, part),
+                                std::string(body.substr(part * spec_part_bytes, spec_part_bytes)),
+                                0});
+    }
+    return write;
+}
+
+void send_submission(gateway& self, shared_submission const& what);
+
+void on_conflict(gateway& self, submission const& what, store::commit const& outcome)
+{
+    auto const& current = outcome.current;
+    auto const key = rollout::record_key(what.record.id);
+    auto const at = std::find_if(current.begin(), current.end(),
+                                 [&](store::item const& one) { return one.key == key; });
+    auto const record =
+        at != current.end() ? rollout::decode_job_record(what.record.id, at->value) : std::nullopt;
+    if (!record || record->team != what.record.team)
+    {
+        reject(self, *what.from, bad_request,
+               {result_code::duplicate_attempt, "the id of the batch job is taken"});
+        return;
+    }
+    base::log_line(base::log_level::info, "job_known", {{"job", what.record.id}});
+    self.shared.records[what.record.id] = {*record, at->revision};
+    answer_empty(*what.from, accepted);
+}
+
+void on_submission_failed(gateway& self, shared_submission const& what, base::error const& why)
+{
+    base::log_line(base::log_level::warning, "job_not_stored",
+                   {{"job", what->record.id}, {"code", why.code}, {"reason", why.message}});
+    if (why.code != result_code::store_outcome_unknown && what->tries == 1)
+    {
+        answer_unsure(self, *what->from, why);
+        return;
+    }
+    if (what->tries < most_store_tries)
+    {
+        what->timer = base::at(base::mono_now() + store_retry_pause,
+                               [&self, what] { send_submission(self, what); });
+        return;
+    }
+    fail_request(self, *what->from, gateway_timeout, why);
+}
+
+void on_submitted(gateway& self, shared_submission const& what,
+                  base::result<store::commit> const& outcome)
+{
+    if (!outcome)
+    {
+        on_submission_failed(self, what, outcome.error());
+        return;
+    }
+    if (!outcome->done)
+    {
+        on_conflict(self, *what, *outcome);
+        return;
+    }
+    base::log_line(base::log_level::info, "job_accepted",
+                   {{"job", what->record.id},
+                    {"team", what->record.team},
+                    {"samples", static_cast<std::int64_t>(what->record.samples)}});
+    self.shared.records[what->record.id] = {what->record, outcome->revision};
+    answer_empty(*what->from, accepted);
+    adopt_job(self, what->record, std::move(what->spec), outcome->revision);
+}
+
+void send_submission(gateway& self, shared_submission const& what)
+{
+    ++what->tries;
+    self.store.commit_all(what->write, base::mono_now() + caller_store_timeout,
+                          [&self, what](base::result<store::commit> const& outcome)
+                          { on_submitted(self, what, outcome); });
+}
+
+} // namespace
+
+void submit_job(gateway& self, shared_exchange const& from, platform::caller_head const& head,
+                fleet::route const& route, std::string const& team)
+{
+    auto spec = platform::decode_batch_job(from->body);
+    if (!spec || head.request_id.empty())
+    {
+        reject(self, *from, bad_request,
+               spec ? base::error{result_code::bad_request, "the batch job has no id"}
+                    : spec.error());
+        return;
+    }
+    auto const known = self.shared.records.find(head.request_id);
+    if (known != self.shared.records.end() && known->second.record.team == team)
+    {
+        answer_empty(*from, accepted);
+        return;
+    }
+    if (!has_lease(self, base::mono_now()) || self.stopping)
+    {
+        answer_unsure(self, *from, {result_code::store_unavailable, "this entry has no lease"});
+        return;
+    }
+    auto const what = std::make_shared<submission>();
+    what->from = from;
+    what->record = {head.request_id,      team, head.host, from->path, base::wall_now(),
+                    spec->samples.size(), false};
+    what->write = submission_write(self, what->record, from->body);
+    what->spec = std::move(*spec);
+    base::log_line(base::log_level::debug, "job_submitted",
+                   {{"job", head.request_id}, {"route", route.name}});
+    send_submission(self, what);
+}
+
+} // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/submit_job.hpp
@@ -0,0 +1,19 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_SUBMIT_JOB_HPP
+#define GOOSEBERRYWOOD_GATEWAY_SUBMIT_JOB_HPP
+
+#include "gateway/job_answers.hpp"
+#include "platform/caller_head.hpp"
+
+#include <string>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief Accepts a batch job once it is in the store.
+void submit_job(gateway& self, shared_exchange const& from, platform::caller_head const& head,
+                fleet::route const& route, std::string const& team);
+
+} // namespace gooseberrywood::gateway
+
+#endif
