Remove what nothing uses

The test of the settings reads the decimals of stop_grace_s instead of the removed key; the check of the removed field of a batch job goes with it. No behaviour changes. Messages say gateway where they said entry.

--- a/src/duty/candidate.hpp
+++ b/src/duty/candidate.hpp
@@ -15,7 +15,6 @@
 /// of the process, and its revision is the fencing token.
 struct candidate
 {
-    std::string host;
     /// Set while the key is held.
     std::optional<authority> held;
     /// It does not try to lead before this. Two processes must not take turns in short succession,
--- a/src/fleet/configuration.cpp
+++ b/src/fleet/configuration.cpp
@@ -62,13 +62,6 @@
     return nullptr;
 }
 
-route const* find_route_by_name(configuration const& in, std::string_view name)
-{
-    auto const at = std::find_if(in.routes.begin(), in.routes.end(),
-                                 [&](route const& one) { return one.name == name; });
-    return at != in.routes.end() ? &*at : nullptr;
-}
-
 service const* find_service(configuration const& in, std::string_view name)
 {
     auto const at = std::find_if(in.services.begin(), in.services.end(),
--- a/src/fleet/configuration.hpp
+++ b/src/fleet/configuration.hpp
@@ -40,10 +40,6 @@
 [[nodiscard]] route const* find_route(configuration const& in, std::string_view host,
                                       std::string_view path);
 
-/// \ingroup fleet
-/// \brief The route with a name.
-[[nodiscard]] route const* find_route_by_name(configuration const& in, std::string_view name);
-
 /// \ingroup fleet
 /// \brief The service with a name.
 [[nodiscard]] service const* find_service(configuration const& in, std::string_view name);
--- a/src/fleet/route.hpp
+++ b/src/fleet/route.hpp
@@ -32,8 +32,6 @@
     std::uint32_t attempts = 1;
     /// Requests need no key.
     bool open = false;
-    /// A stream may go on at another upstream.
-    bool resumable = false;
     /// All events of a sample must have been made under one version of the weights.
     bool single_version = false;
     /// All results of a batch job are due this long after its first submission.
--- a/src/fleet/service.hpp
+++ b/src/fleet/service.hpp
@@ -13,8 +13,6 @@
 struct service
 {
     std::string name;
-    /// Most connections that one upstream accepts from all callers together.
-    std::uint32_t max_connections = 64;
     /// Requests a second that a cold upstream bears; 0 for no limit.
     double cold_requests_per_s = 0;
     /// Models whose weights the upstreams hold; empty for plain services.
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -27,7 +27,7 @@
 constexpr std::uint16_t bad_gateway = 502;
 constexpr std::uint16_t gateway_timeout = 504;
 
-// Another entry may have a fresher configuration, or this one will have by then.
+// Another gateway may have a fresher configuration, or this one will have by then.
 constexpr base::duration come_back_stale = std::chrono::milliseconds(200);
 // A full service has a place again after a few requests.
 constexpr base::duration come_back_full = std::chrono::milliseconds(100);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -49,8 +49,6 @@
     /// Last window whose report was accepted.
     std::int64_t reported = 0;
     bool busy = false;
-    /// Last window for which this process has left its counts.
-    std::int64_t left_counts = 0;
     bool leaving_counts = false;
     /// Entries of earlier windows that are removed with the next report.
     std::vector<std::string> obsolete_keys;
--- a/src/gateway/job_answers.cpp
+++ b/src/gateway/job_answers.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::uint16_t not_found = 404;
 
-// The store is reached again soon, here or at another entry.
+// The store is reached again soon, here or at another gateway.
 constexpr base::duration come_back = std::chrono::milliseconds(250);
 
 } // namespace
--- a/src/gateway/leadership.cpp
+++ b/src/gateway/leadership.cpp
@@ -91,7 +91,6 @@
 
 void start_leadership(gateway& self)
 {
-    self.candidate.host = self.settings.host;
     if (!self.settings.first_start)
     {
         self.candidate.not_before = base::mono_now() + self.settings.leader_turn;
--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -142,7 +142,7 @@
     }
     if (!has_lease(self, base::mono_now()) || self.stopping)
     {
-        answer_unsure(self, *from, {result_code::store_unavailable, "this entry has no lease"});
+        answer_unsure(self, *from, {result_code::store_unavailable, "this gateway has no lease"});
         return;
     }
     auto const what = std::make_shared<submission>();
--- a/src/rollout/batch_job.hpp
+++ b/src/rollout/batch_job.hpp
@@ -15,8 +15,6 @@
 {
     /// Oldest version of the weights that may generate a sample; 0 when any may.
     std::uint32_t least_version = 0;
-    /// Complete groups that the trainer waits for; 0 when it waits for all.
-    std::uint32_t wanted_groups = 0;
     std::vector<sample_spec> samples;
 };
 
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -31,8 +31,6 @@
     /// A leader that was replaced may not lead again within this time.
     base::duration leader_turn = std::chrono::seconds(3);
     base::duration usage_window = std::chrono::seconds(5);
-    /// A window's report is due this long after its end.
-    base::duration usage_due = std::chrono::seconds(10);
     /// The process is killed this long after SIGTERM.
     base::duration stop_grace = std::chrono::seconds(8);
 };
--- a/src/settings/load_gateway.cpp
+++ b/src/settings/load_gateway.cpp
@@ -60,7 +60,6 @@
         read_milliseconds(from, "key_withdrawal_ms", settings.key_withdrawal);
         read_milliseconds(from, "leader_turn_ms", settings.leader_turn);
         read_whole_seconds(from, "usage_window_s", settings.usage_window);
-        read_whole_seconds(from, "usage_due_s", settings.usage_due);
         read_whole_seconds(from, "stop_grace_s", settings.stop_grace);
         base::check_unknown_keys(from);
     }
--- a/test/duty_test.cpp
+++ b/test/duty_test.cpp
@@ -18,7 +18,7 @@
 fleet::configuration two_models()
 {
     fleet::configuration made;
-    made.services = {{"engines", 140, 18, {"m0", "m1"}}};
+    made.services = {{"engines", 18, {"m0", "m1"}}};
     return made;
 }
 
@@ -60,7 +60,6 @@
 SCENARIO("processes take the leadership in turns that are far enough apart")
 {
     duty::candidate own;
-    own.host = "edge-1";
     auto const lease = at_ms(10'000);
     THEN("it applies when nobody leads and its lease holds")
     {
--- a/test/fleet_choose_test.cpp
+++ b/test/fleet_choose_test.cpp
@@ -18,7 +18,7 @@
 fleet::configuration make_configuration()
 {
     fleet::configuration made;
-    made.services = {{"engines", 140, 18, {"m"}}, {"desk", 100, 0, {}}};
+    made.services = {{"engines", 18, {"m"}}, {"desk", 0, {}}};
     return made;
 }
 
--- a/test/gateway_settings_test.cpp
+++ b/test/gateway_settings_test.cpp
@@ -18,7 +18,7 @@
 duties = "10.200.0.60:8408"
 key_withdrawal_ms = 5000
 usage_window_s = 5
-usage_due_s = "10.5"
+stop_grace_s = "10.5"
 )";
     GIVEN("good settings")
     {
@@ -26,7 +26,7 @@
         REQUIRE(read.has_value());
         CHECK(read->first_start);
         CHECK(read->key_withdrawal == 5s);
-        CHECK(read->usage_due == 10'500ms);
+        CHECK(read->stop_grace == 10'500ms);
     }
     GIVEN("an unknown key and a wrong address")
     {
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -113,7 +113,6 @@
     auto const job = platform::decode_batch_job(body);
     REQUIRE(job.has_value());
     CHECK(job->least_version == 6);
-    CHECK(job->wanted_groups == 12);
     CHECK(job->samples[0].model == "m");
     CHECK(job->samples[0].body == "\xab\xcd");
     CHECK(job->samples[0].expected_tokens == 90);
