Say once what stood in several files

The parsing of numbers, the comparison of header names, status codes, the look-up of a job's route and of a model's version, the time limit of calls to the store; two functions that answered an error in the same way are one. The calls of the leader have a file of their own. No behaviour changes.

--- a/src/duty/weights_plan.cpp
+++ b/src/duty/weights_plan.cpp
@@ -9,17 +9,12 @@
 namespace
 {
 
+using fleet::version_of;
+
 // Upstreams that load at once slow each other; a fifth of them, at least two, may.
 constexpr std::size_t loading_share = 5;
 constexpr std::size_t least_loading = 2;
 
-std::uint32_t version_of(std::map<std::string, std::uint32_t, std::less<>> const& versions,
-                         std::string_view model)
-{
-    auto const at = versions.find(model);
-    return at != versions.end() ? at->second : 0;
-}
-
 // The version that every upstream starts with.
 constexpr std::uint32_t first_version = 1;
 
--- a/src/duty/weights_plan.hpp
+++ b/src/duty/weights_plan.hpp
@@ -47,7 +47,7 @@
 
 /// \ingroup duty
 /// \brief Newest version of each model.
-using named_versions = std::map<std::string, std::uint32_t, std::less<>>;
+using named_versions = fleet::weight_versions;
 
 /// \ingroup duty
 /// \brief Gives each upstream of the engines one model to follow, so that a new version of one
--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -48,12 +48,6 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-std::uint32_t version_of(upstream const& which, std::string_view model)
-{
-    auto const at = which.record.weights.find(model);
-    return at != which.record.weights.end() ? at->second : 0;
-}
-
 double plain_cost(upstream const& which, std::string_view domain)
 {
     constexpr double remote_penalty = 0.05;
@@ -97,7 +91,7 @@
         {
             continue;
         }
-        auto const version = version_of(one, need.model);
+        auto const version = version_of(one.record.weights, need.model);
         bool const known = version >= need.least_version;
         // The list tells of new weights up to two seconds late. An upstream that follows the model
         // may hold the version already; one sample finds out.
--- a/src/fleet/upstream_record.hpp
+++ b/src/fleet/upstream_record.hpp
@@ -2,9 +2,9 @@
 #define GOOSEBERRYWOOD_FLEET_UPSTREAM_RECORD_HPP
 
 #include "base/time.hpp"
+#include "fleet/weight_versions.hpp"
 
 #include <cstdint>
-#include <map>
 #include <string>
 
 namespace gooseberrywood::fleet
@@ -25,7 +25,7 @@
     bool draining = false;
     base::mono_time cold_until{};
     /// Version of the weights of each model that it holds.
-    std::map<std::string, std::uint32_t, std::less<>> weights;
+    weight_versions weights;
     /// Start of the incarnation, Unix time in milliseconds; 0 when it is not told.
     std::int64_t started_ms = 0;
 };
--- a/src/gateway/answer_caller.cpp
+++ b/src/gateway/answer_caller.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/measure.hpp"
 #include "http/error_answer.hpp"
+#include "http/status.hpp"
 #include "platform/words.hpp"
 
 #include <fmt/format.h>
@@ -15,8 +16,6 @@
 namespace
 {
 
-constexpr std::uint16_t service_unavailable = 503;
-
 void answer(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why,
             std::vector<http::header> const& headers)
 {
@@ -40,15 +39,11 @@
 void refuse(gateway& self, http::exchange& to, base::error const& why, base::duration come_back)
 {
     auto const seconds = std::chrono::duration<double>(come_back).count();
-    answer(self, to, service_unavailable, why, {{"Retry-After", fmt::format("{:.3f}", seconds)}});
-}
-
-void fail_request(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why)
-{
-    answer(self, to, status, why, {});
+    answer(self, to, http::status::unavailable, why,
+           {{"Retry-After", fmt::format("{:.3f}", seconds)}});
 }
 
-void reject(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why)
+void answer_error(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why)
 {
     answer(self, to, status, why, {});
 }
--- a/src/gateway/answer_caller.hpp
+++ b/src/gateway/answer_caller.hpp
@@ -18,12 +18,9 @@
 void refuse(gateway& self, http::exchange& to, base::error const& why, base::duration come_back);
 
 /// \ingroup gateway
-/// \brief Answers with an error that promises nothing about whether the request ran.
-void fail_request(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why);
-
-/// \ingroup gateway
-/// \brief Answers that the request itself is wrong.
-void reject(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why);
+/// \brief Answers with an error: one that promises nothing about whether the request ran, such as
+/// 502 and 504, or one that says that the request itself is wrong.
+void answer_error(gateway& self, http::exchange& to, std::uint16_t status, base::error const& why);
 
 } // namespace gooseberrywood::gateway
 
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -8,6 +8,7 @@
 #include "gateway/refresh.hpp"
 #include "gateway/route_request.hpp"
 #include "gateway/submit_job.hpp"
+#include "http/status.hpp"
 #include "platform/batch_calls.hpp"
 #include "platform/caller_head.hpp"
 
@@ -22,11 +23,6 @@
 
 using base::result_code;
 
-constexpr std::uint16_t unauthorized = 401;
-constexpr std::uint16_t not_found = 404;
-constexpr std::uint16_t bad_gateway = 502;
-constexpr std::uint16_t gateway_timeout = 504;
-
 // Another gateway may have a fresher configuration, or this one will have by then.
 constexpr base::duration come_back_stale = std::chrono::milliseconds(200);
 // A full service has a place again after a few requests.
@@ -57,9 +53,9 @@
     auto const* const team = head.key ? fleet::find_team(configuration, *head.key) : nullptr;
     if (team == nullptr)
     {
-        reject(self, to, unauthorized,
-               {head.key ? result_code::key_unknown : result_code::key_missing,
-                "the request carries no key that is known"});
+        answer_error(self, to, http::status::unauthorized,
+                     {head.key ? result_code::key_unknown : result_code::key_missing,
+                      "the request carries no key that is known"});
         return std::nullopt;
     }
     return *team;
@@ -70,7 +66,7 @@
     switch (outcome.end)
     {
     case routed_end::answered:
-        return outcome.answer.status < 500 ? "answered" : "failed";
+        return http::status::is_server_error(outcome.answer.status) ? "failed" : "answered";
     case routed_end::refused:
         return "refused";
     case routed_end::unknown:
@@ -111,9 +107,9 @@
         refuse(self, to, outcome.why, come_back_full);
         break;
     case routed_end::unknown:
-        fail_request(self, to,
-                     outcome.why.code == result_code::deadline_passed ? gateway_timeout
-                                                                      : bad_gateway,
+        answer_error(self, to,
+                     outcome.why.code == result_code::deadline_passed ? http::status::timeout
+                                                                      : http::status::bad_gateway,
                      outcome.why);
         break;
     }
@@ -171,8 +167,8 @@
     auto const* const route = fleet::find_route(*self.configuration, head.host, from->path);
     if (route == nullptr)
     {
-        reject(self, *from, not_found,
-               {result_code::unknown_route, "no route for this host and path"});
+        answer_error(self, *from, http::status::not_found,
+                     {result_code::unknown_route, "no route for this host and path"});
         return;
     }
     auto const team = authorize(self, *from, head, route, now);
--- a/src/gateway/end_job.cpp
+++ b/src/gateway/end_job.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
 #include "gateway/job_ownership.hpp"
+#include "http/status.hpp"
 #include "rollout/store_keys.hpp"
 
 namespace gooseberrywood::gateway
@@ -13,9 +14,6 @@
 
 using base::result_code;
 
-constexpr std::uint16_t ok = 200;
-constexpr std::uint16_t gateway_timeout = 504;
-
 struct ending
 {
     shared_exchange from;
@@ -37,14 +35,14 @@
         known->second.record.ended = true;
     }
     stop_job(self, record.id);
-    answer_empty(*what.from, ok);
+    answer_empty(*what.from, http::status::ok);
 }
 
 void try_end_again(gateway& self, std::shared_ptr<ending> const& what, base::error const& why)
 {
     if (what->tries >= most_store_tries)
     {
-        fail_request(self, *what->from, gateway_timeout, why);
+        answer_error(self, *what->from, http::status::timeout, why);
         return;
     }
     what->timer =
@@ -106,7 +104,7 @@
                     what->found = found;
                     if (found.record.ended)
                     {
-                        answer_empty(*from, ok);
+                        answer_empty(*from, http::status::ok);
                         return;
                     }
                     send_end(self, what);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -126,6 +126,19 @@
     return self.lease.id != 0 && now < self.lease.valid_until;
 }
 
+/// \ingroup gateway
+/// \brief The route that a batch job was submitted on, if there still is one.
+[[nodiscard]] inline fleet::route const* route_of(gateway const& self,
+                                                  rollout::job_record const& record)
+{
+    return self.configuration ? fleet::find_route(*self.configuration, record.host, record.path)
+                              : nullptr;
+}
+
+/// \ingroup gateway
+/// \brief Longest time for one call to the store that no caller waits for.
+inline constexpr base::duration store_call_timeout = std::chrono::milliseconds(1000);
+
 /// \ingroup gateway
 /// \brief What this process writes where it owns something: it names the host and the lease, so
 /// that entries of an earlier incarnation of the process count as another's.
--- a/src/gateway/job_answers.cpp
+++ b/src/gateway/job_answers.cpp
@@ -1,6 +1,7 @@
 #include "gateway/job_answers.hpp"
 
 #include "gateway/answer_caller.hpp"
+#include "http/status.hpp"
 #include "rollout/store_keys.hpp"
 
 #include <utility>
@@ -13,8 +14,6 @@
 
 using base::result_code;
 
-constexpr std::uint16_t not_found = 404;
-
 // The store is reached again soon, here or at another gateway.
 constexpr base::duration come_back = std::chrono::milliseconds(250);
 
@@ -32,7 +31,8 @@
 
 void answer_missing(gateway& self, http::exchange& to)
 {
-    reject(self, to, not_found, {result_code::not_found, "there is no such batch job"});
+    answer_error(self, to, http::status::not_found,
+                 {result_code::not_found, "there is no such batch job"});
 }
 
 void with_record(gateway& self, shared_exchange const& from, std::string const& id,
--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -27,8 +27,6 @@
 using base::result_code;
 using items = std::vector<store::item>;
 
-constexpr base::duration store_timeout = std::chrono::milliseconds(1000);
-
 // Processes take over one after the other, so that they don't all claim at once.
 constexpr base::duration claim_stagger = std::chrono::milliseconds(150);
 
@@ -39,8 +37,7 @@
 
 void set_times(gateway const& self, owned_job& job)
 {
-    auto const* const route =
-        fleet::find_route(*self.configuration, job.record.host, job.record.path);
+    auto const* const route = route_of(self, job.record);
     auto const submitted = to_mono(job.record.submitted_at);
     fleet::route const defaults;
     job.due = submitted + (route != nullptr ? route->run_target : defaults.run_target);
@@ -113,7 +110,7 @@
 void load_job(gateway& self, std::string const& id,
               std::function<void(base::result<stored_job>)> then)
 {
-    store::list_all(self.store, rollout::job_prefix(id), "", base::mono_now() + store_timeout,
+    store::list_all(self.store, rollout::job_prefix(id), "", base::mono_now() + store_call_timeout,
                     [id, then = std::move(then)](base::result<items> const& read)
                     {
                         if (!read)
@@ -194,8 +191,8 @@
 void claim(gateway& self, rollout::job_record const& record)
 {
     // Not tried again before a later review has shown what became of it.
-    self.shared.orphaned_since[record.id] = base::mono_now() + store_timeout;
-    self.store.commit_all(claim_write(self, record.id), base::mono_now() + store_timeout,
+    self.shared.orphaned_since[record.id] = base::mono_now() + store_call_timeout;
+    self.store.commit_all(claim_write(self, record.id), base::mono_now() + store_call_timeout,
                           [&self, record](base::result<store::commit> const& outcome)
                           {
                               if (outcome && outcome->done)
@@ -267,7 +264,7 @@
 void reclaim(gateway& self, owned_job& job)
 {
     job.claiming = true;
-    self.store.commit_all(claim_write(self, job.record.id), base::mono_now() + store_timeout,
+    self.store.commit_all(claim_write(self, job.record.id), base::mono_now() + store_call_timeout,
                           [&self, id = job.record.id](base::result<store::commit> const& outcome)
                           {
                               auto const at = self.jobs.find(id);
@@ -405,7 +402,7 @@
             then();
         }
     };
-    auto const deadline = base::mono_now() + store_timeout;
+    auto const deadline = base::mono_now() + store_call_timeout;
     for (auto& [id, job] : self.jobs)
     {
         cancel_runs(self, id);
--- a/src/gateway/leadership.cpp
+++ b/src/gateway/leadership.cpp
@@ -15,9 +15,7 @@
 namespace
 {
 
-constexpr base::duration store_timeout = std::chrono::milliseconds(1000);
 constexpr base::duration tick = std::chrono::milliseconds(100);
-constexpr std::size_t max_answer_bytes = 64 * 1024;
 
 void begin_term(gateway& self, std::uint64_t fencing)
 {
@@ -43,7 +41,7 @@
     std::string const key(rollout::leader_key);
     write.expected.push_back({key, 0});
     write.writes.push_back({key, own_mark(self), self.lease.id});
-    self.store.commit_all(write, base::mono_now() + store_timeout,
+    self.store.commit_all(write, base::mono_now() + store_call_timeout,
                           [&self](base::result<store::commit> const& outcome)
                           {
                               self.candidate.busy = false;
@@ -64,7 +62,7 @@
             continue;
         }
         base::log_line(base::log_level::info, "host_retired", {{"host", host}});
-        self.store.commit_all(platform::encode_retired(host), base::mono_now() + store_timeout,
+        self.store.commit_all(platform::encode_retired(host), base::mono_now() + store_call_timeout,
                               [&self, host](base::result<store::commit> const& outcome)
                               {
                                   if (!outcome)
@@ -138,22 +136,8 @@
     write.expected.push_back({key, self.candidate.held->fencing});
     write.removals.push_back(key);
     end_term(self, "the process stops");
-    self.store.commit_all(write, base::mono_now() + store_timeout,
+    self.store.commit_all(write, base::mono_now() + store_call_timeout,
                           [](base::result<store::commit> const&) {});
 }
 
-void start_control_call(gateway& self, http::call_request const& what, base::mono_time deadline,
-                        std::function<void(http::fetch_outcome)> then)
-{
-    auto const number = ++self.numbers;
-    self.control_calls[number] =
-        http::start_fetch(self.control_session.get(), what, deadline, max_answer_bytes,
-                          [&self, number, then = std::move(then)](http::fetch_outcome outcome)
-                          {
-                              auto const keep = std::move(self.control_calls[number]);
-                              self.control_calls.erase(number);
-                              then(std::move(outcome));
-                          });
-}
-
 } // namespace gooseberrywood::gateway
--- a/src/gateway/leadership.hpp
+++ b/src/gateway/leadership.hpp
@@ -18,11 +18,6 @@
 /// \brief Gives the leadership up.
 void resign(gateway& self);
 
-/// \ingroup gateway
-/// \brief Starts a call to an upstream or to the platform's interface for duties.
-void start_control_call(gateway& self, http::call_request const& what, base::mono_time deadline,
-                        std::function<void(http::fetch_outcome)> then);
-
 } // namespace gooseberrywood::gateway
 
 #endif
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -1,6 +1,7 @@
 #include "gateway/lease_keeper.hpp"
 
 #include "base/log.hpp"
+#include "base/parse_number.hpp"
 #include "gateway/job_ownership.hpp"
 #include "gateway/leadership.hpp"
 #include "gateway/measure.hpp"
@@ -8,9 +9,9 @@
 #include "lease/drift_margin.hpp"
 #include "rollout/store_keys.hpp"
 
-#include <charconv>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace gooseberrywood::gateway
 {
@@ -42,14 +43,13 @@
 std::optional<std::uint64_t> earlier_lease(gateway const& self, store::item const& entry)
 {
     auto const mark = entry.value.rfind('#');
-    std::uint64_t lease = 0;
     if (mark == std::string::npos)
     {
         return std::nullopt;
     }
-    auto const* const end = entry.value.data() + entry.value.size();
-    bool const valid = std::from_chars(entry.value.data() + mark + 1, end, lease).ec == std::errc();
-    return valid && lease != self.lease.id ? std::optional(lease) : std::nullopt;
+    auto const lease =
+        base::parse_number<std::uint64_t>(std::string_view(entry.value).substr(mark + 1));
+    return lease != self.lease.id ? lease : std::nullopt;
 }
 
 void write_member(gateway& self);
--- a/src/gateway/read_job.cpp
+++ b/src/gateway/read_job.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
 #include "gateway/job_ownership.hpp"
+#include "http/status.hpp"
 #include "rollout/result_chunk.hpp"
 #include "rollout/store_keys.hpp"
 #include "store/list_all.hpp"
@@ -20,9 +21,6 @@
 
 using base::result_code;
 
-constexpr std::uint16_t ok = 200;
-constexpr std::uint16_t not_found = 404;
-
 // Results of jobs of other owners are kept for readers that come back, about once a second.
 constexpr base::duration cache_time = std::chrono::seconds(20);
 
@@ -30,7 +28,7 @@
                     std::span<rollout::sample_result const> results)
 {
     auto const skipped = std::min(from_position, results.size());
-    http::respond(to, ok, "application/json",
+    http::respond(to, http::status::ok, "application/json",
                   platform::encode_results(total, from_position, results.subspan(skipped)));
 }
 
@@ -92,10 +90,11 @@
                      [&](rollout::sample_spec const& one) { return one.id == sample_id; });
     if (at == job.samples.end())
     {
-        reject(self, to, not_found, {result_code::not_found, "the batch job has no such item"});
+        answer_error(self, to, http::status::not_found,
+                     {result_code::not_found, "the batch job has no such item"});
         return;
     }
-    http::respond(to, ok, "application/octet-stream", at->body);
+    http::respond(to, http::status::ok, "application/octet-stream", at->body);
 }
 
 } // namespace
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -21,7 +21,6 @@
 // Results that end shortly after each other are stored with one call.
 constexpr base::duration collect_time = std::chrono::milliseconds(120);
 constexpr base::duration retry_pause = std::chrono::milliseconds(150);
-constexpr base::duration store_timeout = std::chrono::milliseconds(1000);
 
 // Long samples are saved about so often; a sample counts as long after about a second.
 constexpr base::duration save_interval = std::chrono::milliseconds(1200);
@@ -166,7 +165,7 @@
         write.writes.push_back(
             {rollout::progress_key(job.record.id), rollout::encode_progress(progress), 0});
     }
-    self.store.commit_all(write, base::mono_now() + store_timeout,
+    self.store.commit_all(write, base::mono_now() + store_call_timeout,
                           [&self, id = job.record.id, revision = job.owner_revision](
                               base::result<store::commit> const& outcome)
                           { on_written(self, id, revision, outcome); });
@@ -235,7 +234,8 @@
         return;
     }
     claimed->claiming = true;
-    store::list_all(self.store, rollout::result_prefix(id), "", base::mono_now() + store_timeout,
+    store::list_all(self.store, rollout::result_prefix(id), "",
+                    base::mono_now() + store_call_timeout,
                     [&self, id, owner_revision](base::result<std::vector<store::item>> const& read)
                     {
                         auto* const job = find(self, id);
--- a/src/gateway/reward_runner.cpp
+++ b/src/gateway/reward_runner.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/route_request.hpp"
+#include "http/status.hpp"
 #include "platform/upstream_calls.hpp"
 
 #include <algorithm>
@@ -18,7 +19,6 @@
 using rollout::sample_phase;
 
 constexpr base::duration retry_pause = std::chrono::milliseconds(100);
-constexpr std::uint16_t status_failed = 500;
 
 void send_reward(gateway& self, owned_job& job, std::size_t index);
 
@@ -42,8 +42,7 @@
 std::uint32_t most_failures(gateway const& self, owned_job const& job,
                             rollout::reward_call const& call)
 {
-    auto const* const own =
-        fleet::find_route(*self.configuration, job.record.host, job.record.path);
+    auto const* const own = route_of(self, job.record);
     auto const* const reward = fleet::find_route(*self.configuration, call.host, call.path);
     return std::max(own != nullptr ? own->attempts : 1, reward != nullptr ? reward->attempts : 1);
 }
@@ -60,7 +59,7 @@
     auto& progress = job.samples[index];
     auto const& spec = job.spec.samples[index];
     bool const answered = outcome.end == routed_end::answered;
-    if (answered && outcome.answer.status >= 200 && outcome.answer.status < 300)
+    if (answered && http::status::is_success(outcome.answer.status))
     {
         auto const head =
             platform::decode_answer_head(outcome.answer.status, outcome.answer.headers);
@@ -68,7 +67,7 @@
         finish_sample(self, job, index, true);
         return;
     }
-    if (answered && outcome.answer.status == status_failed)
+    if (answered && outcome.answer.status == http::status::internal_error)
     {
         ++progress.failed_rewards;
     }
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -4,6 +4,7 @@
 #include "fleet/choose_upstream.hpp"
 #include "fleet/try_outcome.hpp"
 #include "gateway/measure.hpp"
+#include "http/status.hpp"
 
 #include <algorithm>
 #include <array>
@@ -90,18 +91,17 @@
     {
         return try_outcome::not_run;
     }
-    bool const is_success = answer->status >= 200 && answer->status < 300;
-    if (is_success && (!head.receipt || !head.request_id))
+    if (http::status::is_success(answer->status) && (!head.receipt || !head.request_id))
     {
         return try_outcome::lost;
     }
-    return answer->status >= 500 ? try_outcome::failed : try_outcome::answered;
+    return http::status::is_server_error(answer->status) ? try_outcome::failed
+                                                         : try_outcome::answered;
 }
 
 void learn(gateway& self, routed_try const& from, fleet::try_outcome outcome,
            http::fetch_outcome const& answer, base::mono_time now)
 {
-    constexpr std::uint16_t misdirected = 421;
     switch (outcome)
     {
     case fleet::try_outcome::answered:
@@ -109,7 +109,7 @@
         fleet::note_answer(self.pool, from.upstream, now - from.sent_at);
         break;
     case fleet::try_outcome::not_run:
-        if (answer && answer->status != misdirected)
+        if (answer && answer->status != http::status::misdirected)
         {
             fleet::note_full(self.pool, from.upstream, now);
             break;
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -37,8 +37,7 @@
 void collect_waiting(gateway const& self, owned_job const& job, base::mono_time now,
                      std::vector<rollout::waiting_sample>& into)
 {
-    auto const* const route =
-        fleet::find_route(*self.configuration, job.record.host, job.record.path);
+    auto const* const route = route_of(self, job.record);
     if (route == nullptr)
     {
         return;
@@ -69,8 +68,7 @@
 {
     auto& job = self.jobs.at(waiting.job_id);
     auto const& spec = job.spec.samples[waiting.index];
-    auto const* const route =
-        fleet::find_route(*self.configuration, job.record.host, job.record.path);
+    auto const* const route = route_of(self, job.record);
     auto const& service = fleet::service_of(*route, spec.id);
     need_key const key{service, spec.model, job.spec.least_version};
     if (hopeless.contains(key))
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -4,6 +4,7 @@
 #include "gateway/measure.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runner.hpp"
+#include "http/status.hpp"
 #include "platform/upstream_calls.hpp"
 
 #include <algorithm>
@@ -30,11 +31,6 @@
 // Longest useful time of one run.
 constexpr base::duration longest_run = std::chrono::seconds(60);
 
-constexpr std::uint16_t status_ok = 200;
-constexpr std::uint16_t status_misdirected = 421;
-constexpr std::uint16_t status_unprocessable = 422;
-constexpr std::uint16_t status_failed = 500;
-
 void log_run(gateway& self, std::string_view event, sample_run const& run, run_place const& place,
              std::string_view reason, std::int64_t status)
 {
@@ -90,9 +86,9 @@
 {
     auto const& run = self.runs.at(number);
     auto const place = *place_of(self, run);
-    auto const* const route =
-        fleet::find_route(*self.configuration, place.job->record.host, place.job->record.path);
-    log_run(self, "run_failed", run, place, "the upstream answered 500", status_failed);
+    auto const* const route = route_of(self, place.job->record);
+    log_run(self, "run_failed", run, place, "the upstream answered 500",
+            http::status::internal_error);
     ++place.progress->failed_runs;
     if (route != nullptr && place.progress->failed_runs >= route->attempts)
     {
@@ -107,7 +103,7 @@
     auto const& run = self.runs.at(number);
     auto const now = base::mono_now();
     log_run(self, "run_refused", run, *place_of(self, run), "the upstream did not run it", status);
-    if (status == status_misdirected && run.expected_version != 0)
+    if (status == http::status::misdirected && run.expected_version != 0)
     {
         fleet::note_weights_missing(self.pool, run.upstream, now);
     }
@@ -131,22 +127,22 @@
         break_run(self, number, "the answer belongs to another request");
         return;
     }
-    if (head.not_run || status == status_misdirected)
+    if (head.not_run || status == http::status::misdirected)
     {
         on_refused(self, number, status);
         return;
     }
-    if (status == status_unprocessable)
+    if (status == http::status::unprocessable)
     {
         give_up(self, number, "the upstream can never run it");
         return;
     }
-    if (status == status_failed)
+    if (status == http::status::internal_error)
     {
         count_failed_run(self, number);
         return;
     }
-    if (status != status_ok || !head.weights)
+    if (status != http::status::ok || !head.weights)
     {
         break_run(self, number, "unexpected answer");
         return;
@@ -189,8 +185,7 @@
 
 bool keeps_to_one_version(gateway const& self, run_place const& place)
 {
-    auto const* const route =
-        fleet::find_route(*self.configuration, place.job->record.host, place.job->record.path);
+    auto const* const route = route_of(self, place.job->record);
     return route == nullptr || !route->single_version || place.progress->versions.size() <= 1;
 }
 
@@ -227,7 +222,7 @@
         break_run(self, number, "the stream ended without its end");
         return;
     }
-    log_run(self, "run_complete", run, *place, "", status_ok);
+    log_run(self, "run_complete", run, *place, "", http::status::ok);
     place->progress->complete = true;
     auto const index = run.index;
     auto& job = *place->job;
--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
 #include "gateway/job_ownership.hpp"
+#include "http/status.hpp"
 #include "platform/batch_calls.hpp"
 #include "rollout/store_keys.hpp"
 
@@ -17,10 +18,6 @@
 
 using base::result_code;
 
-constexpr std::uint16_t accepted = 202;
-constexpr std::uint16_t bad_request = 400;
-constexpr std::uint16_t gateway_timeout = 504;
-
 // Values in the store hold less than 1 MiB.
 constexpr std::size_t spec_part_bytes = 900'000;
 
@@ -64,13 +61,13 @@
         at != current.end() ? rollout::decode_job_record(what.record.id, at->value) : std::nullopt;
     if (!record || record->team != what.record.team)
     {
-        reject(self, *what.from, bad_request,
-               {result_code::duplicate_attempt, "the id of the batch job is taken"});
+        answer_error(self, *what.from, http::status::bad_request,
+                     {result_code::duplicate_attempt, "the id of the batch job is taken"});
         return;
     }
     base::log_line(base::log_level::info, "job_known", {{"job", what.record.id}});
     self.shared.records[what.record.id] = {*record, at->revision};
-    answer_empty(*what.from, accepted);
+    answer_empty(*what.from, http::status::accepted);
 }
 
 void on_submission_failed(gateway& self, shared_submission const& what, base::error const& why)
@@ -88,7 +85,7 @@
                                [&self, what] { send_submission(self, what); });
         return;
     }
-    fail_request(self, *what->from, gateway_timeout, why);
+    answer_error(self, *what->from, http::status::timeout, why);
 }
 
 void on_submitted(gateway& self, shared_submission const& what,
@@ -109,7 +106,7 @@
                     {"team", what->record.team},
                     {"samples", static_cast<std::int64_t>(what->record.samples)}});
     self.shared.records[what->record.id] = {what->record, outcome->revision};
-    answer_empty(*what->from, accepted);
+    answer_empty(*what->from, http::status::accepted);
     adopt_job(self, what->record, std::move(what->spec), outcome->revision);
 }
 
@@ -129,15 +126,15 @@
     auto spec = platform::decode_batch_job(from->body);
     if (!spec || head.request_id.empty())
     {
-        reject(self, *from, bad_request,
-               spec ? base::error{result_code::bad_request, "the batch job has no id"}
-                    : spec.error());
+        answer_error(self, *from, http::status::bad_request,
+                     spec ? base::error{result_code::bad_request, "the batch job has no id"}
+                          : spec.error());
         return;
     }
     auto const known = self.shared.records.find(head.request_id);
     if (known != self.shared.records.end() && known->second.record.team == team)
     {
-        answer_empty(*from, accepted);
+        answer_empty(*from, http::status::accepted);
         return;
     }
     if (!has_lease(self, base::mono_now()) || self.stopping)
--- a/src/gateway/usage_reports.cpp
+++ b/src/gateway/usage_reports.cpp
@@ -1,7 +1,7 @@
 #include "gateway/usage_reports.hpp"
 
 #include "base/log.hpp"
-#include "gateway/leadership.hpp"
+#include "gateway/control_call.hpp"
 #include "platform/control_calls.hpp"
 #include "store/list_all.hpp"
 
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr base::duration store_timeout = std::chrono::milliseconds(1000);
 constexpr base::duration call_timeout = std::chrono::milliseconds(1500);
 
 // Requests that began in a window have ended by then, so that they are counted.
@@ -41,7 +40,7 @@
     store::transaction write;
     write.writes.push_back({duty::usage_key(window, self.settings.host),
                             duty::encode_counts(self.usage.counts[window]), 0});
-    self.store.commit_all(write, base::mono_now() + store_timeout,
+    self.store.commit_all(write, base::mono_now() + store_call_timeout,
                           [&self, window](base::result<store::commit> const& outcome)
                           {
                               self.reporting.leaving_counts = false;
@@ -123,7 +122,7 @@
     write.writes.push_back({key, duty::encode_counts(found.report.counts), 0});
     write.removals = std::exchange(self.reporting.obsolete_keys, std::move(found.keys));
     self.store.commit_all(
-        write, base::mono_now() + store_timeout,
+        write, base::mono_now() + store_call_timeout,
         [&self, report = std::move(found.report), as](base::result<store::commit> const& outcome)
         {
             // Whatever is unclear is read again at the next turn.
@@ -189,7 +188,8 @@
         return;
     }
     self.reporting.busy = true;
-    store::list_all(self.store, duty::usage_prefix(window), "", base::mono_now() + store_timeout,
+    store::list_all(self.store, duty::usage_prefix(window), "",
+                    base::mono_now() + store_call_timeout,
                     [&self, window, as](base::result<std::vector<store::item>> const& read)
                     { on_entries(self, window, as, read); });
 }
--- a/src/gateway/weights_orders.cpp
+++ b/src/gateway/weights_orders.cpp
@@ -1,7 +1,7 @@
 #include "gateway/weights_orders.hpp"
 
 #include "base/log.hpp"
-#include "gateway/leadership.hpp"
+#include "gateway/control_call.hpp"
 #include "gateway/measure.hpp"
 #include "platform/control_calls.hpp"
 
--- a/src/http/fetch.cpp
+++ b/src/http/fetch.cpp
@@ -106,12 +106,16 @@
     return header_list(soup_message_get_response_headers(of));
 }
 
+bool is_same_name(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && g_ascii_strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
 std::optional<std::string_view> find_header(std::vector<header> const& in, std::string_view name)
 {
     for (auto const& one : in)
     {
-        if (one.name.size() == name.size() &&
-            g_ascii_strncasecmp(one.name.data(), name.data(), name.size()) == 0)
+        if (is_same_name(one.name, name))
         {
             return one.value;
         }
--- a/src/http/fetch.hpp
+++ b/src/http/fetch.hpp
@@ -66,6 +66,10 @@
 /// \brief All headers of an answer; of one that occurs several times the values are joined.
 [[nodiscard]] std::vector<header> answer_headers(SoupMessage* of);
 
+/// \ingroup http
+/// \brief Whether two names are of the same header: their case does not matter.
+[[nodiscard]] bool is_same_name(std::string_view a, std::string_view b);
+
 /// \ingroup http
 /// \brief The value of a header, with any case of its name.
 [[nodiscard]] std::optional<std::string_view> find_header(std::vector<header> const& in,
--- /dev/null
+++ b/src/http/status.hpp
@@ -0,0 +1,40 @@
+#ifndef GOOSEBERRYWOOD_HTTP_STATUS_HPP
+#define GOOSEBERRYWOOD_HTTP_STATUS_HPP
+
+#include <cstdint>
+
+/// \ingroup http
+/// \brief Status codes of answers.
+namespace gooseberrywood::http::status
+{
+
+inline constexpr std::uint16_t ok = 200;
+inline constexpr std::uint16_t accepted = 202;
+inline constexpr std::uint16_t bad_request = 400;
+inline constexpr std::uint16_t unauthorized = 401;
+inline constexpr std::uint16_t not_found = 404;
+inline constexpr std::uint16_t conflict = 409;
+inline constexpr std::uint16_t precondition_failed = 412;
+inline constexpr std::uint16_t misdirected = 421;
+inline constexpr std::uint16_t unprocessable = 422;
+inline constexpr std::uint16_t too_many_requests = 429;
+inline constexpr std::uint16_t internal_error = 500;
+inline constexpr std::uint16_t bad_gateway = 502;
+inline constexpr std::uint16_t unavailable = 503;
+inline constexpr std::uint16_t timeout = 504;
+
+/// \brief Whether the answer is a success.
+[[nodiscard]] constexpr bool is_success(std::uint16_t code)
+{
+    return code >= 200 && code < 300;
+}
+
+/// \brief Whether the answer says that the server failed.
+[[nodiscard]] constexpr bool is_server_error(std::uint16_t code)
+{
+    return code >= 500;
+}
+
+} // namespace gooseberrywood::http::status
+
+#endif
