Give job storage, hand-over and the store's codec files of their own

Making a result moves from the reward calls to the writer of results. A job whose submission can't be read is now reported as not loaded.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,7 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/callers.hpp"
 #include "gateway/dump.hpp"
-#include "gateway/job_ownership.hpp"
+#include "gateway/hand_over.hpp"
 #include "gateway/leadership.hpp"
 #include "gateway/lease_keeper.hpp"
 #include "gateway/measure.hpp"
--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -2,20 +2,15 @@
 
 #include "base/hash.hpp"
 #include "base/log.hpp"
+#include "gateway/job_store.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runner.hpp"
 #include "gateway/sample_runs.hpp"
-#include "platform/batch_calls.hpp"
-#include "rollout/result_chunk.hpp"
-#include "rollout/saved_progress.hpp"
 #include "rollout/store_keys.hpp"
-#include "store/list_all.hpp"
 
 #include <algorithm>
-#include <iterator>
-#include <memory>
 #include <utility>
 
 namespace gooseberrywood::gateway
@@ -24,9 +19,6 @@
 namespace
 {
 
-using base::result_code;
-using items = std::vector<store::item>;
-
 // Processes take over one after the other, so that they don't all claim at once.
 constexpr base::duration claim_stagger = std::chrono::milliseconds(150);
 
@@ -72,67 +64,10 @@
     return job;
 }
 
-/// What the store holds of a job.
-struct stored_job
-{
-    std::string spec;
-    std::vector<rollout::sample_result> results;
-    rollout::saved_progress progress;
-};
-
-base::result<stored_job> sort_stored(std::string const& id, items const& read)
-{
-    stored_job stored;
-    for (auto const& item : read)
-    {
-        if (item.key == rollout::progress_key(id))
-        {
-            // Without it the samples start anew, so that a fault costs time only.
-            stored.progress = rollout::decode_progress(item.value).value_or(stored.progress);
-        }
-        else if (item.key.starts_with(rollout::result_prefix(id)))
-        {
-            auto results = rollout::decode_results(item.value);
-            if (!results)
-            {
-                return base::fail(result_code::internal, "stored results can't be read");
-            }
-            std::move(results->begin(), results->end(), std::back_inserter(stored.results));
-        }
-        else
-        {
-            stored.spec += item.value;
-        }
-    }
-    return stored;
-}
-
-void load_job(gateway& self, std::string const& id,
-              std::function<void(base::result<stored_job>)> then)
-{
-    store::list_all(self.store, rollout::job_prefix(id), "", base::mono_now() + store_call_timeout,
-                    [id, then = std::move(then)](base::result<items> const& read)
-                    {
-                        if (!read)
-                        {
-                            then(tl::unexpected(read.error()));
-                            return;
-                        }
-                        then(sort_stored(id, *read));
-                    });
-}
-
 void start_loaded(gateway& self, rollout::job_record const& record, stored_job stored,
                   std::uint64_t owner_revision)
 {
-    auto spec = platform::decode_batch_job(stored.spec);
-    if (!spec)
-    {
-        base::log_line(base::log_level::error, "job_unreadable",
-                       {{"job", record.id}, {"reason", spec.error().message}});
-        return;
-    }
-    auto job = make_job(self, record, std::move(*spec), owner_revision);
+    auto job = make_job(self, record, std::move(stored.spec), owner_revision);
     for (auto& [id, progress] : stored.progress)
     {
         auto const at = job.index_by_id.find(id);
@@ -202,43 +137,6 @@
                           });
 }
 
-void write_chunk(store::transaction& into, std::string const& id, std::size_t position,
-                 std::vector<rollout::sample_result> const& results)
-{
-    if (!results.empty())
-    {
-        into.writes.push_back(
-            {rollout::result_key(id, position), rollout::encode_results(results), 0});
-    }
-}
-
-/// Leaves everything that is known of a job in the store and gives up the ownership.
-store::transaction hand_over_write(owned_job const& job)
-{
-    auto const& id = job.record.id;
-    rollout::saved_progress left;
-    for (auto const& [sample_id, index] : job.index_by_id)
-    {
-        if (rollout::has_unfinished_text(job.samples[index]))
-        {
-            left[sample_id] = job.samples[index];
-        }
-    }
-    store::transaction write;
-    write.expected.push_back({rollout::owner_key(id), job.owner_revision});
-    // The same as in a write of them that may still be under way.
-    write_chunk(write, id, job.listed.size(), job.writing);
-    write_chunk(write, id, job.listed.size() + job.writing.size(), job.finished);
-    write.writes.push_back({rollout::progress_key(id), rollout::encode_progress(left), 0});
-    write.removals.push_back(rollout::owner_key(id));
-    base::log_line(
-        base::log_level::info, "job_handed_over",
-        {{"job", id},
-         {"unlisted", static_cast<std::int64_t>(job.writing.size() + job.finished.size())},
-         {"unfinished", static_cast<std::int64_t>(left.size())}});
-    return write;
-}
-
 /// Position of this process in the order in which processes take over a job.
 std::int64_t claim_rank(gateway const& self, std::string const& id)
 {
@@ -387,49 +285,4 @@
     }
 }
 
-void hand_over_jobs(gateway& self, std::function<void()> then)
-{
-    auto const waiting = std::make_shared<std::size_t>(self.jobs.size());
-    if (*waiting == 0)
-    {
-        then();
-        return;
-    }
-    auto const one_done = [waiting, then = std::move(then)](auto const&)
-    {
-        if (--*waiting == 0)
-        {
-            then();
-        }
-    };
-    auto const deadline = base::mono_now() + store_call_timeout;
-    for (auto& [id, job] : self.jobs)
-    {
-        cancel_runs(self, id);
-        if (job.owner_revision == 0)
-        {
-            // What this process holds may be older than what another owner has listed.
-            one_done(store::commit{});
-            continue;
-        }
-        self.store.commit_all(hand_over_write(job), deadline, one_done);
-    }
-    self.jobs.clear();
-}
-
-void load_spec(gateway& self, std::string const& id,
-               std::function<void(base::result<rollout::batch_job>)> then)
-{
-    load_job(self, id,
-             [then = std::move(then)](base::result<stored_job> const& stored)
-             {
-                 if (!stored)
-                 {
-                     then(tl::unexpected(stored.error()));
-                     return;
-                 }
-                 then(platform::decode_batch_job(stored->spec));
-             });
-}
-
 } // namespace gooseberrywood::gateway
--- a/src/gateway/job_ownership.hpp
+++ b/src/gateway/job_ownership.hpp
@@ -3,7 +3,6 @@
 
 #include "gateway/gateway.hpp"
 
-#include <functional>
 #include <string>
 
 namespace gooseberrywood::gateway
@@ -31,16 +30,6 @@
 /// \brief Claims again what this process owned under a lease that was lost.
 void reclaim_jobs(gateway& self);
 
-/// \ingroup gateway
-/// \brief Leaves all jobs to other processes, with the text that was generated so far.
-/// \param then called when the store has answered, or can't be reached.
-void hand_over_jobs(gateway& self, std::function<void()> then);
-
-/// \ingroup gateway
-/// \brief Reads what was submitted from the store.
-void load_spec(gateway& self, std::string const& id,
-               std::function<void(base::result<rollout::batch_job>)> then);
-
 } // namespace gooseberrywood::gateway
 
 #endif
--- a/src/gateway/read_job.cpp
+++ b/src/gateway/read_job.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
 #include "gateway/job_ownership.hpp"
+#include "gateway/job_store.hpp"
 #include "http/status.hpp"
 #include "rollout/result_chunk.hpp"
 #include "rollout/store_keys.hpp"
@@ -128,16 +129,16 @@
     with_record(self, from, call.job_id, team,
                 [&self, from, call](stored_record const&)
                 {
-                    load_spec(self, call.job_id,
-                              [&self, from, call](base::result<rollout::batch_job> const& spec)
-                              {
-                                  if (!spec)
-                                  {
-                                      answer_unsure(self, *from, spec.error());
-                                      return;
-                                  }
-                                  answer_body(self, *from, *spec, call.sample_id);
-                              });
+                    load_job(self, call.job_id,
+                             [&self, from, call](base::result<stored_job> const& stored)
+                             {
+                                 if (!stored)
+                                 {
+                                     answer_unsure(self, *from, stored.error());
+                                     return;
+                                 }
+                                 answer_body(self, *from, stored->spec, call.sample_id);
+                             });
                 });
 }
 
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -204,8 +204,19 @@
 
 } // namespace
 
-void add_result(gateway& self, owned_job& job, rollout::sample_result result)
+void finish_sample(gateway& self, owned_job& job, std::size_t index, bool done)
 {
+    auto& progress = job.samples[index];
+    progress.phase = rollout::sample_phase::finished;
+    rollout::sample_result result;
+    result.id = job.spec.samples[index].id;
+    result.done = done;
+    if (done)
+    {
+        result.text = progress.text;
+        result.versions.assign(progress.versions.begin(), progress.versions.end());
+        result.score = progress.score;
+    }
     job.finished.push_back(std::move(result));
     if (!job.write_running && !job.write_timer)
     {
--- a/src/gateway/result_writer.hpp
+++ b/src/gateway/result_writer.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/gateway.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -10,8 +11,9 @@
 {
 
 /// \ingroup gateway
-/// \brief Takes a result; it is listed once the store has it.
-void add_result(gateway& self, owned_job& job, rollout::sample_result result);
+/// \brief Makes the result of a sample and hands it to the store; it is listed once the store has
+/// it. \param done false when the sample was given up.
+void finish_sample(gateway& self, owned_job& job, std::size_t index, bool done);
 
 /// \ingroup gateway
 /// \brief Stores what waits although no write is planned, as after a pause of the store.
--- a/src/gateway/reward_runner.cpp
+++ b/src/gateway/reward_runner.cpp
@@ -123,20 +123,4 @@
     send_reward(self, job, index);
 }
 
-void finish_sample(gateway& self, owned_job& job, std::size_t index, bool done)
-{
-    auto& progress = job.samples[index];
-    progress.phase = sample_phase::finished;
-    rollout::sample_result result;
-    result.id = job.spec.samples[index].id;
-    result.done = done;
-    if (done)
-    {
-        result.text = progress.text;
-        result.versions.assign(progress.versions.begin(), progress.versions.end());
-        result.score = progress.score;
-    }
-    add_result(self, job, std::move(result));
-}
-
 } // namespace gooseberrywood::gateway
--- a/src/gateway/reward_runner.hpp
+++ b/src/gateway/reward_runner.hpp
@@ -13,11 +13,6 @@
 /// finished.
 void score_sample(gateway& self, owned_job& job, std::size_t index);
 
-/// \ingroup gateway
-/// \brief Makes the result of a sample and hands it to the store.
-/// \param done false when the sample was given up.
-void finish_sample(gateway& self, owned_job& job, std::size_t index, bool done);
-
 } // namespace gooseberrywood::gateway
 
 #endif
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -2,7 +2,6 @@
 
 #include "fleet/choose_upstream.hpp"
 #include "gateway/result_writer.hpp"
-#include "gateway/reward_runner.hpp"
 #include "gateway/sample_runs.hpp"
 #include "rollout/waiting_sample.hpp"
 
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runner.hpp"
 #include "http/status.hpp"
