Cancel the runs of samples that another owner has listed meanwhile

Cause: an owner that claims a job again took over the listed results but let its own runs of them go on; when such a run ended, its sample was listed a second time (the test: owner paused, second owner lists three samples and is killed, first owner wakes; three samples stood at two positions). Ruled out: the write conditions, which hold, since the owner is the right one.

--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -11,7 +11,9 @@
 #include "rollout/store_keys.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 namespace gooseberrywood::gateway
 {
@@ -36,18 +38,6 @@
     job.give_up_at = submitted + (route != nullptr ? route->retention : defaults.retention);
 }
 
-void mark_listed(owned_job& job, std::vector<rollout::sample_result> const& results)
-{
-    for (auto const& result : results)
-    {
-        auto const at = job.index_by_id.find(result.id);
-        if (at != job.index_by_id.end())
-        {
-            job.samples[at->second].phase = rollout::sample_phase::listed;
-        }
-    }
-}
-
 owned_job make_job(gateway const& self, rollout::job_record const& record, rollout::batch_job spec,
                    std::uint64_t owner_revision)
 {
@@ -64,6 +54,66 @@
     return job;
 }
 
+/// Takes over which results are listed. A sample among them needs no run any more, whoever has
+/// generated it.
+void take_listed(gateway& self, owned_job& job, std::vector<rollout::sample_result> listed)
+{
+    for (auto const& result : listed)
+    {
+        auto const at = job.index_by_id.find(result.id);
+        if (at != job.index_by_id.end())
+        {
+            cancel_run(self, job.record.id, at->second);
+            job.samples[at->second].phase = rollout::sample_phase::listed;
+        }
+    }
+    job.listed = std::move(listed);
+}
+
+bool is_listed(owned_job const& job, rollout::sample_result const& result)
+{
+    return job.samples[job.index_by_id.at(result.id)].phase == rollout::sample_phase::listed;
+}
+
+/// Goes on with a job that was claimed again. Results that were being written are either listed by
+/// now or wait to be written anew.
+void take_back(gateway& self, owned_job& job, std::vector<rollout::sample_result> listed,
+               std::uint64_t owner_revision)
+{
+    job.owner_revision = owner_revision;
+    job.write_running = false;
+    job.finished.insert(job.finished.begin(), std::make_move_iterator(job.writing.begin()),
+                        std::make_move_iterator(job.writing.end()));
+    job.writing.clear();
+    take_listed(self, job, std::move(listed));
+    std::erase_if(job.finished,
+                  [&](rollout::sample_result const& one) { return is_listed(job, one); });
+    base::log_line(
+        base::log_level::info, "job_reclaimed",
+        {{"job", job.record.id}, {"listed", static_cast<std::int64_t>(job.listed.size())}});
+    write_pending_results(self);
+}
+
+/// Reads what is stored of a job whose owner's entry is this process's again.
+void reload_job(gateway& self, owned_job& claimed, std::uint64_t owner_revision)
+{
+    claimed.claiming = true;
+    load_job(self, claimed.record.id,
+             [&self, id = claimed.record.id, owner_revision](base::result<stored_job> stored)
+             {
+                 auto const at = self.jobs.find(id);
+                 if (at == self.jobs.end())
+                 {
+                     return;
+                 }
+                 at->second.claiming = false;
+                 if (stored)
+                 {
+                     take_back(self, at->second, std::move(stored->results), owner_revision);
+                 }
+             });
+}
+
 void start_loaded(gateway& self, rollout::job_record const& record, stored_job stored,
                   std::uint64_t owner_revision)
 {
@@ -76,8 +126,7 @@
             job.samples[at->second] = std::move(progress);
         }
     }
-    mark_listed(job, stored.results);
-    job.listed = std::move(stored.results);
+    take_listed(self, job, std::move(stored.results));
     count_change(self, "job_taken_over");
     base::log_line(base::log_level::info, "job_taken_over",
                    {{"job", record.id},
@@ -173,8 +222,7 @@
                               at->second.claiming = false;
                               if (outcome && outcome->done)
                               {
-                                  // What a lost answer left in doubt is read again.
-                                  reload_results(self, id, outcome->revision);
+                                  reload_job(self, at->second, outcome->revision);
                               }
                           });
 }
@@ -184,7 +232,7 @@
     bool const is_own = owner.value == own_mark(self);
     if (is_own && job.owner_revision == 0 && !job.claiming && has_lease(self, now))
     {
-        reload_results(self, job.record.id, owner.revision);
+        reload_job(self, job, owner.revision);
     }
 }
 
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -6,7 +6,6 @@
 #include "rollout/result_chunk.hpp"
 #include "rollout/saved_progress.hpp"
 #include "rollout/store_keys.hpp"
-#include "store/list_all.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -171,37 +170,6 @@
                           { on_written(self, id, revision, outcome); });
 }
 
-void take_reloaded(gateway& self, owned_job& job, std::vector<store::item> const& chunks)
-{
-    std::vector<rollout::sample_result> listed;
-    for (auto const& chunk : chunks)
-    {
-        auto results = rollout::decode_results(chunk.value);
-        if (!results)
-        {
-            base::log_line(base::log_level::error, "unreadable_results", {{"key", chunk.key}});
-            return;
-        }
-        std::move(results->begin(), results->end(), std::back_inserter(listed));
-    }
-    for (auto const& result : listed)
-    {
-        auto const at = job.index_by_id.find(result.id);
-        if (at != job.index_by_id.end())
-        {
-            job.samples[at->second].phase = rollout::sample_phase::listed;
-        }
-    }
-    std::move(job.finished.begin(), job.finished.end(), std::back_inserter(job.writing));
-    job.finished = std::move(job.writing);
-    job.writing.clear();
-    std::erase_if(
-        job.finished, [&](rollout::sample_result const& one)
-        { return job.samples[job.index_by_id.at(one.id)].phase == rollout::sample_phase::listed; });
-    job.listed = std::move(listed);
-    write_results(self, job);
-}
-
 } // namespace
 
 void finish_sample(gateway& self, owned_job& job, std::size_t index, bool done)
@@ -237,33 +205,4 @@
     }
 }
 
-void reload_results(gateway& self, std::string const& id, std::uint64_t owner_revision)
-{
-    auto* const claimed = find(self, id);
-    if (claimed == nullptr)
-    {
-        return;
-    }
-    claimed->claiming = true;
-    store::list_all(self.store, rollout::result_prefix(id), "",
-                    base::mono_now() + store_call_timeout,
-                    [&self, id, owner_revision](base::result<std::vector<store::item>> const& read)
-                    {
-                        auto* const job = find(self, id);
-                        if (job == nullptr)
-                        {
-                            return;
-                        }
-                        job->claiming = false;
-                        if (!read)
-                        {
-                            return;
-                        }
-                        job->owner_revision = owner_revision;
-                        job->write_running = false;
-                        base::log_line(base::log_level::info, "job_reclaimed", {{"job", id}});
-                        take_reloaded(self, *job, *read);
-                    });
-}
-
 } // namespace gooseberrywood::gateway
--- a/src/gateway/result_writer.hpp
+++ b/src/gateway/result_writer.hpp
@@ -4,8 +4,6 @@
 #include "gateway/gateway.hpp"
 
 #include <cstddef>
-#include <cstdint>
-#include <string>
 
 namespace gooseberrywood::gateway
 {
@@ -19,11 +17,6 @@
 /// \brief Stores what waits although no write is planned, as after a pause of the store.
 void write_pending_results(gateway& self);
 
-/// \ingroup gateway
-/// \brief Reads the results of a job that was claimed again. Those that were being written are
-/// either among them or written anew.
-void reload_results(gateway& self, std::string const& id, std::uint64_t owner_revision);
-
 } // namespace gooseberrywood::gateway
 
 #endif
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -57,6 +57,21 @@
     }
 }
 
+template <class Condition>
+void cancel_if(gateway& self, Condition const& condition)
+{
+    for (auto at = self.runs.begin(); at != self.runs.end();)
+    {
+        if (!condition(at->second))
+        {
+            ++at;
+            continue;
+        }
+        release_upstream(self, at->second);
+        at = self.runs.erase(at);
+    }
+}
+
 /// Ends a run; the sample waits for the next one.
 void end_run(gateway& self, std::uint64_t number, base::duration pause)
 {
@@ -303,18 +318,15 @@
     end_run(self, number, {});
 }
 
+void cancel_run(gateway& self, std::string const& job_id, std::size_t index)
+{
+    cancel_if(self,
+              [&](sample_run const& run) { return run.job_id == job_id && run.index == index; });
+}
+
 void cancel_runs(gateway& self, std::string const& job_id)
 {
-    for (auto at = self.runs.begin(); at != self.runs.end();)
-    {
-        if (at->second.job_id != job_id)
-        {
-            ++at;
-            continue;
-        }
-        release_upstream(self, at->second);
-        at = self.runs.erase(at);
-    }
+    cancel_if(self, [&](sample_run const& run) { return run.job_id == job_id; });
 }
 
 } // namespace gooseberrywood::gateway
--- a/src/gateway/sample_runs.hpp
+++ b/src/gateway/sample_runs.hpp
@@ -39,6 +39,10 @@
 /// \brief Ends a run on a slow upstream; a faster one goes on after the last event.
 void leave_upstream(gateway& self, std::uint64_t number);
 
+/// \ingroup gateway
+/// \brief Ends the run of one sample, if there is one.
+void cancel_run(gateway& self, std::string const& job_id, std::size_t index);
+
 /// \ingroup gateway
 /// \brief Ends the runs of a job.
 void cancel_runs(gateway& self, std::string const& job_id);
--- a/test/process/gateway_test.cpp
+++ b/test/process/gateway_test.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <set>
+#include <thread>
 
 using namespace gooseberrywood::test;
 using nlohmann::json;
@@ -176,6 +177,36 @@
     }
 }
 
+SCENARIO("an owner comes back after another one has come and gone")
+{
+    // Guards against results that are listed a second time by an owner whose runs went on
+    // meanwhile.
+    site_service service(2);
+    set_site(service, "upstream", {{"id", "engines-0"}, {"event_ms", 30}});
+    set_site(service, "upstream", {{"id", "engines-1"}, {"event_ms", 30}, {"listed", false}});
+    (void)wait_event(*service.gateways[0].program, "upstream_removed");
+    std::vector<int> const events = {4, 4, 4, 4, 60, 60, 60, 300};
+    REQUIRE(submit(service.gateways[0], "job", events) == 202);
+    REQUIRE(eventually([&] { return listed_count(service, 1, "job") >= 4; }));
+    send_signal(*service.gateways[0].program, SIGSTOP);
+    // When the first owner wakes, its runs are broken, and it starts them again here at once.
+    set_site(service, "upstream", {{"id", "engines-1"}, {"listed", true}});
+    REQUIRE(eventually([&] { return listed_count(service, 1, "job") >= 7; }));
+    auto const before = read_results(service.gateways[1], "job");
+    send_signal(*service.gateways[1].program, SIGKILL);
+    // The lease of the second owner ends, so that the first one can claim the job again.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2300));
+    send_signal(*service.gateways[0].program, SIGCONT);
+    auto const after = wait_results(service.gateways[0], "job", events.size());
+    check_whole(after, "job", events);
+    for (std::size_t i = 0; i < before.size(); ++i)
+    {
+        CHECK(after[i] == before[i]);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    CHECK(read_results(service.gateways[0], "job").size() == events.size());
+}
+
 SCENARIO("samples go on while an engine is in trouble")
 {
     site_service service(1);
