Choose upstreams for plain requests by recent means, and let unmeasured ones count as usual

Ruled out: the load term, which is the same for both. Means now lapse after 3 s without a measurement, and an unmeasured upstream counts as the median of its service.

--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -18,6 +18,27 @@
 // Plain requests above the slots wait at the upstream; some of them keep its slots busy.
 constexpr std::uint32_t queued_per_slot = 2;
 
+/// Median of the known means of a service's upstreams; 1 while none is known, so that only loads
+/// are compared.
+double usual_us(pool const& of, std::string_view service, recent_mean upstream::*which)
+{
+    std::vector<double> known;
+    for (auto const& [id, one] : of.upstreams)
+    {
+        if (one.record.service == service && (one.*which).us > 0)
+        {
+            known.push_back((one.*which).us);
+        }
+    }
+    if (known.empty())
+    {
+        return 1;
+    }
+    auto const middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+    std::nth_element(known.begin(), middle, known.end());
+    return *middle;
+}
+
 bool is_usable(pool const& in, upstream const& which, std::string_view service, base::mono_time now)
 {
     return which.record.service == service && !which.record.draining && !which.missing &&
@@ -48,25 +69,31 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-double plain_cost(upstream const& which, std::string_view domain)
+/// The mean of an upstream, or what is usual while it is not known.
+double known_or(recent_mean const& mean, double usual_us)
+{
+    return mean.us > 0 ? mean.us : usual_us;
+}
+
+double load_of(upstream const& which, std::uint32_t more)
 {
-    constexpr double remote_penalty = 0.05;
-    auto const load = (which.running + 1.0) / std::max(1U, which.record.slots);
-    auto const speed = which.answer_us > 0 ? which.answer_us : 1000.0;
-    auto const distance = which.record.domain == domain ? 1.0 : 1.0 + remote_penalty;
-    return load * speed * distance;
+    return static_cast<double>(which.running + more) / std::max(1U, which.record.slots);
+}
+
+/// Expected time of one more request.
+double plain_cost(upstream const& which, std::string_view domain, double usual_us)
+{
+    constexpr double remote_factor = 1.05;
+    auto const distance = which.record.domain == domain ? 1.0 : remote_factor;
+    return known_or(which.answer_time, usual_us) * load_of(which, 1) * distance;
 }
 
 /// Expected time between two events of one more sample.
-double sample_cost(upstream const& which, double median_us)
+double sample_cost(upstream const& which, double usual_us)
 {
-    constexpr double default_event_us = 40'000;
-    auto const usual = median_us > 0 ? median_us : default_event_us;
-    auto const speed = which.event_us > 0 ? which.event_us : usual;
     // A batch slows each of its requests a little, so that load matters less than speed.
     constexpr double load_weight = 0.5;
-    auto const load = static_cast<double>(which.running) / std::max(1U, which.record.slots);
-    return speed * (1.0 + load_weight * load);
+    return known_or(which.event_time, usual_us) * (1.0 + load_weight * load_of(which, 0));
 }
 
 bool has_place(upstream const& which)
@@ -117,32 +144,13 @@
 
 } // namespace
 
-double median_event_us(pool const& of, std::string_view service)
-{
-    std::vector<double> known;
-    for (auto const& [id, one] : of.upstreams)
-    {
-        if (one.record.service == service && one.event_us > 0)
-        {
-            known.push_back(one.event_us);
-        }
-    }
-    if (known.empty())
-    {
-        return 0;
-    }
-    auto const middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
-    std::nth_element(known.begin(), middle, known.end());
-    return *middle;
-}
-
-bool should_leave(pool& from, configuration const& in, std::string_view upstream,
-                  sample_need const& need, base::mono_time now)
+bool should_leave(pool& from, configuration const& in, std::string_view id, sample_need const& need,
+                  base::mono_time now)
 {
     constexpr double worthwhile = 2;
-    auto const* const current = find_upstream(from, upstream);
-    auto const median_us = median_event_us(from, need.service);
-    if (current == nullptr || median_us == 0 || current->event_us < slow_factor * median_us)
+    auto const* const current = find_upstream(from, id);
+    auto const usual = usual_us(from, need.service, &upstream::event_time);
+    if (current == nullptr || current->event_time.us < slow_factor * usual)
     {
         return false;
     }
@@ -152,14 +160,14 @@
         return false;
     }
     auto const* const target = find_upstream(from, other->id);
-    auto const target_us = target->event_us > 0 ? target->event_us : median_us;
-    return current->event_us > worthwhile * target_us;
+    return current->event_time.us > worthwhile * known_or(target->event_time, usual);
 }
 
 std::optional<chosen_upstream> choose_plain(pool& from, configuration const& in,
                                             plain_need const& need, base::mono_time now)
 {
     auto const* const of = find_service(in, need.service);
+    auto const usual = usual_us(from, need.service, &upstream::answer_time);
     upstream* best = nullptr;
     for (auto& [id, one] : from.upstreams)
     {
@@ -169,7 +177,8 @@
         {
             continue;
         }
-        if (best == nullptr || plain_cost(one, need.domain) < plain_cost(*best, need.domain))
+        if (best == nullptr ||
+            plain_cost(one, need.domain, usual) < plain_cost(*best, need.domain, usual))
         {
             best = &one;
         }
@@ -183,19 +192,19 @@
                                              sample_need const& need, base::mono_time now)
 {
     auto const candidates = sample_candidates(from, find_service(in, need.service), need, now);
-    auto const median_us = median_event_us(from, need.service);
+    auto const usual = usual_us(from, need.service, &upstream::event_time);
     sample_candidate const* best = nullptr;
     for (auto const& one : candidates)
     {
-        bool const is_slow = median_us > 0 && one.which->event_us > slow_factor * median_us;
+        bool const is_slow = one.which->event_time.us > slow_factor * usual;
         if (one.is_known_new_enough && one.which->record.id == need.preferred && !is_slow)
         {
             return make_choice(one, need);
         }
-        bool const better =
-            best == nullptr || (one.is_known_new_enough && !best->is_known_new_enough) ||
-            (one.is_known_new_enough == best->is_known_new_enough &&
-             sample_cost(*one.which, median_us) < sample_cost(*best->which, median_us));
+        bool const better = best == nullptr ||
+                            (one.is_known_new_enough && !best->is_known_new_enough) ||
+                            (one.is_known_new_enough == best->is_known_new_enough &&
+                             sample_cost(*one.which, usual) < sample_cost(*best->which, usual));
         if (better)
         {
             best = &one;
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -50,7 +50,8 @@
 };
 
 /// \ingroup fleet
-/// \brief Chooses the least loaded upstream for a plain request.
+/// \brief Chooses the upstream on which a plain request is expected to end first. One that was not
+/// measured lately counts as usual, so that a fresh one gets its share and no more.
 ///
 /// Load pattern: a steady stream of short lookups beside reward calls that come in bursts when a
 /// step's samples end together.
@@ -72,14 +73,9 @@
 /// which takes far less time than a few slow events.
 ///
 /// Load pattern: some upstreams turn several times slower while the longest samples of a step run.
-[[nodiscard]] bool should_leave(pool& from, configuration const& in, std::string_view upstream,
+[[nodiscard]] bool should_leave(pool& from, configuration const& in, std::string_view id,
                                 sample_need const& need, base::mono_time now);
 
-/// \ingroup fleet
-/// \brief Mean time between two events over all upstreams of a service, in microseconds; 0 before
-/// the first event.
-[[nodiscard]] double median_event_us(pool const& of, std::string_view service);
-
 } // namespace gooseberrywood::fleet
 
 #endif
--- a/src/fleet/pool.cpp
+++ b/src/fleet/pool.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-// Weight of a new measurement in a mean: about the last ten count.
-constexpr double smoothing = 0.2;
-
 // First pause after a failure; doubles with each further one.
 constexpr base::duration suspension_base = std::chrono::milliseconds(300);
 constexpr base::duration suspension_max = std::chrono::seconds(4);
@@ -23,18 +20,9 @@
 // A load takes about a second, and an upstream that follows another model never has the weights.
 constexpr base::duration ask_weights_pause = std::chrono::milliseconds(1000);
 
-// Slow phases of upstreams last some seconds.
-constexpr base::duration speed_lifetime = std::chrono::seconds(3);
-
 // An upstream that refuses samples usually loads weights, for about a second.
 constexpr base::duration refusal_pause = std::chrono::milliseconds(150);
 
-void add_sample(double& mean, base::duration sample)
-{
-    auto const value = static_cast<double>(sample.count());
-    mean = mean == 0 ? value : mean + smoothing * (value - mean);
-}
-
 void update(upstream& known, upstream_record const& listed)
 {
     bool const restarted =
@@ -139,11 +127,11 @@
     }
 }
 
-void note_answer(pool& in, std::string_view id, base::duration answer_time)
+void note_answer(pool& in, std::string_view id, base::duration answer_time, base::mono_time now)
 {
     if (auto* const found = find_upstream(in, id))
     {
-        add_sample(found->answer_us, answer_time);
+        add_sample(found->answer_time, answer_time, now);
         found->failures = 0;
     }
 }
@@ -152,8 +140,7 @@
 {
     if (auto* const found = find_upstream(in, id))
     {
-        add_sample(found->event_us, pause);
-        found->event_measured_at = now;
+        add_sample(found->event_time, pause, now);
         found->failures = 0;
     }
 }
@@ -162,10 +149,8 @@
 {
     for (auto& [id, one] : in.upstreams)
     {
-        if (one.event_us > 0 && now - one.event_measured_at > speed_lifetime)
-        {
-            one.event_us = 0;
-        }
+        forget_if_old(one.event_time, now);
+        forget_if_old(one.answer_time, now);
     }
 }
 
--- a/src/fleet/pool.hpp
+++ b/src/fleet/pool.hpp
@@ -58,7 +58,7 @@
 
 /// \ingroup fleet
 /// \brief A request was answered; `answer_time` enters the mean.
-void note_answer(pool& in, std::string_view id, base::duration answer_time);
+void note_answer(pool& in, std::string_view id, base::duration answer_time, base::mono_time now);
 
 /// \ingroup fleet
 /// \brief An event arrived `pause` after the one before.
--- a/src/fleet/upstream.hpp
+++ b/src/fleet/upstream.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYWOOD_FLEET_UPSTREAM_HPP
 
 #include "base/time.hpp"
+#include "fleet/recent_mean.hpp"
 #include "fleet/upstream_record.hpp"
 
 #include <cstdint>
@@ -16,11 +17,10 @@
     upstream_record record;
     /// Requests of this process that it works on.
     std::uint32_t running = 0;
-    /// Mean time between two events of a stream, in microseconds; 0 before the first.
-    double event_us = 0;
-    base::mono_time event_measured_at{};
-    /// Mean time of a plain request, in microseconds; 0 before the first.
-    double answer_us = 0;
+    /// Time between two events of a stream.
+    recent_mean event_time;
+    /// Time of a plain request.
+    recent_mean answer_time;
     /// Failures without a success in between.
     std::uint32_t failures = 0;
     /// Gets nothing before this, after failures.
--- a/src/gateway/dump.cpp
+++ b/src/gateway/dump.cpp
@@ -24,8 +24,8 @@
                          {"suspended", now < one.suspended_until},
                          {"loading", now < one.loading_until},
                          {"running", one.running},
-                         {"event_us", one.event_us},
-                         {"answer_us", one.answer_us},
+                         {"event_us", one.event_time.us},
+                         {"answer_us", one.answer_time.us},
                          {"weights", one.record.weights}});
     }
     return shown;
--- a/test/fleet_choose_test.cpp
+++ b/test/fleet_choose_test.cpp
@@ -66,6 +66,33 @@
             CHECK(fleet::choose_plain(pool, in, need, at_ms(0))->id == "a");
         }
     }
+    WHEN("one of them is new and the other one is known to be quick")
+    {
+        // Guards against a burst that goes to a fresh upstream alone, because no time was measured.
+        fleet::note_answer(pool, "a", 25ms, at_ms(0));
+        int to_fresh = 0;
+        for (int i = 0; i < 4; ++i)
+        {
+            auto const id = fleet::choose_plain(pool, in, need, at_ms(0))->id;
+            fleet::note_sent(pool, id, at_ms(0));
+            to_fresh += id == "b" ? 1 : 0;
+        }
+        THEN("they share the requests")
+        {
+            CHECK(to_fresh == 2);
+        }
+    }
+    WHEN("one of them was slow a while ago")
+    {
+        fleet::note_answer(pool, "a", 25ms, at_ms(0));
+        fleet::note_answer(pool, "b", 900ms, at_ms(0));
+        THEN("it gets work again later")
+        {
+            CHECK(fleet::choose_plain(pool, in, need, at_ms(1000))->id == "a");
+            fleet::forget_old_speeds(pool, at_ms(5000));
+            CHECK(fleet::choose_plain(pool, in, need, at_ms(5000))->id == "b");
+        }
+    }
     WHEN("it was tried there already")
     {
         tried = {"b"};
--- a/test/fleet_pool_test.cpp
+++ b/test/fleet_pool_test.cpp
@@ -132,9 +132,9 @@
         THEN("it is forgotten, so that a slow upstream gets work again")
         {
             fleet::forget_old_speeds(pool, at_ms(3000));
-            CHECK(pool.upstreams.at("a").event_us > 0);
+            CHECK(pool.upstreams.at("a").event_time.us > 0);
             fleet::forget_old_speeds(pool, at_ms(5000));
-            CHECK(pool.upstreams.at("a").event_us == 0);
+            CHECK(pool.upstreams.at("a").event_time.us == 0);
         }
     }
 }
