Place new jobs on strong gateways, tell owners at once, start no sample without a fresh job list

Ruled out: the engines (a third of their places were free) and the store (no call refused). A gateway that the store turned away also went on starting samples of ended jobs. Now the store's entry of a member names its processor share and its address; who accepts a job names the owner with the most processor time a sample in the same transaction, and tells it over a connection between gateways (FlatBuffers frames, as between entries and agents). Ends are told the same way. Strong gateways take over jobs first. Without a job list younger than the bound for ended jobs, no sample starts. A notice that is lost loses nothing: the next read of the store shows the same. Also found in the log: connections that are reset before they are accepted have no address, which libsoup asserts on.

--- a/src/base/toml_reader.cpp
+++ b/src/base/toml_reader.cpp
@@ -344,6 +344,29 @@
     }
 }
 
+void read_decimal(toml_reader& from, std::string_view key, double least, double most, double& into,
+                  presence needed)
+{
+    auto const* node = find(from, key, needed);
+    if (node == nullptr)
+    {
+        return;
+    }
+    auto const number = node->value<double>();
+    if (!node->is_number() || !number)
+    {
+        add_type_fault(from, key, "a number", *node);
+    }
+    else if (*number < least || *number > most)
+    {
+        add_fault(from, key, fmt::format("must be {} to {}, not {}", least, most, *number));
+    }
+    else
+    {
+        into = *number;
+    }
+}
+
 void read_integer(toml_reader& from, std::string_view key, std::int64_t least, std::int64_t most,
                   std::int64_t& into, presence needed)
 {
--- a/src/base/toml_reader.hpp
+++ b/src/base/toml_reader.hpp
@@ -98,6 +98,10 @@
 void read_seconds(toml_reader& from, std::string_view key, duration least, duration most,
                   duration& into, presence needed = presence::optional);
 
+/// \brief Reads a number, whole or with decimals, of a range, both ends included.
+void read_decimal(toml_reader& from, std::string_view key, double least, double most, double& into,
+                  presence needed = presence::optional);
+
 /// \brief Reads an integer of a range, both ends included.
 void read_integer(toml_reader& from, std::string_view key, std::int64_t least, std::int64_t most,
                   std::int64_t& into, presence needed = presence::optional);
--- a/src/gateway/dump.cpp
+++ b/src/gateway/dump.cpp
@@ -49,6 +49,19 @@
     return shown;
 }
 
+ordered_json dump_members(gateway const& self)
+{
+    auto shown = ordered_json::array();
+    for (auto const& [host, member] : self.shared.members)
+    {
+        shown.push_back({{"host", host},
+                         {"lease", member.lease},
+                         {"peer_address", member.peer_address},
+                         {"processors", member.processors}});
+    }
+    return shown;
+}
+
 } // namespace
 
 ordered_json dump(gateway const& self)
@@ -61,7 +74,7 @@
             {"configuration_age_us", (now - self.operator_poller.confirmed_at).count()},
             {"lease", self.lease.id},
             {"leads", self.candidate.held.has_value()},
-            {"members", self.shared.members},
+            {"members", dump_members(self)},
             {"requests", self.requests.size()},
             {"runs", self.runs.size()},
             {"upstreams", dump_upstreams(self, now)},
--- a/src/gateway/end_job.cpp
+++ b/src/gateway/end_job.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
+#include "gateway/job_notices.hpp"
 #include "gateway/job_ownership.hpp"
 #include "http/status.hpp"
 #include "rollout/store_keys.hpp"
@@ -36,6 +37,7 @@
     }
     stop_job(self, record.id);
     answer_empty(*what.from, http::status::ok);
+    tell_ended(self, record);
 }
 
 void try_end_again(gateway& self, std::shared_ptr<ending> const& what, base::error const& why)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/callers.hpp"
 #include "gateway/dump.hpp"
 #include "gateway/hand_over.hpp"
+#include "gateway/job_notices.hpp"
 #include "gateway/leadership.hpp"
 #include "gateway/lease_keeper.hpp"
 #include "gateway/measure.hpp"
@@ -144,6 +145,10 @@
         // A process without callers keeps nothing and reads nothing.
         return made;
     }
+    if (auto const notices = start_job_notices(self); !notices)
+    {
+        return tl::unexpected(notices.error());
+    }
     self.caller_check = base::every(caller_check_interval, [&self] { check_callers(self); });
     start_lease(self);
     start_leadership(self);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "fleet/configuration.hpp"
 #include "fleet/pool.hpp"
 #include "gateway/owned_job.hpp"
+#include "gateway/peers.hpp"
 #include "gateway/poller.hpp"
 #include "gateway/process_lease.hpp"
 #include "gateway/routed_request.hpp"
@@ -17,11 +18,10 @@
 #include "gateway/shared_view.hpp"
 #include "http/server.hpp"
 #include "process/main_loop.hpp"
+#include "rollout/member.hpp"
 #include "settings/gateway_settings.hpp"
 #include "store/client.hpp"
 
-#include <fmt/format.h>
-
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -90,10 +90,13 @@
     process_lease lease;
     base::event_source lease_timer;
     shared_view shared;
+    struct peers peers;
 
     std::uint64_t numbers = 0;
     std::map<std::uint64_t, std::unique_ptr<routed_request>> requests;
     std::map<std::string, owned_job> jobs;
+    /// Jobs that this process owns and whose parts are being read.
+    std::set<std::string> loading_jobs;
     std::map<std::uint64_t, sample_run> runs;
     std::map<std::string, result_cache> caches;
     base::event_source sample_timer;
@@ -140,11 +143,10 @@
 inline constexpr base::duration store_call_timeout = std::chrono::milliseconds(1000);
 
 /// \ingroup gateway
-/// \brief What this process writes where it owns something: it names the host and the lease, so
-/// that entries of an earlier incarnation of the process count as another's.
+/// \brief What this process writes where it owns something.
 [[nodiscard]] inline std::string own_mark(gateway const& self)
 {
-    return fmt::format("{}#{}", self.settings.host, self.lease.id);
+    return rollout::owner_mark(self.settings.host, self.lease.id);
 }
 
 } // namespace gooseberrywood::gateway
--- /dev/null
+++ b/src/gateway/job_notices.hpp
@@ -0,0 +1,27 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_JOB_NOTICES_HPP
+#define GOOSEBERRYWOOD_GATEWAY_JOB_NOTICES_HPP
+
+#include "gateway/gateway.hpp"
+#include "rollout/member.hpp"
+
+#include <cstdint>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief Tells a member that the store names it as the owner of a job.
+void tell_owner(gateway& self, rollout::member const& owner, rollout::job_record const& record,
+                std::uint64_t owner_revision);
+
+/// \ingroup gateway
+/// \brief Tells the owner of a job, if another process is known as that, that the job was ended.
+void tell_ended(gateway& self, rollout::job_record const& record);
+
+/// \ingroup gateway
+/// \brief Starts to exchange notices with other gateways.
+[[nodiscard]] base::result<void> start_job_notices(gateway& self);
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -1,13 +1,14 @@
 #include "gateway/job_ownership.hpp"
 
-#include "base/hash.hpp"
 #include "base/log.hpp"
 #include "gateway/job_store.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/owner_candidates.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runner.hpp"
 #include "gateway/sample_runs.hpp"
+#include "rollout/job_placement.hpp"
 #include "rollout/store_keys.hpp"
 
 #include <algorithm>
@@ -146,9 +147,14 @@
 
 void load_claimed(gateway& self, rollout::job_record const& record, std::uint64_t owner_revision)
 {
+    if (!self.loading_jobs.insert(record.id).second)
+    {
+        return;
+    }
     load_job(self, record.id,
              [&self, record, owner_revision](base::result<stored_job> stored)
              {
+                 self.loading_jobs.erase(record.id);
                  if (!stored)
                  {
                      // The next review finds this process as the owner of a job that it does not
@@ -189,14 +195,8 @@
 /// Position of this process in the order in which processes take over a job.
 std::int64_t claim_rank(gateway const& self, std::string const& id)
 {
-    auto const weight = [&](std::string const& host)
-    {
-        return base::hash64(host + "/" + id);
-    };
-    auto const own = weight(self.settings.host);
-    return std::count_if(self.shared.members.begin(), self.shared.members.end(),
-                         [&](std::string const& host)
-                         { return host != self.settings.host && weight(host) < own; });
+    auto const candidates = list_owner_candidates(self);
+    return rollout::take_over_rank(candidates.all, candidates.own, id);
 }
 
 void review_orphan(gateway& self, rollout::job_record const& record, base::mono_time now)
@@ -299,6 +299,15 @@
     dispatch_samples(self);
 }
 
+void take_assigned_job(gateway& self, rollout::job_record const& record,
+                       std::uint64_t owner_revision)
+{
+    if (!self.stopping && has_lease(self, base::mono_now()))
+    {
+        load_claimed(self, record, owner_revision);
+    }
+}
+
 void stop_job(gateway& self, std::string const& id)
 {
     cancel_runs(self, id);
--- a/src/gateway/job_ownership.hpp
+++ b/src/gateway/job_ownership.hpp
@@ -17,6 +17,11 @@
 void adopt_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
                std::uint64_t owner_revision);
 
+/// \ingroup gateway
+/// \brief Loads and starts a job for whose owner another process has written this one.
+void take_assigned_job(gateway& self, rollout::job_record const& record,
+                       std::uint64_t owner_revision);
+
 /// \ingroup gateway
 /// \brief Ends the runs of a job and forgets it. What is stored of it stays.
 void stop_job(gateway& self, std::string const& id);
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -5,6 +5,7 @@
 #include "gateway/job_ownership.hpp"
 #include "gateway/leadership.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/owner_candidates.hpp"
 #include "gateway/refresh.hpp"
 #include "lease/drift_margin.hpp"
 #include "rollout/store_keys.hpp"
@@ -42,14 +43,8 @@
 /// The lease that a member's entry names, if it is not the current one.
 std::optional<std::uint64_t> earlier_lease(gateway const& self, store::item const& entry)
 {
-    auto const mark = entry.value.rfind('#');
-    if (mark == std::string::npos)
-    {
-        return std::nullopt;
-    }
-    auto const lease =
-        base::parse_number<std::uint64_t>(std::string_view(entry.value).substr(mark + 1));
-    return lease != self.lease.id ? lease : std::nullopt;
+    auto const known = rollout::decode_member(self.settings.host, entry.value);
+    return known && known->lease != self.lease.id ? std::optional(known->lease) : std::nullopt;
 }
 
 void write_member(gateway& self);
@@ -74,7 +69,7 @@
 {
     store::transaction entry;
     entry.writes.push_back(
-        {rollout::member_key(self.settings.host), own_mark(self), self.lease.id});
+        {rollout::member_key(self.settings.host), rollout::encode(own_member(self)), self.lease.id});
     self.store.commit_all(entry, base::mono_now() + call_timeout,
                           [](base::result<store::commit> const& outcome)
                           {
--- /dev/null
+++ b/src/gateway/peers.hpp
@@ -0,0 +1,57 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_PEERS_HPP
+#define GOOSEBERRYWOOD_GATEWAY_PEERS_HPP
+
+#include "base/event_source.hpp"
+#include "base/result.hpp"
+#include "wire/connection.hpp"
+#include "wire/listener.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief A connection that this process has opened to another gateway, or is opening.
+struct peer_link
+{
+    std::shared_ptr<wire::connection> connection;
+    /// Messages for the time after the connection is there.
+    std::vector<wire::message> waiting;
+    /// Closes the connection when nothing was sent for a while.
+    base::event_source idle_timer;
+};
+
+/// \ingroup gateway
+/// \brief Connections between gateways. They carry hints only: everything that must arrive is in
+/// the store, and is read there when a connection is lost.
+struct peers
+{
+    wire::hello own;
+    std::function<void(wire::message const&)> on_message;
+    std::unique_ptr<wire::listener> listening;
+    /// `IP:port` where this process listens; empty when it does not.
+    std::string address;
+    std::uint64_t accepted = 0;
+    std::map<std::uint64_t, std::shared_ptr<wire::connection>> incoming;
+    /// By address.
+    std::map<std::string, peer_link, std::less<>> outgoing;
+};
+
+/// \ingroup gateway
+/// \brief Starts to listen for other gateways.
+/// \param address `IP:port`; nothing is listened on when it is empty.
+[[nodiscard]] base::result<void> listen_for_peers(peers& self, std::string const& address);
+
+/// \ingroup gateway
+/// \brief Sends a message to another gateway, over a connection that is opened if there is none.
+void tell_peer(peers& self, std::string const& address, wire::message what);
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -37,6 +37,9 @@
 // A request that passed the check begins to run within this time.
 constexpr base::duration key_margin = std::chrono::milliseconds(300);
 
+// A sample that is sent now reaches its upstream within this time.
+constexpr base::duration job_end_margin = std::chrono::milliseconds(300);
+
 // Smallest number of processes that a cold upstream's budget is divided by: those that have just
 // started are not known yet.
 constexpr std::size_t least_sharing = 3;
@@ -162,7 +165,11 @@
     };
     if (item.key.starts_with(rollout::member_prefix))
     {
-        into.members.insert(rest(rollout::member_prefix));
+        auto const host = rest(rollout::member_prefix);
+        if (auto one = rollout::decode_member(host, item.value))
+        {
+            into.members.emplace(host, std::move(*one));
+        }
     }
     else if (item.key.starts_with(rollout::owner_prefix))
     {
@@ -182,6 +189,17 @@
     }
 }
 
+/// A read that was sent before a job was ended must not bring it back.
+void keep_ended(shared_view& into, shared_view const& before)
+{
+    for (auto& [id, stored] : into.records)
+    {
+        auto const known = before.records.find(id);
+        stored.record.ended =
+            stored.record.ended || (known != before.records.end() && known->second.record.ended);
+    }
+}
+
 void take_shared(gateway& self, items const& read, base::mono_time sent_at)
 {
     shared_view view;
@@ -191,6 +209,7 @@
     {
         sort_shared(view, item);
     }
+    keep_ended(view, self.shared);
     self.shared = std::move(view);
     self.pool.sharing_processes =
         static_cast<std::uint32_t>(std::max(least_sharing, self.shared.members.size()));
@@ -245,4 +264,9 @@
            now < confirmed + self.settings.key_withdrawal - key_margin;
 }
 
+bool knows_ended_jobs(gateway const& self, base::mono_time now)
+{
+    return now < self.shared.read_at + self.settings.job_end - job_end_margin;
+}
+
 } // namespace gooseberrywood::gateway
--- a/src/gateway/refresh.hpp
+++ b/src/gateway/refresh.hpp
@@ -19,6 +19,11 @@
 /// withdrawn in the meantime must not work.
 [[nodiscard]] bool may_trust_keys(gateway const& self, base::mono_time now);
 
+/// \ingroup gateway
+/// \brief Whether each job that had to be stopped by now is known to have been ended. Without that,
+/// no sample may start.
+[[nodiscard]] bool knows_ended_jobs(gateway const& self, base::mono_time now);
+
 } // namespace gooseberrywood::gateway
 
 #endif
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/sample_runner.hpp"
 
 #include "fleet/choose_upstream.hpp"
+#include "gateway/refresh.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/sample_runs.hpp"
 #include "rollout/waiting_sample.hpp"
@@ -94,7 +95,7 @@
 
 void dispatch_now(gateway& self)
 {
-    if (!self.configuration || self.stopping)
+    if (!self.configuration || self.stopping || !knows_ended_jobs(self, base::mono_now()))
     {
         return;
     }
--- a/src/gateway/shared_view.hpp
+++ b/src/gateway/shared_view.hpp
@@ -3,12 +3,13 @@
 
 #include "base/time.hpp"
 #include "rollout/job_record.hpp"
+#include "rollout/member.hpp"
 #include "store/item.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace gooseberrywood::gateway
@@ -29,7 +30,8 @@
     std::map<std::string, stored_record> records;
     /// Entries of the owners, by job.
     std::map<std::string, store::item> owners;
-    std::set<std::string> members;
+    /// By host.
+    std::map<std::string, rollout::member, std::less<>> members;
     std::optional<store::item> leader;
     /// Since when a job was seen without an owner.
     std::map<std::string, base::mono_time> orphaned_since;
--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -2,7 +2,9 @@
 
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
+#include "gateway/job_notices.hpp"
 #include "gateway/job_ownership.hpp"
+#include "gateway/owner_candidates.hpp"
 #include "http/status.hpp"
 #include "platform/batch_calls.hpp"
 #include "rollout/store_keys.hpp"
@@ -26,6 +28,8 @@
     shared_exchange from;
     rollout::job_record record;
     rollout::batch_job spec;
+    /// Who is to run it.
+    rollout::member owner;
     store::transaction write;
     int tries = 0;
     base::event_source timer;
@@ -33,13 +37,14 @@
 
 using shared_submission = std::shared_ptr<submission>;
 
-store::transaction submission_write(gateway const& self, rollout::job_record const& record,
-                                    std::string_view body)
+store::transaction submission_write(rollout::job_record const& record,
+                                    rollout::member const& owner, std::string_view body)
 {
     store::transaction write;
     write.expected.push_back({rollout::record_key(record.id), 0});
     write.writes.push_back({rollout::record_key(record.id), rollout::encode(record), 0});
-    write.writes.push_back({rollout::owner_key(record.id), own_mark(self), self.lease.id});
+    write.writes.push_back({rollout::owner_key(record.id),
+                            rollout::owner_mark(owner.host, owner.lease), owner.lease});
     for (std::size_t part = 0; part * spec_part_bytes < body.size(); ++part)
     {
         write.writes.push_back({rollout::spec_key(record.id, part),
@@ -74,6 +79,15 @@
 {
     base::log_line(base::log_level::warning, "job_not_stored",
                    {{"job", what->record.id}, {"code", why.code}, {"reason", why.message}});
+    bool const is_own = what->owner.host == self.settings.host;
+    if (why.code == result_code::lease_lost && !is_own && has_lease(self, base::mono_now()))
+    {
+        // The member that was chosen has gone meanwhile.
+        what->owner = own_member(self);
+        what->write = submission_write(what->record, what->owner, what->from->body);
+        send_submission(self, what);
+        return;
+    }
     if (why.code != result_code::store_outcome_unknown && what->tries == 1)
     {
         answer_unsure(self, *what->from, why);
@@ -106,8 +120,16 @@
                     {"team", what->record.team},
                     {"samples", static_cast<std::int64_t>(what->record.samples)}});
     self.shared.records[what->record.id] = {what->record, outcome->revision};
+    self.shared.owners[what->record.id] = {
+        rollout::owner_key(what->record.id),
+        rollout::owner_mark(what->owner.host, what->owner.lease), outcome->revision};
     answer_empty(*what->from, http::status::accepted);
-    adopt_job(self, what->record, std::move(what->spec), outcome->revision);
+    if (what->owner.host == self.settings.host)
+    {
+        adopt_job(self, what->record, std::move(what->spec), outcome->revision);
+        return;
+    }
+    tell_owner(self, what->owner, what->record, outcome->revision);
 }
 
 void send_submission(gateway& self, shared_submission const& what)
@@ -146,7 +168,8 @@
     what->from = from;
     what->record = {head.request_id,      team, head.host, from->path, base::wall_now(),
                     spec->samples.size(), false};
-    what->write = submission_write(self, what->record, from->body);
+    what->owner = owner_for_new_job(self, what->record.samples);
+    what->write = submission_write(what->record, what->owner, from->body);
     what->spec = std::move(*spec);
     base::log_line(base::log_level::debug, "job_submitted",
                    {{"job", head.request_id}, {"route", route.name}});
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.hpp"
 
+#include "base/log.hpp"
 #include "http/error_answer.hpp"
 #include "http/limits.hpp"
 
@@ -140,6 +141,12 @@
     base::object_ptr<GSocketAddress> const local(g_socket_get_local_address(socket.get(), nullptr));
     base::object_ptr<GSocketAddress> const remote(
         g_socket_get_remote_address(socket.get(), nullptr));
+    if (!local || !remote)
+    {
+        // The peer has reset the connection before it was accepted.
+        base::log_line(base::log_level::info, "connection_reset_before_accept", {});
+        return;
+    }
     g_object_set_data_full(G_OBJECT(remote.get()), socket_data_name, g_object_ref(socket.get()),
                            g_object_unref);
     base::object_ptr<GSocketConnection> const stream(
--- a/src/rollout.hpp
+++ b/src/rollout.hpp
@@ -8,7 +8,9 @@
 /// Pure: nothing here reads a clock or a socket.
 
 #include "rollout/batch_job.hpp"
+#include "rollout/job_placement.hpp"
 #include "rollout/job_record.hpp"
+#include "rollout/member.hpp"
 #include "rollout/result_chunk.hpp"
 #include "rollout/sample_progress.hpp"
 #include "rollout/saved_progress.hpp"
--- /dev/null
+++ b/src/rollout/member.cpp
@@ -0,0 +1,41 @@
+#include "rollout/member.hpp"
+
+#include "base/json_fields.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace gooseberrywood::rollout
+{
+
+std::string encode(member const& of)
+{
+    nlohmann::json const text = {
+        {"lease", of.lease}, {"peer_address", of.peer_address}, {"processors", of.processors}};
+    return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<member> decode_member(std::string host, std::string_view text)
+{
+    auto const body = base::parse_object(text);
+    if (!body)
+    {
+        return std::nullopt;
+    }
+    auto const lease = base::read_unsigned(*body, "lease");
+    auto address = base::read_text(*body, "peer_address");
+    auto const processors = base::read_number(*body, "processors");
+    if (!lease || !address || !processors)
+    {
+        return std::nullopt;
+    }
+    return member{std::move(host), *lease, std::move(*address), *processors};
+}
+
+std::string owner_mark(std::string_view host, std::uint64_t lease)
+{
+    return fmt::format("{}#{}", host, lease);
+}
+
+} // namespace gooseberrywood::rollout
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -23,6 +23,8 @@
     std::string listen_callers;
     std::string listen_ready;
     std::string listen_admin;
+    /// Where other gateways connect; empty when they don't.
+    std::string listen_peers;
     std::string store;
     /// Where usage is reported; empty when it is not.
     std::string duties;
@@ -33,6 +35,14 @@
     base::duration usage_window = std::chrono::seconds(5);
     /// The process is killed this long after SIGTERM.
     base::duration stop_grace = std::chrono::seconds(8);
+    /// No sample of a job starts later than this after the job was ended.
+    base::duration job_end = std::chrono::seconds(3);
+    /// A configuration, and the departure of an upstream, are in effect within this time.
+    base::duration change_in_effect = std::chrono::seconds(2);
+    /// Share of a processor that this process has, and how many times as fast it runs. Hosts with
+    /// more of it own more jobs.
+    double processor_share = 1;
+    double processor_cores = 1;
 };
 
 } // namespace gooseberrywood::settings
--- a/src/settings/load_gateway.cpp
+++ b/src/settings/load_gateway.cpp
@@ -16,6 +16,9 @@
 using base::presence;
 using base::toml_reader;
 
+constexpr double least_processors = 0.001;
+constexpr double most_processors = 1024;
+
 void read_address(toml_reader& from, std::string_view key, std::string& into, presence needed)
 {
     base::read(from, key, into, needed);
@@ -55,12 +58,19 @@
         read_address(from, "listen_callers", settings.listen_callers, presence::optional);
         read_address(from, "listen_ready", settings.listen_ready, presence::optional);
         read_address(from, "listen_admin", settings.listen_admin, presence::required);
+        read_address(from, "listen_peers", settings.listen_peers, presence::optional);
         read_address(from, "store", settings.store, presence::required);
         read_address(from, "duties", settings.duties, presence::optional);
         read_milliseconds(from, "key_withdrawal_ms", settings.key_withdrawal);
         read_milliseconds(from, "leader_turn_ms", settings.leader_turn);
         read_whole_seconds(from, "usage_window_s", settings.usage_window);
         read_whole_seconds(from, "stop_grace_s", settings.stop_grace);
+        read_milliseconds(from, "job_end_ms", settings.job_end);
+        read_milliseconds(from, "change_in_effect_ms", settings.change_in_effect);
+        base::read_decimal(from, "processor_share", least_processors, most_processors,
+                           settings.processor_share);
+        base::read_decimal(from, "processor_cores", least_processors, most_processors,
+                           settings.processor_cores);
         base::check_unknown_keys(from);
     }
     if (!faults.found.empty())
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -174,6 +174,17 @@
     return out;
 }
 
+job_change change_of(std::uint8_t number)
+{
+    return number == static_cast<std::uint8_t>(job_change::ended) ? job_change::ended
+                                                                  : job_change::assigned;
+}
+
+job_notice unpack(fb::JobNotice const& m)
+{
+    return {from_fb(m.job()), change_of(m.kind()), m.owner_revision(), from_fb(m.record())};
+}
+
 ping unpack(fb::Ping const&)
 {
     return {};
@@ -227,6 +238,8 @@
         return unpack_as<fb::Ping>(root);
     case fb::Body::PeerVersions:
         return unpack_as<fb::PeerVersions>(root);
+    case fb::Body::JobNotice:
+        return unpack_as<fb::JobNotice>(root);
     }
     return std::nullopt;
 }
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -185,6 +185,16 @@
     return {fb::Body::PeerVersions, fb::CreatePeerVersions(out, out.CreateVector(peers)).Union()};
 }
 
+body_offset pack(builder& out, job_notice const& m)
+{
+    auto const job = out.CreateString(m.job_id);
+    auto const record = out.CreateString(m.record);
+    return {fb::Body::JobNotice,
+            fb::CreateJobNotice(out, job, static_cast<std::uint8_t>(m.change), m.owner_revision,
+                                record)
+                .Union()};
+}
+
 body_offset pack(builder& out, ping const&)
 {
     return {fb::Body::Ping, fb::CreatePing(out).Union()};
--- a/src/wire/frame_generated.h
+++ b/src/wire/frame_generated.h
@@ -76,6 +76,9 @@
 struct PeerVersions;
 struct PeerVersionsBuilder;
 
+struct JobNotice;
+struct JobNoticeBuilder;
+
 struct Ping;
 struct PingBuilder;
 
@@ -104,11 +107,12 @@
   ConfigIntent = 16,
   Ping = 17,
   PeerVersions = 18,
+  JobNotice = 19,
   MIN = NONE,
-  MAX = PeerVersions
+  MAX = JobNotice
 };
 
-inline const Body (&EnumValuesBody())[19] {
+inline const Body (&EnumValuesBody())[20] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -128,13 +132,14 @@
     Body::ConfigContent,
     Body::ConfigIntent,
     Body::Ping,
-    Body::PeerVersions
+    Body::PeerVersions,
+    Body::JobNotice
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[20] = {
+  static const char * const names[21] = {
     "NONE",
     "Hello",
     "Start",
@@ -154,13 +159,14 @@
     "ConfigIntent",
     "Ping",
     "PeerVersions",
+    "JobNotice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PeerVersions)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::JobNotice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -241,6 +247,10 @@
   static const Body enum_value = Body::PeerVersions;
 };
 
+template<> struct BodyTraits<gooseberrywood::wire::fb::JobNotice> {
+  static const Body enum_value = Body::JobNotice;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1993,6 +2003,95 @@
       peers__);
 }
 
+struct JobNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_KIND = 6,
+    VT_OWNER_REVISION = 8,
+    VT_RECORD = 10
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  uint64_t owner_revision() const {
+    return GetField<uint64_t>(VT_OWNER_REVISION, 0);
+  }
+  const flatbuffers::String *record() const {
+    return GetPointer<const flatbuffers::String *>(VT_RECORD);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_OWNER_REVISION, 8) &&
+           VerifyOffset(verifier, VT_RECORD) &&
+           verifier.VerifyString(record()) &&
+           verifier.EndTable();
+  }
+};
+
+struct JobNoticeBuilder {
+  typedef JobNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(JobNotice::VT_JOB, job);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(JobNotice::VT_KIND, kind, 0);
+  }
+  void add_owner_revision(uint64_t owner_revision) {
+    fbb_.AddElement<uint64_t>(JobNotice::VT_OWNER_REVISION, owner_revision, 0);
+  }
+  void add_record(flatbuffers::Offset<flatbuffers::String> record) {
+    fbb_.AddOffset(JobNotice::VT_RECORD, record);
+  }
+  explicit JobNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobNotice> CreateJobNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint8_t kind = 0,
+    uint64_t owner_revision = 0,
+    flatbuffers::Offset<flatbuffers::String> record = 0) {
+  JobNoticeBuilder builder_(_fbb);
+  builder_.add_owner_revision(owner_revision);
+  builder_.add_record(record);
+  builder_.add_job(job);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<JobNotice> CreateJobNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    uint8_t kind = 0,
+    uint64_t owner_revision = 0,
+    const char *record = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto record__ = record ? _fbb.CreateString(record) : 0;
+  return gooseberrywood::wire::fb::CreateJobNotice(
+      _fbb,
+      job__,
+      kind,
+      owner_revision,
+      record__);
+}
+
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PingBuilder Builder;
   bool Verify(flatbuffers::Verifier &verifier) const {
@@ -2117,6 +2216,9 @@
   const gooseberrywood::wire::fb::PeerVersions *body_as_PeerVersions() const {
     return body_type() == gooseberrywood::wire::fb::Body::PeerVersions ? static_cast<const gooseberrywood::wire::fb::PeerVersions *>(body()) : nullptr;
   }
+  const gooseberrywood::wire::fb::JobNotice *body_as_JobNotice() const {
+    return body_type() == gooseberrywood::wire::fb::Body::JobNotice ? static_cast<const gooseberrywood::wire::fb::JobNotice *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
@@ -2206,6 +2308,10 @@
   return body_as_PeerVersions();
 }
 
+template<> inline const gooseberrywood::wire::fb::JobNotice *Frame::body_as<gooseberrywood::wire::fb::JobNotice>() const {
+  return body_as_JobNotice();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2374,6 +2480,10 @@
       auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::PeerVersions *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::JobNotice: {
+      auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::JobNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -24,6 +24,7 @@
     entry = 0,
     agent = 1,
     operator_tool = 2,
+    gateway = 3,
 };
 
 /// \ingroup wire
@@ -237,6 +238,29 @@
     std::vector<peer_version> peers;
 };
 
+/// \ingroup wire
+/// \brief What happened to a batch job.
+enum class job_change : std::uint8_t
+{
+    /// The receiver was made its owner.
+    assigned = 0,
+    /// The caller has ended it.
+    ended = 1,
+};
+
+/// \ingroup wire
+/// \brief From gateway to gateway: the store holds a change of a batch job that concerns the
+/// receiver. It saves the wait for the receiver's next read; a lost notice loses nothing.
+struct job_notice
+{
+    std::string job_id;
+    job_change change = job_change::assigned;
+    /// Revision of the receiver's entry as the owner.
+    std::uint64_t owner_revision = 0;
+    /// The job's record as stored, see `rollout::decode_job_record`.
+    std::string record;
+};
+
 /// \ingroup wire
 /// \brief Keeps an idle connection alive.
 struct ping
@@ -247,7 +271,7 @@
 /// \brief Any message.
 using message = std::variant<hello, start, started, chunk, finished, refuse, cancel, fence, fenced,
                              credit, claim, claimed, suspect, config_request, config_content,
-                             config_intent, ping, peer_versions>;
+                             config_intent, ping, peer_versions, job_notice>;
 
 /// \ingroup wire
 /// \brief An announced configuration, by version and hash of its record.
--- a/test/process/gateway_test.cpp
+++ b/test/process/gateway_test.cpp
@@ -42,6 +42,16 @@
     return {};
 }
 
+json gateway_state(gateway_under_test const& of)
+{
+    return get_json(fmt::format("http://127.0.0.1:{}/state", of.admin_port));
+}
+
+bool wait_members(gateway_under_test const& at, std::size_t count)
+{
+    return eventually([&] { return gateway_state(at).at("members").size() == count; });
+}
+
 std::size_t listed_count(site_service const& of, std::size_t gateway, std::string const& id)
 {
     return read_results(of.gateways[gateway], id).size();
@@ -177,6 +187,91 @@
     }
 }
 
+SCENARIO("a job is submitted to a weak gateway")
+{
+    // Guards against a small host that runs a job which needs more than its processor time.
+    site_service service(1);
+    add_gateway(service, 0.1);
+    auto const& strong = service.gateways[0];
+    auto const& weak = service.gateways[1];
+    (void)wait_members(weak, 2);
+    std::vector<int> const events = {3, 4, 5, 6, 200, 3, 3, 200};
+    set_site(service, "upstream", {{"id", "engines-0"}, {"event_ms", 30}});
+    set_site(service, "upstream", {{"id", "engines-1"}, {"event_ms", 30}});
+    REQUIRE(submit(weak, "job", events) == 202);
+    (void)wait_event(*strong.program, "job_taken_over");
+    WHEN("the strong one runs it")
+    {
+        THEN("it is whole at both")
+        {
+            auto const results = wait_results(weak, "job", events.size());
+            check_whole(results, "job", events);
+            CHECK(wait_results(strong, "job", events.size()) == results);
+        }
+    }
+    WHEN("the job is ended at the weak one")
+    {
+        CHECK(call_gateway(weak, "DELETE", "/-/lots/job", "train.example", "e").status == 200);
+        THEN("the strong one hears of it at once")
+        {
+            auto const is_ended = [](json const& line)
+            {
+                return line.at("change") == "ended";
+            };
+            (void)wait_event(*strong.program, "job_notice", is_ended);
+            CHECK(eventually([&] { return gateway_state(strong).at("jobs").empty(); }));
+        }
+    }
+    WHEN("the strong one is killed")
+    {
+        send_signal(*strong.program, SIGKILL);
+        THEN("the weak one completes it")
+        {
+            check_whole(wait_results(weak, "job", events.size()), "job", events);
+        }
+        THEN("so does it with the next job, though the other is still listed as a member")
+        {
+            REQUIRE(submit(weak, "next", {3, 3}) == 202);
+            check_whole(wait_results(weak, "next", 2), "next", {3, 3});
+        }
+    }
+}
+
+SCENARIO("the store turns away the gateway that runs a job")
+{
+    // Guards against samples that start after their job was ended elsewhere.
+    site_service service(2);
+    set_site(service, "upstream", {{"id", "engines-0"}, {"refuses", true}});
+    set_site(service, "upstream", {{"id", "engines-1"}, {"refuses", true}});
+    REQUIRE(submit(service.gateways[0], "job", {5, 5, 5, 5}) == 202);
+    set_site(service, "store", {{"mode", "refuses"}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(3100));
+    set_site(service, "upstream", {{"id", "engines-0"}, {"refuses", false}});
+    set_site(service, "upstream", {{"id", "engines-1"}, {"refuses", false}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    CHECK(site_state(service).at("runs").value("job-s0", 0) == 0);
+    WHEN("the store serves it again")
+    {
+        set_site(service, "store", {{"mode", "serves"}});
+        THEN("the job goes on")
+        {
+            check_whole(wait_results(service.gateways[1], "job", 4), "job", {5, 5, 5, 5});
+        }
+    }
+}
+
+SCENARIO("a caller resets its connection before it is accepted")
+{
+    // Guards against a connection without an address, which the HTTP library can't bear.
+    site_service service(1);
+    auto const& gateway = service.gateways[0];
+    send_signal(*gateway.program, SIGSTOP);
+    reset_connection(gateway.http_port);
+    send_signal(*gateway.program, SIGCONT);
+    (void)wait_event(*gateway.program, "connection_reset_before_accept");
+    CHECK(call_gateway(gateway, "POST", "/q/1", "desk.example", "r1").status == 200);
+}
+
 SCENARIO("an owner comes back after another one has come and gone")
 {
     // Guards against results that are listed a second time by an owner whose runs went on
--- a/test/process/support/http_client.cpp
+++ b/test/process/support/http_client.cpp
@@ -2,6 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <stdexcept>
 
 namespace gooseberrywood::test
@@ -81,6 +85,23 @@
 
 } // namespace
 
+void reset_connection(std::uint16_t port)
+{
+    int const descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(port);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (descriptor < 0 || ::connect(descriptor, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0)
+    {
+        throw std::runtime_error("can't connect");
+    }
+    // Without lingering, closing sends a reset.
+    linger const at_once{1, 0};
+    ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    ::close(descriptor);
+}
+
 http_stream::~http_stream()
 {
     if (context == nullptr)
--- a/test/process/support/http_client.hpp
+++ b/test/process/support/http_client.hpp
@@ -66,6 +66,10 @@
 /// \throws std::runtime_error
 nlohmann::json post_json(std::string const& url, nlohmann::json const& body);
 
+/// Opens a connection and resets it.
+/// \throws std::runtime_error
+void reset_connection(std::uint16_t port);
+
 /// A response that is read while it arrives. Destroying it closes the connection.
 struct http_stream
 {
--- a/test/process/support/site_service.cpp
+++ b/test/process/support/site_service.cpp
@@ -39,7 +39,7 @@
             {"tenants", {{{"name", "team-1"}, {"api_keys", {"key-1", "key-2"}}}}}};
 }
 
-std::string settings_of(site_service const& of, std::size_t number)
+std::string settings_of(site_service const& of, std::size_t number, double processors)
 {
     return fmt::format(R"(host = "gateway-{}"
 domain = "krapina"
@@ -47,14 +47,16 @@
 listen_callers = "127.0.0.1:0"
 listen_ready = "127.0.0.1:0"
 listen_admin = "127.0.0.1:0"
+listen_peers = "127.0.0.1:0"
 store = "127.0.0.1:{}"
 duties = "127.0.0.1:{}"
 key_withdrawal_ms = 3000
 leader_turn_ms = 1000
 usage_window_s = 1
 stop_grace_s = 8
+processor_share = {}
 )",
-                       number, of.site_port, of.site_port);
+                       number, of.site_port, of.site_port, processors);
 }
 
 } // namespace
@@ -70,13 +72,13 @@
     }
 }
 
-void add_gateway(site_service& to)
+void add_gateway(site_service& to, double processors)
 {
     gateway_under_test made;
     made.program = std::make_unique<process>(
         "gooseberrywood",
         std::vector<std::string>{"gateway", "--settings", std::string(settings_placeholder)},
-        settings_of(to, to.gateways.size()));
+        settings_of(to, to.gateways.size(), processors));
     auto const line = wait_event(*made.program, "listening");
     made.http_port = line.at("http_port").get<std::uint16_t>();
     made.admin_port = line.at("admin_port").get<std::uint16_t>();
--- a/test/process/support/site_service.hpp
+++ b/test/process/support/site_service.hpp
@@ -33,7 +33,7 @@
 };
 
 /// Starts another gateway and waits until callers may use it.
-void add_gateway(site_service& to);
+void add_gateway(site_service& to, double processors = 1);
 
 /// State of the stand-ins: runs, reports, upstreams, keys of the store.
 [[nodiscard]] nlohmann::json site_state(site_service const& of);
--- a/test/wire_codec_test.cpp
+++ b/test/wire_codec_test.cpp
@@ -70,6 +70,22 @@
     }
 }
 
+SCENARIO("a notice of a job survives encoding and decoding")
+{
+    wire::job_notice const sent{"job-1", wire::job_change::ended, 77, R"({"team":"x"})"};
+    auto const encoded = wire::encode({{}, base::wall_now(), 0, 0, sent});
+    REQUIRE(encoded.has_value());
+    wire::frame_buffer buffer;
+    wire::append(buffer, bytes_of(*encoded));
+    auto const received = wire::decode(**wire::next_frame(buffer));
+    REQUIRE(received.has_value());
+    auto const& got = std::get<wire::job_notice>(received->body);
+    CHECK(got.job_id == sent.job_id);
+    CHECK(got.change == sent.change);
+    CHECK(got.owner_revision == sent.owner_revision);
+    CHECK(got.record == sent.record);
+}
+
 SCENARIO("hostile bytes are refused with bounded memory")
 {
     GIVEN("an announced length above the limit")
