Give jobs of one route to one strong gateway, and let whoever sees a job without an owner assign it

Cause: the owner of a job was the least loaded strong gateway, a different one for each step, and gateways took over jobs in turn, each waiting for its rank. A route's jobs now go to the first gateway of an order of their own that has processor time to spare (rendezvous hashing); who sees a job without an owner writes that one into the store and tells it.

--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -1,6 +1,7 @@
 #include "gateway/job_ownership.hpp"
 
 #include "base/log.hpp"
+#include "gateway/job_notices.hpp"
 #include "gateway/job_store.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/owner_candidates.hpp"
@@ -8,7 +9,6 @@
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runner.hpp"
 #include "gateway/sample_runs.hpp"
-#include "rollout/job_placement.hpp"
 #include "rollout/store_keys.hpp"
 
 #include <algorithm>
@@ -22,9 +22,6 @@
 namespace
 {
 
-// Processes take over one after the other, so that they don't all claim at once.
-constexpr base::duration claim_stagger = std::chrono::milliseconds(150);
-
 base::mono_time to_mono(base::wall_time at)
 {
     return base::mono_now() + base::duration((at - base::wall_now()).count());
@@ -170,48 +167,51 @@
              });
 }
 
-store::transaction claim_write(gateway const& self, std::string const& id)
+store::transaction claim_write(std::string const& id, rollout::member const& owner)
 {
     store::transaction claim;
     claim.expected.push_back({rollout::owner_key(id), 0});
-    claim.writes.push_back({rollout::owner_key(id), own_mark(self), self.lease.id});
+    claim.writes.push_back(
+        {rollout::owner_key(id), rollout::owner_mark(owner.host, owner.lease), owner.lease});
     return claim;
 }
 
-void claim(gateway& self, rollout::job_record const& record)
+void assign(gateway& self, rollout::job_record const& record, rollout::member const& owner)
 {
     // Not tried again before a later review has shown what became of it.
     self.shared.orphaned_since[record.id] = base::mono_now() + store_call_timeout;
-    self.store.commit_all(claim_write(self, record.id), base::mono_now() + store_call_timeout,
-                          [&self, record](base::result<store::commit> const& outcome)
+    self.store.commit_all(claim_write(record.id, owner), base::mono_now() + store_call_timeout,
+                          [&self, record, owner](base::result<store::commit> const& outcome)
                           {
-                              if (outcome && outcome->done)
+                              if (!outcome || !outcome->done)
+                              {
+                                  return;
+                              }
+                              if (owner.host == self.settings.host)
                               {
                                   load_claimed(self, record, outcome->revision);
+                                  return;
                               }
+                              tell_owner(self, owner, record, outcome->revision);
                           });
 }
 
-/// Position of this process in the order in which processes take over a job.
-std::int64_t claim_rank(gateway const& self, std::string const& id)
-{
-    auto const candidates = list_owner_candidates(self);
-    return rollout::take_over_rank(candidates.all, candidates.own, id);
-}
-
+/// Whoever sees a job without an owner gives it one.
 void review_orphan(gateway& self, rollout::job_record const& record, base::mono_time now)
 {
-    auto const since = self.shared.orphaned_since.try_emplace(record.id, now).first->second;
-    if (now >= since + claim_stagger * claim_rank(self, record.id))
+    auto const [since, is_new] = self.shared.orphaned_since.try_emplace(record.id, now);
+    if (now < since->second)
     {
-        claim(self, record);
+        return;
     }
+    // The second time this process takes the job itself: the one that was chosen may be gone.
+    assign(self, record, is_new ? choose_owner(self, record) : own_member(self));
 }
 
 void reclaim(gateway& self, owned_job& job)
 {
     job.claiming = true;
-    self.store.commit_all(claim_write(self, job.record.id), base::mono_now() + store_call_timeout,
+    self.store.commit_all(claim_write(job.record.id, own_member(self)), base::mono_now() + store_call_timeout,
                           [&self, id = job.record.id](base::result<store::commit> const& outcome)
                           {
                               auto const at = self.jobs.find(id);
--- a/src/gateway/owner_candidates.cpp
+++ b/src/gateway/owner_candidates.cpp
@@ -1,7 +1,10 @@
 #include "gateway/owner_candidates.hpp"
 
+#include "rollout/job_placement.hpp"
+
 #include <map>
 #include <string_view>
+#include <vector>
 
 namespace gooseberrywood::gateway
 {
@@ -26,38 +29,30 @@
 
 } // namespace
 
-owner_candidates list_owner_candidates(gateway const& self)
-{
-    auto counts = count_open_samples(self.shared);
-    owner_candidates found;
-    for (auto const& [host, member] : self.shared.members)
-    {
-        bool const can_be_told = !member.peer_address.empty();
-        if (host != self.settings.host && can_be_told)
-        {
-            found.all.push_back(
-                {host, member.processors, counts[rollout::owner_mark(host, member.lease)]});
-        }
-    }
-    found.own = found.all.size();
-    found.all.push_back(
-        {self.settings.host, own_member(self).processors, counts[own_mark(self)]});
-    return found;
-}
-
 rollout::member own_member(gateway const& self)
 {
     return {self.settings.host, self.lease.id, self.peers.address,
             self.settings.processor_share * self.settings.processor_cores};
 }
 
-rollout::member owner_for_new_job(gateway const& self, std::size_t samples)
+rollout::member choose_owner(gateway const& self, rollout::job_record const& record)
 {
-    auto const candidates = list_owner_candidates(self);
-    auto const chosen = rollout::place_job(candidates.all, candidates.own, samples);
-    auto const at = self.shared.members.find(candidates.all[chosen].host);
-    return chosen == candidates.own || at == self.shared.members.end() ? own_member(self)
-                                                                       : at->second;
+    auto members = self.shared.members;
+    members.insert_or_assign(self.settings.host, own_member(self));
+    auto const open_samples = count_open_samples(self.shared);
+    std::vector<rollout::owner_candidate> candidates;
+    for (auto const& [host, member] : members)
+    {
+        bool const can_be_told = host == self.settings.host || !member.peer_address.empty();
+        if (can_be_told)
+        {
+            auto const open = open_samples.find(rollout::owner_mark(host, member.lease));
+            candidates.push_back(
+                {host, member.processors, open != open_samples.end() ? open->second : 0});
+        }
+    }
+    auto const chosen = rollout::place_job(candidates, record.samples, record.host + record.path);
+    return members.find(candidates[chosen].host)->second;
 }
 
 } // namespace gooseberrywood::gateway
--- a/src/gateway/owner_candidates.hpp
+++ b/src/gateway/owner_candidates.hpp
@@ -2,34 +2,19 @@
 #define GOOSEBERRYWOOD_GATEWAY_OWNER_CANDIDATES_HPP
 
 #include "gateway/gateway.hpp"
-#include "rollout/job_placement.hpp"
-
-#include <cstddef>
-#include <vector>
+#include "rollout/job_record.hpp"
+#include "rollout/member.hpp"
 
 namespace gooseberrywood::gateway
 {
 
-/// \ingroup gateway
-/// \brief The processes that could own a job, as last read. They refer to the gateway's state.
-struct owner_candidates
-{
-    std::vector<rollout::owner_candidate> all;
-    /// Position of this process.
-    std::size_t own = 0;
-};
-
-/// \ingroup gateway
-[[nodiscard]] owner_candidates list_owner_candidates(gateway const& self);
-
 /// \ingroup gateway
 /// \brief What this process says of itself to the others.
 [[nodiscard]] rollout::member own_member(gateway const& self);
 
 /// \ingroup gateway
-/// \brief The member that should own a new job: this process, or one where the job gets far more
-/// processor time.
-[[nodiscard]] rollout::member owner_for_new_job(gateway const& self, std::size_t samples);
+/// \brief The member that should own a job, as far as the shared entries were read.
+[[nodiscard]] rollout::member choose_owner(gateway const& self, rollout::job_record const& record);
 
 } // namespace gooseberrywood::gateway
 
--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -168,7 +168,7 @@
     what->from = from;
     what->record = {head.request_id,      team, head.host, from->path, base::wall_now(),
                     spec->samples.size(), false};
-    what->owner = owner_for_new_job(self, what->record.samples);
+    what->owner = choose_owner(self, what->record);
     what->write = submission_write(what->record, what->owner, from->body);
     what->spec = std::move(*spec);
     base::log_line(base::log_level::debug, "job_submitted",
--- a/src/rollout/job_placement.cpp
+++ b/src/rollout/job_placement.cpp
@@ -3,7 +3,8 @@
 #include "base/hash.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <compare>
+#include <cstdint>
 
 namespace gooseberrywood::rollout
 {
@@ -11,15 +12,11 @@
 namespace
 {
 
-// How many times as much processor time a sample must get elsewhere for a job to move: from a host
-// with time to spare, and from a busy one.
-constexpr double worthwhile = 2.5;
-constexpr double worthwhile_when_busy = 1.2;
+// Two steps of one trainer on a host of the usual size. A sample that runs needs half a hundredth of
+// a core, and about a third of the open ones run.
+constexpr double busy_samples_per_core = 550;
 
-// A running sample needs about a thousandth of a core; a third of them run.
-constexpr double busy_samples_per_core = 400;
-
-// Hosts with less than this part of the strongest host's processor time take jobs over last.
+// Hosts with less than this part of the strongest host's processor time get jobs last.
 constexpr double strong_part = 0.5;
 
 double samples_per_core(owner_candidate const& on, std::size_t more)
@@ -28,41 +25,45 @@
     return static_cast<double>(on.open_samples + more) / std::max(on.processors, least_processors);
 }
 
-} // namespace
-
-std::size_t place_job(std::span<owner_candidate const> candidates, std::size_t own,
-                      std::size_t samples)
+double most_processors(std::span<owner_candidate const> candidates)
 {
-    std::size_t best = own;
-    for (std::size_t i = 0; i < candidates.size(); ++i)
+    double most = 0;
+    for (auto const& one : candidates)
     {
-        if (samples_per_core(candidates[i], samples) < samples_per_core(candidates[best], samples))
-        {
-            best = i;
-        }
+        most = std::max(most, one.processors);
     }
-    auto const here = samples_per_core(candidates[own], samples);
-    auto const needed = here > busy_samples_per_core ? worthwhile_when_busy : worthwhile;
-    bool const moves = samples_per_core(candidates[best], samples) * needed < here;
-    return moves ? best : own;
+    return most;
 }
 
-std::int64_t take_over_rank(std::span<owner_candidate const> candidates, std::size_t own,
-                            std::string_view job_id)
+/// Hosts are ordered by this.
+struct preference
 {
-    double strongest = 0;
-    for (auto const& one : candidates)
-    {
-        strongest = std::max(strongest, one.processors);
-    }
-    auto const turn = [&](owner_candidate const& of)
+    bool is_busy = false;
+    bool is_weak = false;
+    /// Among busy hosts the least busy one comes first.
+    double busy_by = 0;
+    std::uint64_t hash = 0;
+
+    friend auto operator<=>(preference const&, preference const&) = default;
+};
+
+} // namespace
+
+std::size_t place_job(std::span<owner_candidate const> candidates, std::size_t samples,
+                      std::string_view route_key)
+{
+    auto const strongest = most_processors(candidates);
+    auto const of = [&](owner_candidate const& one)
     {
-        bool const is_weak = of.processors < strong_part * strongest;
-        return std::pair(is_weak, base::hash64(of.host, base::hash64(job_id)));
+        auto const load = samples_per_core(one, samples);
+        bool const is_busy = load > busy_samples_per_core;
+        return preference{is_busy, one.processors < strong_part * strongest, is_busy ? load : 0,
+                          base::hash64(one.host, base::hash64(route_key))};
     };
-    auto const own_turn = turn(candidates[own]);
-    return std::count_if(candidates.begin(), candidates.end(),
-                         [&](owner_candidate const& one) { return turn(one) < own_turn; });
+    auto const best = std::min_element(candidates.begin(), candidates.end(),
+                                       [&](owner_candidate const& a, owner_candidate const& b)
+                                       { return of(a) < of(b); });
+    return static_cast<std::size_t>(best - candidates.begin());
 }
 
 } // namespace gooseberrywood::rollout
--- a/src/rollout/job_placement.hpp
+++ b/src/rollout/job_placement.hpp
@@ -2,7 +2,6 @@
 #define GOOSEBERRYWOOD_ROLLOUT_JOB_PLACEMENT_HPP
 
 #include <cstddef>
-#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,24 +21,17 @@
 };
 
 /// \ingroup rollout
-/// \brief The candidate that should own a new job: the one where a sample gets most processor
-/// time. The one that accepted the job keeps it unless another one is much better off, because a
-/// job that moves starts later.
+/// \brief The candidate that should own a job. Jobs of one route go to the same host while it has
+/// time to spare, so that its connections to the upstreams are used again.
 ///
-/// Load pattern: jobs of a hundred samples, whose events together need more processor time than the
-/// smallest hosts have, arrive at hosts of unequal size.
-/// \param candidates all, at least `own`.
-/// \param own position of the process that accepted the job.
+/// Load pattern: each trainer submits a job of a hundred samples every few seconds, to any host.
+/// The events of such a job need more processor time than the smallest hosts have, and each host
+/// that runs it opens a connection for every sample that runs at once.
+/// \param candidates at least one.
+/// \param route_key the same for all jobs of a route.
 /// \returns a position among the candidates.
-[[nodiscard]] std::size_t place_job(std::span<owner_candidate const> candidates, std::size_t own,
-                                    std::size_t samples);
-
-/// \ingroup rollout
-/// \brief Position of a process in the order in which processes take over a job without an owner:
-/// strong hosts first, else in an order of each job's own.
-/// \returns the number of candidates before it.
-[[nodiscard]] std::int64_t take_over_rank(std::span<owner_candidate const> candidates,
-                                          std::size_t own, std::string_view job_id);
+[[nodiscard]] std::size_t place_job(std::span<owner_candidate const> candidates,
+                                    std::size_t samples, std::string_view route_key);
 
 } // namespace gooseberrywood::rollout
 
--- a/test/process/support/site_service.hpp
+++ b/test/process/support/site_service.hpp
@@ -25,6 +25,7 @@
 /// Stand-ins of the users' machines, and gateways before them.
 struct site_service
 {
+    /// The first gateway is the strongest one, so that it gets the jobs while it lives.
     explicit site_service(int gateways);
 
     std::unique_ptr<process> site;
