Key the owner of a job by its route, not by the path of the submission

Cause of the connections that the change before did not save: the path below a route's prefix is another one for each submission, so that each step went to another owner, which opened a connection for each sample that ran at once.

--- a/src/gateway/owner_candidates.cpp
+++ b/src/gateway/owner_candidates.cpp
@@ -51,7 +51,10 @@
                 {host, member.processors, open != open_samples.end() ? open->second : 0});
         }
     }
-    auto const chosen = rollout::place_job(candidates, record.samples, record.host + record.path);
+    // Below the route's prefix, the path of each submission is another one.
+    auto const* const route = route_of(self, record);
+    auto const& route_key = route != nullptr ? route->name : record.team;
+    auto const chosen = rollout::place_job(candidates, record.samples, route_key);
     return members.find(candidates[chosen].host)->second;
 }
 
