--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -173,7 +173,7 @@
 bool is_ready(gateway const& self, base::mono_time now)
 {
     return !self.stopping && may_trust_keys(self, now) && !self.pool.upstreams.empty() &&
-           now < self.shared_poller.confirmed_at + ready_without_store;
+           now < store_reached_at(self) + ready_without_store;
 }
 
 } // namespace gooseberrywood::gateway
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -20,11 +20,15 @@
 namespace
 {
 
-// A change is in effect after one interval and one call. Reads that find nothing new cost as much
-// as others, so the interval is as long as the bounds of configuration and draining (2 s) allow.
-constexpr base::duration listing_interval = std::chrono::milliseconds(1200);
-// Jobs without an owner stand still until this read finds them.
-constexpr base::duration shared_interval = std::chrono::milliseconds(700);
+// Part of the time for a change after which the lists are read again. Reads that find nothing new
+// cost as much as others.
+constexpr double listing_part = 0.6;
+
+// Jobs without an owner stand still until some process finds them. The processes together read at
+// the rate at which a few would.
+constexpr base::duration shared_interval_of_few = std::chrono::milliseconds(700);
+constexpr double few_members = 4;
+constexpr base::duration shared_interval_max = std::chrono::milliseconds(1500);
 // While there are such jobs, processes claim them one after the other.
 constexpr base::duration orphan_interval = std::chrono::milliseconds(150);
 constexpr base::duration retry_interval = std::chrono::milliseconds(200);
@@ -217,16 +221,28 @@
     review_leader(self);
 }
 
-base::duration listing_pause()
+base::duration listing_pause(gateway const& self)
 {
-    return listing_interval;
+    return std::chrono::duration_cast<base::duration>(self.settings.change_in_effect *
+                                                      listing_part);
+}
+
+base::duration shared_pause(gateway const& self)
+{
+    if (!self.shared.orphaned_since.empty())
+    {
+        return orphan_interval;
+    }
+    auto const members = static_cast<double>(self.shared.members.size());
+    auto const times = std::max(1.0, members / few_members);
+    return std::min(shared_interval_max,
+                    std::chrono::duration_cast<base::duration>(shared_interval_of_few * times));
 }
 
 poll_plan shared_plan(gateway& self)
 {
     return {rollout::shared_prefix,
-            [&self]
-            { return self.shared.orphaned_since.empty() ? shared_interval : orphan_interval; },
+            [&self] { return shared_pause(self); },
             [&self](items const& read, base::mono_time sent_at)
             {
                 take_shared(self, read, sent_at);
@@ -238,13 +254,13 @@
 void start_refresh(gateway& self)
 {
     poll(self, self.operator_poller,
-         {platform::store_keys::operator_prefix, listing_pause,
+         {platform::store_keys::operator_prefix, [&self] { return listing_pause(self); },
           [&self](items const& read, base::mono_time)
           {
               take_operator_state(self, read);
           }});
     poll(self, self.upstream_poller,
-         {platform::store_keys::upstream_prefix, listing_pause,
+         {platform::store_keys::upstream_prefix, [&self] { return listing_pause(self); },
           [&self](items const& read, base::mono_time sent_at)
           {
               take_upstreams(self, read, sent_at);
@@ -264,6 +280,12 @@
            now < confirmed + self.settings.key_withdrawal - key_margin;
 }
 
+base::mono_time store_reached_at(gateway const& self)
+{
+    return std::max({self.operator_poller.confirmed_at, self.upstream_poller.confirmed_at,
+                     self.shared_poller.confirmed_at});
+}
+
 bool knows_ended_jobs(gateway const& self, base::mono_time now)
 {
     return now < self.shared.read_at + self.settings.job_end - job_end_margin;
--- a/src/gateway/refresh.hpp
+++ b/src/gateway/refresh.hpp
@@ -19,6 +19,10 @@
 /// withdrawn in the meantime must not work.
 [[nodiscard]] bool may_trust_keys(gateway const& self, base::mono_time now);
 
+/// \ingroup gateway
+/// \brief When the last call that the store answered was sent.
+[[nodiscard]] base::mono_time store_reached_at(gateway const& self);
+
 /// \ingroup gateway
 /// \brief Whether each job that had to be stopped by now is known to have been ended. Without that,
 /// no sample may start.
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -18,7 +18,7 @@
 {
 
 // Results that end shortly after each other are stored with one call.
-constexpr base::duration collect_time = std::chrono::milliseconds(120);
+constexpr base::duration collect_time = std::chrono::milliseconds(250);
 constexpr base::duration retry_pause = std::chrono::milliseconds(150);
 
 // Long samples are saved about so often; a sample counts as long after about a second.
