Make a gateway's calls to the store through another gateway while its own path fails

Ruled out: engines and processor time, both under half used. A call that certainly had no effect here is made once more by another gateway, and for a second calls go there first. A gateway that does not reach the store itself makes no calls for others, so that an outage for all costs nothing more. Leases, freshness of keys and conditions of writes hold as before: a relayed read begins after the request was sent, and a relayed write that gets no answer counts as unknown. The stand-in's store has a second port, so that one gateway can be turned away alone.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -134,7 +134,8 @@
     self.started_at = base::mono_now();
     self.upstream_session = http::make_session();
     self.control_session = http::make_session();
-    self.store = measured(self, platform::make_store_client(self.settings.store));
+    self.relay.direct = platform::make_store_transport(self.settings.store);
+    self.store = measured(self, platform::make_store_client(make_relayed_transport(self)));
     self.usage.length = self.settings.usage_window;
     if (auto const ports = open_ports(self); !ports)
     {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include "gateway/routed_request.hpp"
 #include "gateway/sample_run.hpp"
 #include "gateway/shared_view.hpp"
+#include "gateway/store_relay.hpp"
 #include "http/server.hpp"
 #include "process/main_loop.hpp"
 #include "rollout/member.hpp"
@@ -68,6 +69,7 @@
     // Declared before everything that runs calls on them, so that they are destroyed last.
     base::object_ptr<SoupSession> upstream_session;
     base::object_ptr<SoupSession> control_session;
+    store_relay relay;
     store::client store;
 
     std::unique_ptr<http::server> callers;
--- a/src/gateway/job_notices.cpp
+++ b/src/gateway/job_notices.cpp
@@ -53,12 +53,20 @@
     }
 }
 
-void on_message(gateway& self, wire::message const& received)
+void on_message(gateway& self, wire::connection& from, wire::message const& received)
 {
     if (auto const* notice = std::get_if<wire::job_notice>(&received))
     {
         on_notice(self, *notice);
     }
+    else if (auto const* call = std::get_if<wire::store_call>(&received))
+    {
+        relay_store_call(self, from, *call);
+    }
+    else if (auto const* answer = std::get_if<wire::store_answer>(&received))
+    {
+        take_store_answer(self, *answer);
+    }
 }
 
 } // namespace
@@ -100,9 +108,9 @@
     self.peers.own.host = self.settings.host;
     self.peers.own.domain = self.settings.domain;
     self.peers.own.incarnation = base::random_request_id().low;
-    self.peers.on_message = [&self](wire::message const& received)
+    self.peers.on_message = [&self](wire::connection& from, wire::message const& received)
     {
-        on_message(self, received);
+        on_message(self, from, received);
     };
     return listen_for_peers(self.peers, self.settings.listen_peers);
 }
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -117,6 +117,14 @@
                    {{"service", service}, {"outcome", outcome}}));
 }
 
+void count_relayed(gateway& self, bool served)
+{
+    add(counter_at(self.metrics,
+                   {"gateway_relayed_store_calls_total",
+                    "calls to the store that another gateway made, by outcome"},
+                   {{"outcome", served ? "answered" : "failed"}}));
+}
+
 void count_run(gateway& self, std::string_view event)
 {
     add(counter_at(self.metrics, {"gateway_sample_runs_total", "runs of samples by their end"},
--- a/src/gateway/measure.hpp
+++ b/src/gateway/measure.hpp
@@ -49,6 +49,10 @@
 /// \brief The metrics of the process in text form.
 [[nodiscard]] std::string exposition(gateway& self);
 
+/// \ingroup gateway
+/// \brief Another gateway made a call to the store for this one, or could not.
+void count_relayed(gateway& self, bool served);
+
 } // namespace gooseberrywood::gateway
 
 #endif
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -13,13 +13,17 @@
 
 constexpr base::duration idle_time = std::chrono::seconds(15);
 
-wire::connection_handlers handlers_of(peers& self, std::function<void()> forget)
+/// \param find the connection that the handlers are for.
+wire::connection_handlers handlers_of(peers& self,
+                                      std::function<std::shared_ptr<wire::connection>()> find,
+                                      std::function<void()> forget)
 {
-    return {[&self](wire::frame& received)
+    return {[&self, find = std::move(find)](wire::frame& received)
             {
-                if (!std::holds_alternative<wire::hello>(received.body))
+                auto const from = find();
+                if (from && !std::holds_alternative<wire::hello>(received.body))
                 {
-                    self.on_message(received.body);
+                    self.on_message(*from, received.body);
                 }
             },
             [forget = std::move(forget)](base::error const& why)
@@ -37,9 +41,11 @@
 void accept(peers& self, base::object_ptr<GSocket> socket)
 {
     auto const number = ++self.accepted;
-    self.incoming[number] =
-        wire::make_connection(std::move(socket), self.own,
-                              handlers_of(self, [&self, number] { self.incoming.erase(number); }));
+    self.incoming[number] = wire::make_connection(
+        std::move(socket), self.own,
+        handlers_of(
+            self, [&self, number] { return self.incoming[number]; },
+            [&self, number] { self.incoming.erase(number); }));
 }
 
 void close_later(peers& self, std::string const& address)
@@ -68,9 +74,11 @@
         self.outgoing.erase(address);
         return;
     }
-    link.connection =
-        wire::make_connection(std::move(*socket), self.own,
-                              handlers_of(self, [&self, address] { self.outgoing.erase(address); }));
+    link.connection = wire::make_connection(
+        std::move(*socket), self.own,
+        handlers_of(
+            self, [&self, address] { return self.outgoing[address].connection; },
+            [&self, address] { self.outgoing.erase(address); }));
     for (auto& message : std::exchange(link.waiting, {}))
     {
         (void)wire::send(*link.connection, std::move(message));
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peers.hpp
@@ -33,7 +33,8 @@
 struct peers
 {
     wire::hello own;
-    std::function<void(wire::message const&)> on_message;
+    /// Receives each message, with the connection on which it can be answered.
+    std::function<void(wire::connection&, wire::message const&)> on_message;
     std::unique_ptr<wire::listener> listening;
     /// `IP:port` where this process listens; empty when it does not.
     std::string address;
--- /dev/null
+++ b/src/store/path.cpp
@@ -0,0 +1,48 @@
+#include "store/path.hpp"
+
+namespace gooseberrywood::store
+{
+
+namespace
+{
+
+constexpr base::duration avoid_time = std::chrono::milliseconds(1000);
+
+// Every process calls the store at least this often.
+constexpr base::duration known_time = std::chrono::milliseconds(2500);
+
+} // namespace
+
+bool goes_direct(path const& of, base::mono_time now)
+{
+    return now >= of.avoided_until;
+}
+
+bool note_direct(path& of, bool served, base::mono_time now)
+{
+    bool const changed = of.failing == served;
+    of.failing = !served;
+    if (served)
+    {
+        of.served_at = now;
+        of.avoided_until = base::mono_time::min();
+    }
+    else
+    {
+        of.avoided_until = now + avoid_time;
+    }
+    return changed;
+}
+
+void note_no_relay(path& of)
+{
+    of.avoided_until = base::mono_time::min();
+}
+
+bool may_relay(path const& of, base::mono_time now)
+{
+    return !of.failing && of.served_at != base::mono_time::min() &&
+           now < of.served_at + known_time;
+}
+
+} // namespace gooseberrywood::store
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -185,6 +185,17 @@
     return {from_fb(m.job()), change_of(m.kind()), m.owner_revision(), from_fb(m.record())};
 }
 
+store_call unpack(fb::StoreCall const& m)
+{
+    return {m.number(), wall(m.deadline_us()), from_fb(m.method()), from_fb(m.target()),
+            from_fb(m.body())};
+}
+
+store_answer unpack(fb::StoreAnswer const& m)
+{
+    return {m.number(), m.status(), m.sent(), from_fb(m.body())};
+}
+
 ping unpack(fb::Ping const&)
 {
     return {};
@@ -240,6 +251,10 @@
         return unpack_as<fb::PeerVersions>(root);
     case fb::Body::JobNotice:
         return unpack_as<fb::JobNotice>(root);
+    case fb::Body::StoreCall:
+        return unpack_as<fb::StoreCall>(root);
+    case fb::Body::StoreAnswer:
+        return unpack_as<fb::StoreAnswer>(root);
     }
     return std::nullopt;
 }
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -195,6 +195,23 @@
                 .Union()};
 }
 
+body_offset pack(builder& out, store_call const& m)
+{
+    auto const method = out.CreateString(m.method);
+    auto const target = out.CreateString(m.target);
+    auto const body = out.CreateString(m.body);
+    return {fb::Body::StoreCall,
+            fb::CreateStoreCall(out, m.number, base::micros(m.deadline), method, target, body)
+                .Union()};
+}
+
+body_offset pack(builder& out, store_answer const& m)
+{
+    auto const body = out.CreateString(m.body);
+    return {fb::Body::StoreAnswer,
+            fb::CreateStoreAnswer(out, m.number, m.status, m.sent, body).Union()};
+}
+
 body_offset pack(builder& out, ping const&)
 {
     return {fb::Body::Ping, fb::CreatePing(out).Union()};
--- a/src/wire/frame_generated.h
+++ b/src/wire/frame_generated.h
@@ -79,6 +79,12 @@
 struct JobNotice;
 struct JobNoticeBuilder;
 
+struct StoreCall;
+struct StoreCallBuilder;
+
+struct StoreAnswer;
+struct StoreAnswerBuilder;
+
 struct Ping;
 struct PingBuilder;
 
@@ -108,11 +114,13 @@
   Ping = 17,
   PeerVersions = 18,
   JobNotice = 19,
+  StoreCall = 20,
+  StoreAnswer = 21,
   MIN = NONE,
-  MAX = JobNotice
+  MAX = StoreAnswer
 };
 
-inline const Body (&EnumValuesBody())[20] {
+inline const Body (&EnumValuesBody())[22] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -133,13 +141,15 @@
     Body::ConfigIntent,
     Body::Ping,
     Body::PeerVersions,
-    Body::JobNotice
+    Body::JobNotice,
+    Body::StoreCall,
+    Body::StoreAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[21] = {
+  static const char * const names[23] = {
     "NONE",
     "Hello",
     "Start",
@@ -160,13 +170,15 @@
     "Ping",
     "PeerVersions",
     "JobNotice",
+    "StoreCall",
+    "StoreAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::JobNotice)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::StoreAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -251,6 +263,14 @@
   static const Body enum_value = Body::JobNotice;
 };
 
+template<> struct BodyTraits<gooseberrywood::wire::fb::StoreCall> {
+  static const Body enum_value = Body::StoreCall;
+};
+
+template<> struct BodyTraits<gooseberrywood::wire::fb::StoreAnswer> {
+  static const Body enum_value = Body::StoreAnswer;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -2092,6 +2112,196 @@
       record__);
 }
 
+struct StoreCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreCallBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_DEADLINE_US = 6,
+    VT_METHOD = 8,
+    VT_TARGET = 10,
+    VT_BODY = 12
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  int64_t deadline_us() const {
+    return GetField<int64_t>(VT_DEADLINE_US, 0);
+  }
+  const flatbuffers::String *method() const {
+    return GetPointer<const flatbuffers::String *>(VT_METHOD);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  const flatbuffers::String *body() const {
+    return GetPointer<const flatbuffers::String *>(VT_BODY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<int64_t>(verifier, VT_DEADLINE_US, 8) &&
+           VerifyOffset(verifier, VT_METHOD) &&
+           verifier.VerifyString(method()) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyString(body()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreCallBuilder {
+  typedef StoreCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(StoreCall::VT_NUMBER, number, 0);
+  }
+  void add_deadline_us(int64_t deadline_us) {
+    fbb_.AddElement<int64_t>(StoreCall::VT_DEADLINE_US, deadline_us, 0);
+  }
+  void add_method(flatbuffers::Offset<flatbuffers::String> method) {
+    fbb_.AddOffset(StoreCall::VT_METHOD, method);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(StoreCall::VT_TARGET, target);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::String> body) {
+    fbb_.AddOffset(StoreCall::VT_BODY, body);
+  }
+  explicit StoreCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreCall> CreateStoreCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    int64_t deadline_us = 0,
+    flatbuffers::Offset<flatbuffers::String> method = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::String> body = 0) {
+  StoreCallBuilder builder_(_fbb);
+  builder_.add_deadline_us(deadline_us);
+  builder_.add_number(number);
+  builder_.add_body(body);
+  builder_.add_target(target);
+  builder_.add_method(method);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StoreCall> CreateStoreCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    int64_t deadline_us = 0,
+    const char *method = nullptr,
+    const char *target = nullptr,
+    const char *body = nullptr) {
+  auto method__ = method ? _fbb.CreateString(method) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto body__ = body ? _fbb.CreateString(body) : 0;
+  return gooseberrywood::wire::fb::CreateStoreCall(
+      _fbb,
+      number,
+      deadline_us,
+      method__,
+      target__,
+      body__);
+}
+
+struct StoreAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_STATUS = 6,
+    VT_SENT = 8,
+    VT_BODY = 10
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint16_t status() const {
+    return GetField<uint16_t>(VT_STATUS, 0);
+  }
+  bool sent() const {
+    return GetField<uint8_t>(VT_SENT, 0) != 0;
+  }
+  const flatbuffers::String *body() const {
+    return GetPointer<const flatbuffers::String *>(VT_BODY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint16_t>(verifier, VT_STATUS, 2) &&
+           VerifyField<uint8_t>(verifier, VT_SENT, 1) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyString(body()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreAnswerBuilder {
+  typedef StoreAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(StoreAnswer::VT_NUMBER, number, 0);
+  }
+  void add_status(uint16_t status) {
+    fbb_.AddElement<uint16_t>(StoreAnswer::VT_STATUS, status, 0);
+  }
+  void add_sent(bool sent) {
+    fbb_.AddElement<uint8_t>(StoreAnswer::VT_SENT, static_cast<uint8_t>(sent), 0);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::String> body) {
+    fbb_.AddOffset(StoreAnswer::VT_BODY, body);
+  }
+  explicit StoreAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreAnswer> CreateStoreAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint16_t status = 0,
+    bool sent = false,
+    flatbuffers::Offset<flatbuffers::String> body = 0) {
+  StoreAnswerBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_body(body);
+  builder_.add_status(status);
+  builder_.add_sent(sent);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StoreAnswer> CreateStoreAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint16_t status = 0,
+    bool sent = false,
+    const char *body = nullptr) {
+  auto body__ = body ? _fbb.CreateString(body) : 0;
+  return gooseberrywood::wire::fb::CreateStoreAnswer(
+      _fbb,
+      number,
+      status,
+      sent,
+      body__);
+}
+
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PingBuilder Builder;
   bool Verify(flatbuffers::Verifier &verifier) const {
@@ -2219,6 +2429,12 @@
   const gooseberrywood::wire::fb::JobNotice *body_as_JobNotice() const {
     return body_type() == gooseberrywood::wire::fb::Body::JobNotice ? static_cast<const gooseberrywood::wire::fb::JobNotice *>(body()) : nullptr;
   }
+  const gooseberrywood::wire::fb::StoreCall *body_as_StoreCall() const {
+    return body_type() == gooseberrywood::wire::fb::Body::StoreCall ? static_cast<const gooseberrywood::wire::fb::StoreCall *>(body()) : nullptr;
+  }
+  const gooseberrywood::wire::fb::StoreAnswer *body_as_StoreAnswer() const {
+    return body_type() == gooseberrywood::wire::fb::Body::StoreAnswer ? static_cast<const gooseberrywood::wire::fb::StoreAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
@@ -2312,6 +2528,14 @@
   return body_as_JobNotice();
 }
 
+template<> inline const gooseberrywood::wire::fb::StoreCall *Frame::body_as<gooseberrywood::wire::fb::StoreCall>() const {
+  return body_as_StoreCall();
+}
+
+template<> inline const gooseberrywood::wire::fb::StoreAnswer *Frame::body_as<gooseberrywood::wire::fb::StoreAnswer>() const {
+  return body_as_StoreAnswer();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2484,6 +2708,14 @@
       auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::JobNotice *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::StoreCall: {
+      auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::StoreCall *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::StoreAnswer: {
+      auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::StoreAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -261,6 +261,31 @@
     std::string record;
 };
 
+/// \ingroup wire
+/// \brief From gateway to gateway: a call to the store, which the sender can't reach.
+struct store_call
+{
+    /// Names the call on the sender's side.
+    std::uint64_t number = 0;
+    base::wall_time deadline{};
+    std::string method;
+    /// Path and query.
+    std::string target;
+    std::string body;
+};
+
+/// \ingroup wire
+/// \brief Answer to `store_call`.
+struct store_answer
+{
+    std::uint64_t number = 0;
+    /// Status of the store's answer; 0 if there is none.
+    std::uint16_t status = 0;
+    /// The call was sent to the store, so that it may have taken effect.
+    bool sent = false;
+    std::string body;
+};
+
 /// \ingroup wire
 /// \brief Keeps an idle connection alive.
 struct ping
@@ -271,7 +296,8 @@
 /// \brief Any message.
 using message = std::variant<hello, start, started, chunk, finished, refuse, cancel, fence, fenced,
                              credit, claim, claimed, suspect, config_request, config_content,
-                             config_intent, ping, peer_versions, job_notice>;
+                             config_intent, ping, peer_versions, job_notice, store_call,
+                             store_answer>;
 
 /// \ingroup wire
 /// \brief An announced configuration, by version and hash of its record.
--- a/test/process/gateway_test.cpp
+++ b/test/process/gateway_test.cpp
@@ -260,6 +260,53 @@
     }
 }
 
+SCENARIO("the store turns one gateway away and serves the others")
+{
+    // Guards against work that stops, and answers that say nothing, while another gateway could
+    // make the calls.
+    site_service service(2);
+    auto const& away = service.gateways[0];
+    auto const& other = service.gateways[1];
+    REQUIRE(wait_members(away, 2));
+    set_site(service, "upstream", {{"id", "engines-0"}, {"event_ms", 30}});
+    set_site(service, "upstream", {{"id", "engines-1"}, {"event_ms", 30}});
+    std::vector<int> const events = {4, 4, 150, 150};
+    REQUIRE(submit(away, "job", events) == 202);
+    for (auto const* mode : {"refuses", "loses_answers"})
+    {
+        CAPTURE(mode);
+        set_site(service, "store", {{"mode", mode}, {"side_door_only", true}});
+        std::this_thread::sleep_for(std::chrono::milliseconds(3500));
+        CHECK(call_gateway(away, "POST", "/q/1", "desk.example", mode).status == 200);
+        CHECK(submit(away, std::string("job-") + mode, {3, 3}) == 202);
+        CHECK(gateway_state(away).at("lease") != 0);
+    }
+    auto const results = wait_results(other, "job", events.size());
+    check_whole(results, "job", events);
+    check_whole(wait_results(away, "job-refuses", 2), "job-refuses", {3, 3});
+    CHECK(wait_results(away, "job", events.size()) == results);
+    WHEN("the other one is lost as well")
+    {
+        send_signal(*other.program, SIGKILL);
+        THEN("keyed requests are refused in time")
+        {
+            CHECK(eventually(
+                [&] {
+                    return call_gateway(away, "POST", "/q/1", "desk.example", "late").status == 503;
+                }));
+        }
+    }
+    WHEN("the store serves it again")
+    {
+        set_site(service, "store", {{"mode", "serves"}});
+        THEN("it makes its own calls")
+        {
+            (void)wait_event(*away.program, "store_path_works");
+            CHECK(submit(away, "last", {3}) == 202);
+        }
+    }
+}
+
 SCENARIO("a caller resets its connection before it is accepted")
 {
     // Guards against a connection without an address, which the HTTP library can't bear.
--- a/test/process/support/site_service.cpp
+++ b/test/process/support/site_service.cpp
@@ -43,6 +43,7 @@
 
 std::string settings_of(site_service const& of, std::size_t number, double processors)
 {
+    auto const store_port = number == 0 ? of.side_door_port : of.site_port;
     return fmt::format(R"(host = "gateway-{}"
 domain = "krapina"
 first_start = true
@@ -58,7 +59,7 @@
 stop_grace_s = 8
 processor_share = {}
 )",
-                       number, of.site_port, of.site_port, processors);
+                       number, store_port, of.site_port, processors);
 }
 
 } // namespace
@@ -67,6 +68,7 @@
     : site(std::make_unique<process>("standin_site", std::vector<std::string>{}))
 {
     site_port = wait_listening(*site);
+    side_door_port = site_state(*this).at("side_door_port").get<std::uint16_t>();
     set_site(*this, "put", {{"key", "op/config"}, {"value", configuration()}});
     for (int i = 0; i < count; ++i)
     {
--- a/test/process/support/site_service.hpp
+++ b/test/process/support/site_service.hpp
@@ -30,6 +30,8 @@
 
     std::unique_ptr<process> site;
     std::uint16_t site_port = 0;
+    /// Port of the store that the first gateway uses, so that it can be turned away alone.
+    std::uint16_t side_door_port = 0;
     std::vector<gateway_under_test> gateways;
 };
 
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -31,7 +31,8 @@
             {"resumed", self.resumed},
             {"reports", self.reports},
             {"calls", self.calls},
-            {"keys", keys}});
+            {"keys", keys},
+            {"side_door_port", self.side_door_port}});
 }
 
 void put(site& self, json const& body)
@@ -41,10 +42,15 @@
 
 void set_store(site& self, json const& body)
 {
-    auto const mode = body.at("mode").get<std::string>();
-    self.mode = mode == "refuses"         ? store_mode::refuses
-                : mode == "loses_answers" ? store_mode::loses_answers
-                                          : store_mode::serves;
+    auto const name = body.at("mode").get<std::string>();
+    auto const mode = name == "refuses"         ? store_mode::refuses
+                      : name == "loses_answers" ? store_mode::loses_answers
+                                                : store_mode::serves;
+    self.side_door_mode = mode;
+    if (!body.value("side_door_only", false))
+    {
+        self.mode = mode;
+    }
 }
 
 void set_upstream(site& self, json const& body)
--- a/test/standin/site/main.cpp
+++ b/test/standin/site/main.cpp
@@ -55,7 +55,11 @@
     test::site self;
     self.store_server.on_request = [&self](SoupServerMessage* message)
     {
-        test::serve_store(self, message);
+        test::serve_store(self, message, self.mode);
+    };
+    self.side_door.on_request = [&self](SoupServerMessage* message)
+    {
+        test::serve_store(self, message, self.side_door_mode);
     };
     // The store's port is the first one that is printed.
     if (auto const served = test::serve(self.store_server, FLAGS_listen); !served)
@@ -63,6 +67,11 @@
         fmt::print(stderr, "{}\n", served.error().message);
         return 1;
     }
+    if (!test::serve(self.side_door, "127.0.0.1:0"))
+    {
+        return 1;
+    }
+    self.side_door_port = test::port_of(self.side_door);
     if (!test::add_upstreams(self, "engines", FLAGS_engines, true) ||
         !test::add_upstreams(self, "desk", FLAGS_desks, false))
     {
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -28,7 +28,7 @@
     base::mono_time ends_at{};
 };
 
-/// How the store behaves.
+/// How the store behaves towards those that come through one of its ports.
 enum class store_mode : std::uint8_t
 {
     serves,
@@ -64,11 +64,15 @@
 struct site
 {
     http_server store_server;
+    /// Another port of the store. Processes that use it can be turned away alone.
+    http_server side_door;
+    std::uint16_t side_door_port = 0;
     std::map<std::string, stored_value> values;
     std::map<std::uint64_t, granted_lease> leases;
     std::uint64_t revision = 1;
     std::uint64_t leases_granted = 0;
     store_mode mode = store_mode::serves;
+    store_mode side_door_mode = store_mode::serves;
     std::uint64_t calls = 0;
 
     std::vector<std::unique_ptr<site_upstream>> upstreams;
@@ -81,7 +85,7 @@
 };
 
 /// Serves the store's and the duties' calls.
-void serve_store(site& self, SoupServerMessage* message);
+void serve_store(site& self, SoupServerMessage* message, store_mode mode);
 
 /// Serves a request of an upstream.
 void serve_upstream(site& self, site_upstream& at, SoupServerMessage* message);
--- a/test/standin/site/store.cpp
+++ b/test/standin/site/store.cpp
@@ -227,7 +227,7 @@
 
 } // namespace
 
-void serve_store(site& self, SoupServerMessage* message)
+void serve_store(site& self, SoupServerMessage* message, store_mode mode)
 {
     if (path_of(message).starts_with("/standin/"))
     {
@@ -235,7 +235,7 @@
         return;
     }
     ++self.calls;
-    switch (self.mode)
+    switch (mode)
     {
     case store_mode::refuses:
         answer(message, SOUP_STATUS_SERVICE_UNAVAILABLE, json::object());
--- /dev/null
+++ b/test/store_path_test.cpp
@@ -0,0 +1,58 @@
+#include "store/path.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace gooseberrywood;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+base::mono_time at_ms(std::int64_t milliseconds)
+{
+    return base::mono_time(std::chrono::milliseconds(milliseconds));
+}
+
+} // namespace
+
+SCENARIO("a process loses its path to the store")
+{
+    store::path path;
+    CHECK(store::goes_direct(path, at_ms(0)));
+    CHECK_FALSE(store::may_relay(path, at_ms(0)));
+    (void)store::note_direct(path, true, at_ms(1000));
+    CHECK(store::may_relay(path, at_ms(1001)));
+    WHEN("a call fails")
+    {
+        CHECK(store::note_direct(path, false, at_ms(2000)));
+        THEN("calls go through others, and now and then one goes to the store")
+        {
+            CHECK_FALSE(store::goes_direct(path, at_ms(2500)));
+            CHECK(store::goes_direct(path, at_ms(3100)));
+            CHECK_FALSE(store::note_direct(path, false, at_ms(3100)));
+            CHECK_FALSE(store::goes_direct(path, at_ms(3200)));
+        }
+        THEN("it makes no calls for others, so that none goes around while the store is down")
+        {
+            CHECK_FALSE(store::may_relay(path, at_ms(2001)));
+        }
+        THEN("the next call goes to the store if no other process could help")
+        {
+            store::note_no_relay(path);
+            CHECK(store::goes_direct(path, at_ms(2001)));
+        }
+        THEN("all is as before once a call is served")
+        {
+            CHECK(store::note_direct(path, true, at_ms(3000)));
+            CHECK(store::goes_direct(path, at_ms(3001)));
+            CHECK(store::may_relay(path, at_ms(3001)));
+        }
+    }
+    WHEN("nothing was heard of the store for a while")
+    {
+        THEN("it makes no calls for others")
+        {
+            CHECK_FALSE(store::may_relay(path, at_ms(4000)));
+        }
+    }
+}
--- a/test/wire_codec_test.cpp
+++ b/test/wire_codec_test.cpp
@@ -86,6 +86,34 @@
     CHECK(got.record == sent.record);
 }
 
+SCENARIO("a call to the store and its answer survive encoding and decoding")
+{
+    wire::store_call const call{7, base::wall_now(), "POST", "/txn?x=1", std::string("\0a", 2)};
+    wire::store_answer const answer{7, 412, true, "{}"};
+    wire::frame_buffer buffer;
+    for (wire::message const& body : {wire::message(call), wire::message(answer)})
+    {
+        auto const encoded = wire::encode({{}, base::wall_now(), 0, 0, body});
+        REQUIRE(encoded.has_value());
+        wire::append(buffer, bytes_of(*encoded));
+    }
+    auto const first = wire::decode(**wire::next_frame(buffer));
+    REQUIRE(first.has_value());
+    auto const& got_call = std::get<wire::store_call>(first->body);
+    CHECK(got_call.number == call.number);
+    CHECK(got_call.deadline == call.deadline);
+    CHECK(got_call.method == call.method);
+    CHECK(got_call.target == call.target);
+    CHECK(got_call.body == call.body);
+    auto const second = wire::decode(**wire::next_frame(buffer));
+    REQUIRE(second.has_value());
+    auto const& got_answer = std::get<wire::store_answer>(second->body);
+    CHECK(got_answer.number == answer.number);
+    CHECK(got_answer.status == answer.status);
+    CHECK(got_answer.sent);
+    CHECK(got_answer.body == answer.body);
+}
+
 SCENARIO("hostile bytes are refused with bounded memory")
 {
     GIVEN("an announced length above the limit")
