Let upstreams that a new step can use load after its first wave, and those that no job can use first

Cause: all upstreams of a model were ordered the moment a version was named, which is the moment a new step's samples come; each was out for a second while all places were needed, and the orders came in waves. The job's record now holds its model and oldest version, so that the leader sees which upstreams a running job can't use.

--- a/src/duty/weights_plan.hpp
+++ b/src/duty/weights_plan.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,6 +37,14 @@
     bool busy = false;
 };
 
+/// \ingroup duty
+/// \brief When the leader first saw that a version was named.
+struct seen_version
+{
+    std::uint32_t version = 0;
+    base::mono_time at{};
+};
+
 /// \ingroup duty
 /// \brief State of the plan. The leader alone has one; a new leader starts with an empty one.
 struct weights_plan
@@ -43,6 +52,8 @@
     std::map<std::string, ordered_upstream, std::less<>> upstreams;
     /// When an upstream of a model was last ordered.
     std::map<std::string, base::mono_time> ordered_at;
+    /// By model.
+    std::map<std::string, seen_version, std::less<>> seen;
 };
 
 /// \ingroup duty
@@ -57,15 +68,22 @@
                    named_versions const& named);
 
 /// \ingroup duty
-/// \brief The upstreams that are to be ordered now: of the models in turn, each time the least
-/// busy.
+/// \brief Notes which versions are named now.
+void note_named(weights_plan& plan, named_versions const& named, base::mono_time now);
+
+/// \ingroup duty
+/// \brief The upstreams that are to be ordered now: first those whose version is too old for a job
+/// that runs, of the models in turn, each time the least busy.
 ///
 /// Load pattern: a new version every few seconds for each trainer, all of them together at the
-/// limit of what can be loaded. Few upstreams load at once, so that the others go on with their
-/// steps, and no model falls behind the others.
+/// limit of what can be loaded, and each with a new step of a hundred samples at once. Few upstreams
+/// load at once, and no model falls behind the others. Upstreams that the new step can use as they
+/// are load when its first wave is over and only its longest samples run.
+/// \param needed oldest version that all running jobs of a model accept.
 [[nodiscard]] std::vector<weights_order> orders_due(weights_plan const& plan,
                                                     fleet::pool const& pool,
                                                     named_versions const& named,
+                                                    fleet::weight_versions const& needed,
                                                     base::mono_time now);
 
 } // namespace gooseberrywood::duty
--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -37,6 +37,12 @@
 
 using shared_submission = std::shared_ptr<submission>;
 
+/// The model of a job's samples: a job is one step of one trainer.
+std::string model_of(rollout::batch_job const& job)
+{
+    return job.samples.empty() ? std::string() : job.samples.front().model;
+}
+
 store::transaction submission_write(rollout::job_record const& record,
                                     rollout::member const& owner, std::string_view body)
 {
@@ -167,7 +173,7 @@
     auto const what = std::make_shared<submission>();
     what->from = from;
     what->record = {head.request_id,      team, head.host, from->path, base::wall_now(),
-                    spec->samples.size(), false};
+                    spec->samples.size(), false, model_of(*spec), spec->least_version};
     what->owner = choose_owner(self, what->record);
     what->write = submission_write(what->record, what->owner, from->body);
     what->spec = std::move(*spec);
--- a/src/gateway/weights_orders.cpp
+++ b/src/gateway/weights_orders.cpp
@@ -5,6 +5,7 @@
 #include "gateway/measure.hpp"
 #include "platform/control_calls.hpp"
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 #include <utility>
@@ -118,6 +119,22 @@
         });
 }
 
+/// Oldest version that all running jobs of a model accept.
+fleet::weight_versions needed_versions(shared_view const& shared)
+{
+    fleet::weight_versions needed;
+    for (auto const& [id, stored] : shared.records)
+    {
+        auto const& record = stored.record;
+        if (!record.ended)
+        {
+            auto& least = needed[record.model];
+            least = std::max(least, record.least_version);
+        }
+    }
+    return needed;
+}
+
 } // namespace
 
 void order_weights(gateway& self, duty::authority const& as, base::mono_time now)
@@ -127,7 +144,9 @@
         return;
     }
     duty::assign_models(self.weights, self.pool, *self.configuration, self.named);
-    for (auto const& order : duty::orders_due(self.weights, self.pool, self.named, now))
+    duty::note_named(self.weights, self.named, now);
+    auto const needed = needed_versions(self.shared);
+    for (auto const& order : duty::orders_due(self.weights, self.pool, self.named, needed, now))
     {
         auto* const known = find(self, order.upstream);
         known->busy = true;
--- a/src/rollout/job_record.cpp
+++ b/src/rollout/job_record.cpp
@@ -12,7 +12,8 @@
     nlohmann::json const text = {
         {"team", record.team},       {"host", record.host},
         {"path", record.path},       {"submitted_us", base::micros(record.submitted_at)},
-        {"samples", record.samples}, {"ended", record.ended}};
+        {"samples", record.samples}, {"ended", record.ended},
+        {"model", record.model},     {"least_version", record.least_version}};
     return text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -29,7 +30,9 @@
     auto const submitted_us = base::read_unsigned(*body, "submitted_us");
     auto const samples = base::read_unsigned(*body, "samples");
     auto const ended = base::read_flag(*body, "ended");
-    if (!team || !host || !path || !submitted_us || !samples || !ended)
+    auto model = base::read_text(*body, "model");
+    auto const least_version = base::read_unsigned(*body, "least_version");
+    if (!team || !host || !path || !submitted_us || !samples || !ended || !model || !least_version)
     {
         return std::nullopt;
     }
@@ -40,7 +43,9 @@
         std::move(*path),
         base::wall_time{base::wall_clock::duration{static_cast<std::int64_t>(*submitted_us)}},
         *samples,
-        *ended};
+        *ended,
+        std::move(*model),
+        static_cast<std::uint32_t>(*least_version)};
 }
 
 } // namespace gooseberrywood::rollout
--- a/src/rollout/job_record.hpp
+++ b/src/rollout/job_record.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,6 +26,9 @@
     std::size_t samples = 0;
     /// The caller has ended it.
     bool ended = false;
+    /// Model whose weights generate it, and their oldest version that it accepts.
+    std::string model;
+    std::uint32_t least_version = 0;
 };
 
 /// \ingroup rollout
--- a/test/duty_test.cpp
+++ b/test/duty_test.cpp
@@ -96,6 +96,7 @@
     (void)fleet::apply_list(pool, listed, at_ms(0));
     duty::weights_plan plan;
     duty::named_versions named = {{"m0", 2}};
+    fleet::weight_versions needed;
     duty::assign_models(plan, pool, in, named);
     THEN("shares are equal, also within a failure domain")
     {
@@ -109,14 +110,14 @@
     }
     THEN("only the share of the named model is ordered, two at a time")
     {
-        auto const due = duty::orders_due(plan, pool, named, at_ms(0));
+        auto const due = duty::orders_due(plan, pool, named, needed, at_ms(0));
         REQUIRE(due.size() == 2);
         CHECK(due[0].model == "m0");
         CHECK(due[0].version == 2);
     }
     WHEN("two of them load")
     {
-        for (auto const& order : duty::orders_due(plan, pool, named, at_ms(0)))
+        for (auto const& order : duty::orders_due(plan, pool, named, needed, at_ms(0)))
         {
             auto& known = plan.upstreams.at(order.upstream);
             known.ordered_version = 2;
@@ -125,14 +126,14 @@
         }
         THEN("the others wait, and are ordered when those are done")
         {
-            CHECK(duty::orders_due(plan, pool, named, at_ms(500)).empty());
-            CHECK(duty::orders_due(plan, pool, named, at_ms(1100)).size() == 2);
+            CHECK(duty::orders_due(plan, pool, named, needed, at_ms(500)).empty());
+            CHECK(duty::orders_due(plan, pool, named, needed, at_ms(1100)).size() == 2);
         }
         AND_WHEN("one of them never shows the version")
         {
             THEN("it is ordered again after a while")
             {
-                CHECK(duty::orders_due(plan, pool, named, at_ms(4100)).size() == 2);
+                CHECK(duty::orders_due(plan, pool, named, needed, at_ms(4100)).size() == 2);
             }
         }
     }
@@ -146,7 +147,7 @@
         {
             auto const now = at_ms(round * 1000);
             named["m0"] = static_cast<std::uint32_t>(2 + round);
-            for (auto const& order : duty::orders_due(plan, pool, named, now))
+            for (auto const& order : duty::orders_due(plan, pool, named, needed, now))
             {
                 ++ordered[order.model];
                 plan.ordered_at[order.model] = now;
@@ -163,6 +164,33 @@
             CHECK(ordered["m1"] == 4);
         }
     }
+    WHEN("a version is named and the step that comes with it accepts the one before")
+    {
+        // Guards against loads while all places are needed: each upstream was out for a second just
+        // when a new step's samples came.
+        duty::note_named(plan, named, at_ms(0));
+        needed["m0"] = 1;
+        THEN("upstreams load after the step's first wave")
+        {
+            CHECK(duty::orders_due(plan, pool, named, needed, at_ms(500)).empty());
+            CHECK(duty::orders_due(plan, pool, named, needed, at_ms(2000)).size() == 2);
+        }
+        THEN("they load at once if the step does not accept it")
+        {
+            needed["m0"] = 2;
+            CHECK(duty::orders_due(plan, pool, named, needed, at_ms(100)).size() == 2);
+        }
+        THEN("those that a running job can't use come first")
+        {
+            named["m1"] = 3;
+            duty::note_named(plan, named, at_ms(0));
+            needed = {{"m0", 1}, {"m1", 3}};
+            for (auto const& order : duty::orders_due(plan, pool, named, needed, at_ms(2000)))
+            {
+                CHECK(order.model == "m1");
+            }
+        }
+    }
     WHEN("another process comes to lead")
     {
         for (auto const& [id, one] : plan.upstreams)
--- a/test/http_call_test.cpp
+++ b/test/http_call_test.cpp
@@ -178,6 +178,46 @@
     CHECK(answer->body == body);
 }
 
+SCENARIO("an answer that is broken off is a failure, however its length was told")
+{
+    // Guards against a short body that is passed on as a whole one after its upstream crashed.
+    struct broken_answer
+    {
+        std::string_view head;
+        std::string_view part;
+    };
+    for (auto const& [head, part] :
+         {broken_answer{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", "abc"},
+          broken_answer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "3\r\nabc\r\n"},
+          broken_answer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nabc"},
+          broken_answer{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "abc"}})
+    {
+        // With a long body the answer comes while the request is still being sent.
+        for (auto const& [pause, body_bytes] :
+             {std::pair(0ms, 0), std::pair(20ms, 0), std::pair(0ms, 600), std::pair(20ms, 600),
+              std::pair(0ms, 8'000'000), std::pair(20ms, 8'000'000)})
+        {
+            CAPTURE(head);
+            CAPTURE(part);
+            CAPTURE(pause.count());
+            CAPTURE(body_bytes);
+            auto const session = http::make_session();
+            raw_server server(
+                [&](int connection, int)
+                {
+                    read_head(connection);
+                    send_text(connection, std::string(head) + std::string(part));
+                    std::this_thread::sleep_for(pause);
+                    // Without lingering, closing sends a reset.
+                    linger const at_once{1, 0};
+                    setsockopt(connection, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+                });
+            auto const answer = fetch(session.get(), server.port, std::string(body_bytes, 'x'));
+            CHECK_FALSE(answer.has_value());
+        }
+    }
+}
+
 SCENARIO("an answer that ends early is a failure")
 {
     auto const session = http::make_session();
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -119,13 +119,15 @@
 SCENARIO("what is stored of a job is read back as it was")
 {
     rollout::job_record const record{"id", "team", "host", "/path/", base::wall_time{12us},
-                                     40,   true};
+                                     40,   true,   "m",    7};
     auto const read = rollout::decode_job_record("id", rollout::encode(record));
     REQUIRE(read.has_value());
     CHECK(read->team == "team");
     CHECK(read->submitted_at == record.submitted_at);
     CHECK(read->samples == 40);
     CHECK(read->ended);
+    CHECK(read->model == "m");
+    CHECK(read->least_version == 7);
 
     test::check_property("results",
                          []
@@ -148,7 +150,7 @@
                          []
                          {
                              auto text = rollout::encode(rollout::job_record{
-                                 "id", "t", "h", "/", base::wall_time{}, 1, false});
+                                 "id", "t", "h", "/", base::wall_time{}, 1, false, "m", 1});
                              auto const at = *rc::gen::inRange<std::size_t>(0, text.size());
                              text[at] = *rc::gen::arbitrary<char>();
                              (void)rollout::decode_job_record("id", text);
