--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,10 +4,10 @@
 #include "gateway/callers.hpp"
 #include "gateway/dump.hpp"
 #include "gateway/hand_over.hpp"
-#include "gateway/job_notices.hpp"
 #include "gateway/leadership.hpp"
 #include "gateway/lease_keeper.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/peer_messages.hpp"
 #include "gateway/refresh.hpp"
 #include "gateway/sample_runner.hpp"
 #include "http/call.hpp"
@@ -146,9 +146,9 @@
         // A process without callers keeps nothing and reads nothing.
         return made;
     }
-    if (auto const notices = start_job_notices(self); !notices)
+    if (auto const listening = start_peer_messages(self); !listening)
     {
-        return tl::unexpected(notices.error());
+        return tl::unexpected(listening.error());
     }
     self.caller_check = base::every(caller_check_interval, [&self] { check_callers(self); });
     start_lease(self);
--- a/src/gateway/job_notices.cpp
+++ b/src/gateway/job_notices.cpp
@@ -1,7 +1,6 @@
 #include "gateway/job_notices.hpp"
 
 #include "base/log.hpp"
-#include "base/request_id.hpp"
 #include "gateway/job_ownership.hpp"
 
 namespace gooseberrywood::gateway
@@ -30,7 +29,9 @@
     stop_job(self, record.id);
 }
 
-void on_notice(gateway& self, wire::job_notice const& notice)
+} // namespace
+
+void take_job_notice(gateway& self, wire::job_notice const& notice)
 {
     auto const record = rollout::decode_job_record(notice.job_id, notice.record);
     if (!record)
@@ -53,24 +54,6 @@
     }
 }
 
-void on_message(gateway& self, wire::connection& from, wire::message const& received)
-{
-    if (auto const* notice = std::get_if<wire::job_notice>(&received))
-    {
-        on_notice(self, *notice);
-    }
-    else if (auto const* call = std::get_if<wire::store_call>(&received))
-    {
-        relay_store_call(self, from, *call);
-    }
-    else if (auto const* answer = std::get_if<wire::store_answer>(&received))
-    {
-        take_store_answer(self, *answer);
-    }
-}
-
-} // namespace
-
 void tell_owner(gateway& self, rollout::member const& owner, rollout::job_record const& record,
                 std::uint64_t owner_revision)
 {
@@ -102,17 +85,4 @@
     }
 }
 
-base::result<void> start_job_notices(gateway& self)
-{
-    self.peers.own.role = wire::peer_role::gateway;
-    self.peers.own.host = self.settings.host;
-    self.peers.own.domain = self.settings.domain;
-    self.peers.own.incarnation = base::random_request_id().low;
-    self.peers.on_message = [&self](wire::connection& from, wire::message const& received)
-    {
-        on_message(self, from, received);
-    };
-    return listen_for_peers(self.peers, self.settings.listen_peers);
-}
-
 } // namespace gooseberrywood::gateway
--- a/src/gateway/job_notices.hpp
+++ b/src/gateway/job_notices.hpp
@@ -19,8 +19,8 @@
 void tell_ended(gateway& self, rollout::job_record const& record);
 
 /// \ingroup gateway
-/// \brief Starts to exchange notices with other gateways.
-[[nodiscard]] base::result<void> start_job_notices(gateway& self);
+/// \brief Acts on a notice of another gateway.
+void take_job_notice(gateway& self, wire::job_notice const& notice);
 
 } // namespace gooseberrywood::gateway
 
--- /dev/null
+++ b/src/gateway/peer_messages.cpp
@@ -0,0 +1,46 @@
+#include "gateway/peer_messages.hpp"
+
+#include "base/request_id.hpp"
+#include "gateway/job_notices.hpp"
+#include "gateway/store_relay.hpp"
+
+#include <variant>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+void on_message(gateway& self, wire::connection& from, wire::message const& received)
+{
+    if (auto const* notice = std::get_if<wire::job_notice>(&received))
+    {
+        take_job_notice(self, *notice);
+    }
+    else if (auto const* call = std::get_if<wire::store_call>(&received))
+    {
+        relay_store_call(self, from, *call);
+    }
+    else if (auto const* answer = std::get_if<wire::store_answer>(&received))
+    {
+        take_store_answer(self, *answer);
+    }
+}
+
+} // namespace
+
+base::result<void> start_peer_messages(gateway& self)
+{
+    self.peers.own.role = wire::peer_role::gateway;
+    self.peers.own.host = self.settings.host;
+    self.peers.own.domain = self.settings.domain;
+    self.peers.own.incarnation = base::random_request_id().low;
+    self.peers.on_message = [&self](wire::connection& from, wire::message const& received)
+    {
+        on_message(self, from, received);
+    };
+    return listen_for_peers(self.peers, self.settings.listen_peers);
+}
+
+} // namespace gooseberrywood::gateway
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -1,8 +1,7 @@
 #include "gateway/refresh.hpp"
 
 #include "base/log.hpp"
-#include "gateway/job_ownership.hpp"
-#include "gateway/leadership.hpp"
+#include "gateway/shared_entries.hpp"
 #include "platform/operator_state.hpp"
 #include "platform/upstream_entry.hpp"
 #include "platform/words.hpp"
@@ -29,7 +28,7 @@
 constexpr base::duration shared_interval_of_few = std::chrono::milliseconds(700);
 constexpr double few_members = 4;
 constexpr base::duration shared_interval_max = std::chrono::milliseconds(1500);
-// While there are such jobs, processes claim them one after the other.
+// While there are such jobs, the next read shows whether they have got an owner.
 constexpr base::duration orphan_interval = std::chrono::milliseconds(150);
 constexpr base::duration retry_interval = std::chrono::milliseconds(200);
 constexpr base::duration call_timeout = std::chrono::milliseconds(1500);
@@ -44,10 +43,6 @@
 // A sample that is sent now reaches its upstream within this time.
 constexpr base::duration job_end_margin = std::chrono::milliseconds(300);
 
-// Smallest number of processes that a cold upstream's budget is divided by: those that have just
-// started are not known yet.
-constexpr std::size_t least_sharing = 3;
-
 using items = std::vector<store::item>;
 
 /// What a poller reads, how often, and who takes it.
@@ -161,66 +156,6 @@
     log_ids("upstream_removed", change.removed);
 }
 
-void sort_shared(shared_view& into, store::item const& item)
-{
-    auto const rest = [&](std::string_view prefix)
-    {
-        return item.key.substr(prefix.size());
-    };
-    if (item.key.starts_with(rollout::member_prefix))
-    {
-        auto const host = rest(rollout::member_prefix);
-        if (auto one = rollout::decode_member(host, item.value))
-        {
-            into.members.emplace(host, std::move(*one));
-        }
-    }
-    else if (item.key.starts_with(rollout::owner_prefix))
-    {
-        into.owners[rest(rollout::owner_prefix)] = item;
-    }
-    else if (item.key == rollout::leader_key)
-    {
-        into.leader = item;
-    }
-    else if (item.key.starts_with(rollout::record_prefix))
-    {
-        auto const id = rest(rollout::record_prefix);
-        if (auto record = rollout::decode_job_record(id, item.value))
-        {
-            into.records[id] = {std::move(*record), item.revision};
-        }
-    }
-}
-
-/// A read that was sent before a job was ended must not bring it back.
-void keep_ended(shared_view& into, shared_view const& before)
-{
-    for (auto& [id, stored] : into.records)
-    {
-        auto const known = before.records.find(id);
-        stored.record.ended =
-            stored.record.ended || (known != before.records.end() && known->second.record.ended);
-    }
-}
-
-void take_shared(gateway& self, items const& read, base::mono_time sent_at)
-{
-    shared_view view;
-    view.read_at = sent_at;
-    view.orphaned_since = std::move(self.shared.orphaned_since);
-    for (auto const& item : read)
-    {
-        sort_shared(view, item);
-    }
-    keep_ended(view, self.shared);
-    self.shared = std::move(view);
-    self.pool.sharing_processes =
-        static_cast<std::uint32_t>(std::max(least_sharing, self.shared.members.size()));
-    review_jobs(self);
-    review_leader(self);
-}
-
 base::duration listing_pause(gateway const& self)
 {
     return std::chrono::duration_cast<base::duration>(self.settings.change_in_effect *
@@ -244,7 +179,7 @@
     return {rollout::shared_prefix, [&self] { return shared_pause(self); },
             [&self](items const& read, base::mono_time sent_at)
             {
-                take_shared(self, read, sent_at);
+                take_shared_entries(self, read, sent_at);
             }};
 }
 
--- /dev/null
+++ b/src/gateway/shared_entries.cpp
@@ -0,0 +1,82 @@
+#include "gateway/shared_entries.hpp"
+
+#include "gateway/job_ownership.hpp"
+#include "gateway/leadership.hpp"
+#include "rollout/store_keys.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+// Smallest number of processes that a cold upstream's budget is divided by: those that have just
+// started are not known yet.
+constexpr std::size_t least_sharing = 3;
+
+void sort_shared(shared_view& into, store::item const& item)
+{
+    auto const rest = [&](std::string_view prefix)
+    {
+        return item.key.substr(prefix.size());
+    };
+    if (item.key.starts_with(rollout::member_prefix))
+    {
+        auto const host = rest(rollout::member_prefix);
+        if (auto one = rollout::decode_member(host, item.value))
+        {
+            into.members.emplace(host, std::move(*one));
+        }
+    }
+    else if (item.key.starts_with(rollout::owner_prefix))
+    {
+        into.owners[rest(rollout::owner_prefix)] = item;
+    }
+    else if (item.key == rollout::leader_key)
+    {
+        into.leader = item;
+    }
+    else if (item.key.starts_with(rollout::record_prefix))
+    {
+        auto const id = rest(rollout::record_prefix);
+        if (auto record = rollout::decode_job_record(id, item.value))
+        {
+            into.records[id] = {std::move(*record), item.revision};
+        }
+    }
+}
+
+/// A read that was sent before a job was ended must not bring it back.
+void keep_ended(shared_view& into, shared_view const& before)
+{
+    for (auto& [id, stored] : into.records)
+    {
+        auto const known = before.records.find(id);
+        stored.record.ended =
+            stored.record.ended || (known != before.records.end() && known->second.record.ended);
+    }
+}
+
+} // namespace
+
+void take_shared_entries(gateway& self, std::span<store::item const> read, base::mono_time sent_at)
+{
+    shared_view view;
+    view.read_at = sent_at;
+    view.orphaned_since = std::move(self.shared.orphaned_since);
+    for (auto const& item : read)
+    {
+        sort_shared(view, item);
+    }
+    keep_ended(view, self.shared);
+    self.shared = std::move(view);
+    self.pool.sharing_processes =
+        static_cast<std::uint32_t>(std::max(least_sharing, self.shared.members.size()));
+    review_jobs(self);
+    review_leader(self);
+}
+
+} // namespace gooseberrywood::gateway
