Don't start a job a second time when the answer to its submission comes late

Cause: a read of the shared entries can show a new job, with this gateway as its owner, before the store answers the submission itself; the job was loaded and started, and started again in the same place when the answer came.

--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -296,7 +296,14 @@
 void adopt_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
                std::uint64_t owner_revision)
 {
-    self.jobs.insert_or_assign(record.id, make_job(self, record, std::move(spec), owner_revision));
+    // A read of the shared entries may have shown the job before the answer to its submission came.
+    // Its samples run by then, and must not be counted from the start again.
+    auto const added = self.jobs.try_emplace(record.id);
+    if (!added.second)
+    {
+        return;
+    }
+    added.first->second = make_job(self, record, std::move(spec), owner_revision);
     dispatch_samples(self);
 }
 
--- a/test/process/gateway_test.cpp
+++ b/test/process/gateway_test.cpp
@@ -391,6 +391,27 @@
             check_whole(wait_results(service.gateways[1], "job", events.size()), "job", events);
         }
     }
+    WHEN("it answers a submission so late that the job was read from it before")
+    {
+        // Guards against a job that is started a second time, so that the events of its first runs
+        // were taken for those of the second: texts had gaps, and the gateway ended itself.
+        set_site(service, "upstream", {{"id", "engines-0"}, {"event_ms", 30}});
+        set_site(service, "upstream", {{"id", "engines-1"}, {"event_ms", 30}});
+        std::vector<int> const long_samples(8, 60);
+        set_site(service, "store", {{"mode", "answers_late"}});
+        CHECK(submit(service.gateways[0], "late", long_samples) == 202);
+        set_site(service, "store", {{"mode", "serves"}});
+        THEN("it is run once and whole")
+        {
+            check_whole(wait_results(service.gateways[0], "late", long_samples.size()), "late",
+                        long_samples);
+            auto const runs = site_state(service).at("runs");
+            for (std::size_t i = 0; i < long_samples.size(); ++i)
+            {
+                CHECK(runs.value(fmt::format("late-s{}", i), 0) == 1);
+            }
+        }
+    }
     WHEN("it refuses all calls")
     {
         set_site(service, "store", {{"mode", "refuses"}});
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -36,6 +36,8 @@
     refuses,
     /// Does what it is asked and closes the connection instead of answering.
     loses_answers,
+    /// Does what it is asked at once and answers transactions late.
+    answers_late,
 };
 
 /// An upstream of the site: an engine that streams samples, or a desk that answers lookups.
--- a/test/standin/site/store.cpp
+++ b/test/standin/site/store.cpp
@@ -225,6 +225,23 @@
     }
 }
 
+// Below the longest time that a gateway waits, above the time between its reads.
+constexpr guint late_by_ms = 820;
+
+/// Sends the answer later.
+void hold_back(SoupServerMessage* message)
+{
+    soup_server_message_pause(message);
+    g_timeout_add_full(
+        G_PRIORITY_DEFAULT, late_by_ms,
+        [](gpointer held) -> gboolean
+        {
+            soup_server_message_unpause(static_cast<SoupServerMessage*>(held));
+            return G_SOURCE_REMOVE;
+        },
+        g_object_ref(message), g_object_unref);
+}
+
 } // namespace
 
 void serve_store(site& self, SoupServerMessage* message, store_mode mode)
@@ -245,6 +262,13 @@
         soup_server_message_pause(message);
         close_connection(message);
         break;
+    case store_mode::answers_late:
+        serve_call(self, message);
+        if (path_of(message) == "/-/kv-txn")
+        {
+            hold_back(message);
+        }
+        break;
     case store_mode::serves:
         serve_call(self, message);
         break;
