Forget a connection between gateways wherever it ends

Read again: sending can end a connection (a peer that does not read), which erased its link while the link was in use; the timer then made an empty link under the same address, to which messages were added for ever, and closed a connection that was none. Connections are now kept by number and looked up where they are needed; a link exists while its connection does. The type is named for what it is, so that the member needs no 'struct'.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,7 +10,7 @@
 #include "fleet/configuration.hpp"
 #include "fleet/pool.hpp"
 #include "gateway/owned_job.hpp"
-#include "gateway/peers.hpp"
+#include "gateway/peer_connections.hpp"
 #include "gateway/poller.hpp"
 #include "gateway/process_lease.hpp"
 #include "gateway/routed_request.hpp"
@@ -92,7 +92,7 @@
     process_lease lease;
     base::event_source lease_timer;
     shared_view shared;
-    struct peers peers;
+    peer_connections peers;
 
     std::uint64_t numbers = 0;
     std::map<std::uint64_t, std::unique_ptr<routed_request>> requests;
--- a/src/gateway/peers.hpp
+++ b/src/gateway/peer_connections.hpp
@@ -1,5 +1,5 @@
-#ifndef GOOSEBERRYWOOD_GATEWAY_PEERS_HPP
-#define GOOSEBERRYWOOD_GATEWAY_PEERS_HPP
+#ifndef GOOSEBERRYWOOD_GATEWAY_PEER_CONNECTIONS_HPP
+#define GOOSEBERRYWOOD_GATEWAY_PEER_CONNECTIONS_HPP
 
 #include "base/event_source.hpp"
 #include "base/result.hpp"
@@ -20,7 +20,8 @@
 /// \brief A connection that this process has opened to another gateway, or is opening.
 struct peer_link
 {
-    std::shared_ptr<wire::connection> connection;
+    /// Number of the connection; 0 while it is being opened.
+    std::uint64_t connection = 0;
     /// Messages for the time after the connection is there.
     std::vector<wire::message> waiting;
     /// Closes the connection when nothing was sent for a while.
@@ -28,30 +29,34 @@
 };
 
 /// \ingroup gateway
-/// \brief Connections between gateways. They carry hints only: everything that must arrive is in
-/// the store, and is read there when a connection is lost.
-struct peers
+/// \brief Connections between gateways. A message may be lost with its connection; who sends it
+/// must be able to bear that.
+struct peer_connections
 {
     wire::hello own;
     /// Receives each message, with the connection on which it can be answered.
     std::function<void(wire::connection&, wire::message const&)> on_message;
+    /// A connection to this address could not be opened, or has ended.
+    std::function<void(std::string const& address)> on_lost;
     std::unique_ptr<wire::listener> listening;
     /// `IP:port` where this process listens; empty when it does not.
     std::string address;
-    std::uint64_t accepted = 0;
-    std::map<std::uint64_t, std::shared_ptr<wire::connection>> incoming;
-    /// By address.
+    std::uint64_t numbers = 0;
+    /// All connections by number, whichever side has opened them.
+    std::map<std::uint64_t, std::shared_ptr<wire::connection>> open;
+    /// Those that this process has opened, by address.
     std::map<std::string, peer_link, std::less<>> outgoing;
 };
 
 /// \ingroup gateway
 /// \brief Starts to listen for other gateways.
 /// \param address `IP:port`; nothing is listened on when it is empty.
-[[nodiscard]] base::result<void> listen_for_peers(peers& self, std::string const& address);
+[[nodiscard]] base::result<void> listen_for_peers(peer_connections& self,
+                                                  std::string const& address);
 
 /// \ingroup gateway
 /// \brief Sends a message to another gateway, over a connection that is opened if there is none.
-void tell_peer(peers& self, std::string const& address, wire::message what);
+void tell_peer(peer_connections& self, std::string const& address, wire::message what);
 
 } // namespace gooseberrywood::gateway
 
