Act on notices of jobs that are known, drop jobs that end while they are read, and say each of it in one place

Read again, and found: - A notice for a job whose record is known was ignored. A job that has lost its owner is known everywhere, so that its new owner waited for its next read, up to 1.5 s. (Test: 'a job that it knows, and that has lost its owner'; failed before.) - A job that ended while its parts were read was started all the same. (Test: 'a job that ends while it is read'; failed before.) - A call that another gateway makes waited 0.6 s when that gateway was gone; it ends at once now. (Test with it.) - A submission that certainly was not stored was tried again, and answered 504, after another member's lease had ended; what counts is whether any try may have been stored, not how many there were. - The address list of all gateways was built twice for each call to the store; now only when a call goes through another. - A notice was one message with a kind, of which an unknown one counted as 'assigned'; now it is two messages. - Marking a job as ended stood in two files; an assignment that fails has a log line. How a job begins to run here leaves job_ownership.cpp, which keeps who owns it; names: choose_owner, assign_orphan_at.

--- a/src/gateway/owner_candidates.cpp
+++ b/src/gateway/choose_owner.cpp
@@ -1,4 +1,4 @@
-#include "gateway/owner_candidates.hpp"
+#include "gateway/choose_owner.hpp"
 
 #include "rollout/job_placement.hpp"
 
--- a/src/gateway/end_job.cpp
+++ b/src/gateway/end_job.cpp
@@ -3,7 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
 #include "gateway/job_notices.hpp"
-#include "gateway/job_ownership.hpp"
+#include "gateway/job_running.hpp"
 #include "http/status.hpp"
 #include "rollout/store_keys.hpp"
 
@@ -27,17 +27,11 @@
 
 void on_ended(gateway& self, ending const& what)
 {
-    auto record = what.found.record;
-    record.ended = true;
-    base::log_line(base::log_level::info, "job_ended", {{"job", record.id}});
-    auto const known = self.shared.records.find(record.id);
-    if (known != self.shared.records.end())
-    {
-        known->second.record.ended = true;
-    }
-    stop_job(self, record.id);
+    auto const& id = what.found.record.id;
+    base::log_line(base::log_level::info, "job_ended", {{"job", id}});
+    note_ended(self, id);
     answer_empty(*what.from, http::status::ok);
-    tell_ended(self, record);
+    tell_ended(self, id);
 }
 
 void try_end_again(gateway& self, std::shared_ptr<ending> const& what, base::error const& why)
--- a/src/gateway/job_notices.cpp
+++ b/src/gateway/job_notices.cpp
@@ -1,37 +1,12 @@
 #include "gateway/job_notices.hpp"
 
 #include "base/log.hpp"
-#include "gateway/job_ownership.hpp"
+#include "gateway/job_running.hpp"
 
 namespace gooseberrywood::gateway
 {
 
-namespace
-{
-
-void on_assigned(gateway& self, rollout::job_record const& record, std::uint64_t owner_revision)
-{
-    auto const [known, is_new] =
-        self.shared.records.try_emplace(record.id, stored_record{record, owner_revision});
-    if (is_new)
-    {
-        take_assigned_job(self, known->second.record, owner_revision);
-    }
-}
-
-void on_ended(gateway& self, rollout::job_record const& record)
-{
-    auto const known = self.shared.records.find(record.id);
-    if (known != self.shared.records.end())
-    {
-        known->second.record.ended = true;
-    }
-    stop_job(self, record.id);
-}
-
-} // namespace
-
-void take_job_notice(gateway& self, wire::job_notice const& notice)
+void take_notice(gateway& self, wire::job_assigned const& notice)
 {
     auto const record = rollout::decode_job_record(notice.job_id, notice.record);
     if (!record)
@@ -39,19 +14,16 @@
         base::log_line(base::log_level::error, "unreadable_notice", {{"job", notice.job_id}});
         return;
     }
-    bool const is_end = notice.change == wire::job_change::ended;
-    base::log_line(base::log_level::info, "job_notice",
-                   {{"job", notice.job_id},
-                    {"change", is_end ? "ended" : "assigned"},
+    base::log_line(base::log_level::info, "job_assigned_here",
+                   {{"job", record->id},
                     {"owner_revision", static_cast<std::int64_t>(notice.owner_revision)}});
-    if (is_end)
-    {
-        on_ended(self, *record);
-    }
-    else
-    {
-        on_assigned(self, *record, notice.owner_revision);
-    }
+    take_assigned_job(self, *record, notice.owner_revision);
+}
+
+void take_notice(gateway& self, wire::job_ended const& notice)
+{
+    base::log_line(base::log_level::info, "job_ended_elsewhere", {{"job", notice.job_id}});
+    note_ended(self, notice.job_id);
 }
 
 void tell_owner(gateway& self, rollout::member const& owner, rollout::job_record const& record,
@@ -62,13 +34,12 @@
                     {"owner", owner.host},
                     {"owner_revision", static_cast<std::int64_t>(owner_revision)}});
     tell_peer(self.peers, owner.peer_address,
-              wire::job_notice{record.id, wire::job_change::assigned, owner_revision,
-                               rollout::encode(record)});
+              wire::job_assigned{record.id, owner_revision, rollout::encode(record)});
 }
 
-void tell_ended(gateway& self, rollout::job_record const& record)
+void tell_ended(gateway& self, std::string const& job_id)
 {
-    auto const owner = self.shared.owners.find(record.id);
+    auto const owner = self.shared.owners.find(job_id);
     if (owner == self.shared.owners.end())
     {
         return;
@@ -78,9 +49,7 @@
         bool const is_owner = rollout::owner_mark(host, member.lease) == owner->second.value;
         if (is_owner && host != self.settings.host && !member.peer_address.empty())
         {
-            tell_peer(self.peers, member.peer_address,
-                      wire::job_notice{record.id, wire::job_change::ended, owner->second.revision,
-                                       rollout::encode(record)});
+            tell_peer(self.peers, member.peer_address, wire::job_ended{job_id});
         }
     }
 }
--- a/src/gateway/job_notices.hpp
+++ b/src/gateway/job_notices.hpp
@@ -16,11 +16,12 @@
 
 /// \ingroup gateway
 /// \brief Tells the owner of a job, if another process is known as that, that the job was ended.
-void tell_ended(gateway& self, rollout::job_record const& record);
+void tell_ended(gateway& self, std::string const& job_id);
 
 /// \ingroup gateway
 /// \brief Acts on a notice of another gateway.
-void take_job_notice(gateway& self, wire::job_notice const& notice);
+void take_notice(gateway& self, wire::job_assigned const& notice);
+void take_notice(gateway& self, wire::job_ended const& notice);
 
 } // namespace gooseberrywood::gateway
 
--- /dev/null
+++ b/src/gateway/job_running.cpp
@@ -0,0 +1,221 @@
+#include "gateway/job_running.hpp"
+
+#include "base/log.hpp"
+#include "gateway/job_store.hpp"
+#include "gateway/measure.hpp"
+#include "gateway/result_writer.hpp"
+#include "gateway/reward_runner.hpp"
+#include "gateway/sample_runner.hpp"
+#include "gateway/sample_runs.hpp"
+
+#include <iterator>
+#include <utility>
+#include <vector>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+base::mono_time to_mono(base::wall_time at)
+{
+    return base::mono_now() + base::duration((at - base::wall_now()).count());
+}
+
+void set_times(gateway const& self, owned_job& job)
+{
+    auto const* const route = route_of(self, job.record);
+    auto const submitted = to_mono(job.record.submitted_at);
+    fleet::route const defaults;
+    job.due = submitted + (route != nullptr ? route->run_target : defaults.run_target);
+    job.give_up_at = submitted + (route != nullptr ? route->retention : defaults.retention);
+}
+
+owned_job make_job(gateway const& self, rollout::job_record const& record, rollout::batch_job spec,
+                   std::uint64_t owner_revision)
+{
+    owned_job job;
+    job.record = record;
+    job.spec = std::move(spec);
+    job.samples.resize(job.spec.samples.size());
+    for (std::size_t i = 0; i < job.spec.samples.size(); ++i)
+    {
+        job.index_by_id[job.spec.samples[i].id] = i;
+    }
+    job.owner_revision = owner_revision;
+    set_times(self, job);
+    return job;
+}
+
+/// Takes over which results are listed. A sample among them needs no run any more, whoever has
+/// generated it.
+void take_listed(gateway& self, owned_job& job, std::vector<rollout::sample_result> listed)
+{
+    for (auto const& result : listed)
+    {
+        auto const at = job.index_by_id.find(result.id);
+        if (at != job.index_by_id.end())
+        {
+            cancel_run(self, job.record.id, at->second);
+            job.samples[at->second].phase = rollout::sample_phase::listed;
+        }
+    }
+    job.listed = std::move(listed);
+}
+
+bool is_listed(owned_job const& job, rollout::sample_result const& result)
+{
+    return job.samples[job.index_by_id.at(result.id)].phase == rollout::sample_phase::listed;
+}
+
+/// Goes on with a job that was claimed again. Results that were being written are either listed by
+/// now or wait to be written anew.
+void take_back(gateway& self, owned_job& job, std::vector<rollout::sample_result> listed,
+               std::uint64_t owner_revision)
+{
+    job.owner_revision = owner_revision;
+    job.write_running = false;
+    job.finished.insert(job.finished.begin(), std::make_move_iterator(job.writing.begin()),
+                        std::make_move_iterator(job.writing.end()));
+    job.writing.clear();
+    take_listed(self, job, std::move(listed));
+    std::erase_if(job.finished,
+                  [&](rollout::sample_result const& one) { return is_listed(job, one); });
+    base::log_line(
+        base::log_level::info, "job_reclaimed",
+        {{"job", job.record.id}, {"listed", static_cast<std::int64_t>(job.listed.size())}});
+    write_pending_results(self);
+}
+
+void start_loaded(gateway& self, rollout::job_record const& record, stored_job stored,
+                  std::uint64_t owner_revision)
+{
+    auto job = make_job(self, record, std::move(stored.spec), owner_revision);
+    for (auto& [id, progress] : stored.progress)
+    {
+        auto const at = job.index_by_id.find(id);
+        if (at != job.index_by_id.end())
+        {
+            job.samples[at->second] = std::move(progress);
+        }
+    }
+    take_listed(self, job, std::move(stored.results));
+    count_change(self, "job_taken_over");
+    base::log_line(base::log_level::info, "job_taken_over",
+                   {{"job", record.id},
+                    {"listed", static_cast<std::int64_t>(job.listed.size())},
+                    {"resumed", static_cast<std::int64_t>(stored.progress.size())}});
+    auto& running = self.jobs.insert_or_assign(record.id, std::move(job)).first->second;
+    for (std::size_t i = 0; i < running.samples.size(); ++i)
+    {
+        auto const& sample = running.samples[i];
+        if (sample.complete && sample.phase == rollout::sample_phase::waiting)
+        {
+            score_sample(self, running, i);
+        }
+    }
+    dispatch_samples(self);
+}
+
+/// The job may have ended while its parts were read.
+bool is_ended(gateway const& self, std::string const& id)
+{
+    auto const known = self.shared.records.find(id);
+    return known != self.shared.records.end() && known->second.record.ended;
+}
+
+} // namespace
+
+bool owns(gateway const& self, owned_job const& job, base::mono_time now)
+{
+    return job.owner_revision != 0 && has_lease(self, now);
+}
+
+void adopt_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
+               std::uint64_t owner_revision)
+{
+    // A read of the shared entries may have shown the job before the answer to its submission came.
+    // Its samples run by then, and must not be counted from the start again.
+    auto const added = self.jobs.try_emplace(record.id);
+    if (!added.second)
+    {
+        return;
+    }
+    added.first->second = make_job(self, record, std::move(spec), owner_revision);
+    dispatch_samples(self);
+}
+
+void load_and_start(gateway& self, rollout::job_record const& record, std::uint64_t owner_revision)
+{
+    if (!self.loading_jobs.insert(record.id).second)
+    {
+        return;
+    }
+    load_job(self, record.id,
+             [&self, record, owner_revision](base::result<stored_job> stored)
+             {
+                 self.loading_jobs.erase(record.id);
+                 if (!stored)
+                 {
+                     // The next review finds this process as the owner of a job that it does not
+                     // run, and loads it again.
+                     base::log_line(base::log_level::warning, "job_not_loaded",
+                                    {{"job", record.id}, {"reason", stored.error().message}});
+                     return;
+                 }
+                 if (!self.jobs.contains(record.id) && !is_ended(self, record.id))
+                 {
+                     start_loaded(self, record, std::move(*stored), owner_revision);
+                 }
+             });
+}
+
+void take_assigned_job(gateway& self, rollout::job_record const& record,
+                       std::uint64_t owner_revision)
+{
+    // A record that is not known yet is of a new job, whose entries have one revision.
+    self.shared.records.try_emplace(record.id, stored_record{record, owner_revision});
+    bool const may_run = !self.stopping && has_lease(self, base::mono_now());
+    if (may_run && !self.jobs.contains(record.id) && !is_ended(self, record.id))
+    {
+        load_and_start(self, record, owner_revision);
+    }
+}
+
+void reload_job(gateway& self, owned_job& claimed, std::uint64_t owner_revision)
+{
+    claimed.claiming = true;
+    load_job(self, claimed.record.id,
+             [&self, id = claimed.record.id, owner_revision](base::result<stored_job> stored)
+             {
+                 auto const at = self.jobs.find(id);
+                 if (at == self.jobs.end())
+                 {
+                     return;
+                 }
+                 at->second.claiming = false;
+                 if (stored)
+                 {
+                     take_back(self, at->second, std::move(stored->results), owner_revision);
+                 }
+             });
+}
+
+void stop_job(gateway& self, std::string const& id)
+{
+    cancel_runs(self, id);
+    self.jobs.erase(id);
+}
+
+void note_ended(gateway& self, std::string const& id)
+{
+    auto const known = self.shared.records.find(id);
+    if (known != self.shared.records.end())
+    {
+        known->second.record.ended = true;
+    }
+    stop_job(self, id);
+}
+
+} // namespace gooseberrywood::gateway
--- a/src/gateway/lease_keeper.cpp
+++ b/src/gateway/lease_keeper.cpp
@@ -2,10 +2,10 @@
 
 #include "base/log.hpp"
 #include "base/parse_number.hpp"
+#include "gateway/choose_owner.hpp"
 #include "gateway/job_ownership.hpp"
 #include "gateway/leadership.hpp"
 #include "gateway/measure.hpp"
-#include "gateway/owner_candidates.hpp"
 #include "gateway/refresh.hpp"
 #include "lease/drift_margin.hpp"
 #include "rollout/store_keys.hpp"
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -14,9 +14,13 @@
 
 void on_message(gateway& self, wire::connection& from, wire::message const& received)
 {
-    if (auto const* notice = std::get_if<wire::job_notice>(&received))
+    if (auto const* assigned = std::get_if<wire::job_assigned>(&received))
     {
-        take_job_notice(self, *notice);
+        take_notice(self, *assigned);
+    }
+    else if (auto const* ended = std::get_if<wire::job_ended>(&received))
+    {
+        take_notice(self, *ended);
     }
     else if (auto const* call = std::get_if<wire::store_call>(&received))
     {
@@ -40,6 +44,10 @@
     {
         on_message(self, from, received);
     };
+    self.peers.on_lost = [&self](std::string const& address)
+    {
+        end_calls_through(self, address);
+    };
     return listen_for_peers(self.peers, self.settings.listen_peers);
 }
 
--- a/src/gateway/read_job.cpp
+++ b/src/gateway/read_job.cpp
@@ -2,7 +2,7 @@
 
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
-#include "gateway/job_ownership.hpp"
+#include "gateway/job_running.hpp"
 #include "gateway/job_store.hpp"
 #include "http/status.hpp"
 #include "rollout/result_chunk.hpp"
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -164,7 +164,7 @@
 
 base::duration shared_pause(gateway const& self)
 {
-    if (!self.shared.orphaned_since.empty())
+    if (!self.shared.assign_orphan_at.empty())
     {
         return orphan_interval;
     }
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -1,7 +1,7 @@
 #include "gateway/result_writer.hpp"
 
 #include "base/log.hpp"
-#include "gateway/job_ownership.hpp"
+#include "gateway/job_running.hpp"
 #include "gateway/measure.hpp"
 #include "rollout/result_chunk.hpp"
 #include "rollout/saved_progress.hpp"
--- a/src/gateway/shared_entries.cpp
+++ b/src/gateway/shared_entries.cpp
@@ -66,7 +66,7 @@
 {
     shared_view view;
     view.read_at = sent_at;
-    view.orphaned_since = std::move(self.shared.orphaned_since);
+    view.assign_orphan_at = std::move(self.shared.assign_orphan_at);
     for (auto const& item : read)
     {
         sort_shared(view, item);
--- a/src/gateway/shared_view.hpp
+++ b/src/gateway/shared_view.hpp
@@ -33,8 +33,8 @@
     /// By host.
     std::map<std::string, rollout::member, std::less<>> members;
     std::optional<store::item> leader;
-    /// Since when a job was seen without an owner.
-    std::map<std::string, base::mono_time> orphaned_since;
+    /// When a job that was seen without an owner is given one. It waits after each try.
+    std::map<std::string, base::mono_time> assign_orphan_at;
     /// The call that read this was sent then.
     base::mono_time read_at{};
 };
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -42,10 +44,15 @@
            (!outcome && !outcome.error().sent);
 }
 
-/// Addresses of the other gateways, as last read from the store.
-std::vector<std::string> helpers(gateway const& self)
+bool fits_in_frame(http::call_request const& request)
 {
-    std::vector<std::string> found;
+    return request.body.size() < max_relayed_bytes;
+}
+
+/// Address of a gateway to ask: each time that one could not help, the next one in turn.
+std::optional<std::string> choose_helper(gateway const& self)
+{
+    std::vector<std::string_view> found;
     for (auto const& [host, member] : self.shared.members)
     {
         if (host != self.settings.host && !member.peer_address.empty())
@@ -53,7 +60,11 @@
             found.push_back(member.peer_address);
         }
     }
-    return found;
+    if (found.empty())
+    {
+        return std::nullopt;
+    }
+    return std::string(found[self.relay.failures % found.size()]);
 }
 
 http::fetch_outcome no_answer(bool sent)
@@ -71,7 +82,7 @@
     }
     if (!is_served(outcome))
     {
-        ++self.relay.helper;
+        ++self.relay.failures;
         store::note_no_relay(self.relay.path);
     }
     count_relayed(self, is_served(outcome));
@@ -84,7 +95,7 @@
     auto const number = ++self.relay.calls;
     auto const until = std::min(deadline, base::mono_now() + relay_timeout);
     self.relay.waiting[number] = {
-        std::move(then),
+        helper, std::move(then),
         base::at(until, [&self, number] { end_relayed(self, number, no_answer(true)); })};
     tell_peer(
         self.peers, helper,
@@ -111,32 +122,31 @@
                       [&self, request, deadline, then = std::move(then)](http::fetch_outcome got)
                       {
                           note_outcome(self, got);
-                          auto const others = helpers(self);
-                          bool const may_help = !others.empty() && had_no_effect(request, got) &&
-                                                request.body.size() < max_relayed_bytes &&
-                                                base::mono_now() < deadline;
-                          if (is_served(got) || !may_help)
+                          bool const may_try_again =
+                              !is_served(got) && had_no_effect(request, got) &&
+                              fits_in_frame(request) && base::mono_now() < deadline;
+                          auto const helper = may_try_again ? choose_helper(self) : std::nullopt;
+                          if (helper)
                           {
-                              then(std::move(got));
+                              call_through(self, *helper, request, deadline, then);
                               return;
                           }
-                          call_through(self, others[self.relay.helper % others.size()], request,
-                                       deadline, then);
+                          then(std::move(got));
                       });
 }
 
 void call_store(gateway& self, http::call_request const& request, base::mono_time deadline,
                 fetch_done then)
 {
-    auto const others = helpers(self);
-    bool const fits = request.body.size() < max_relayed_bytes;
-    if (others.empty() || !fits || store::goes_direct(self.relay.path, base::mono_now()))
+    bool const goes_direct =
+        store::goes_direct(self.relay.path, base::mono_now()) || !fits_in_frame(request);
+    auto const helper = goes_direct ? std::nullopt : choose_helper(self);
+    if (helper)
     {
-        call_direct(self, request, deadline, std::move(then));
+        call_through(self, *helper, request, deadline, std::move(then));
         return;
     }
-    call_through(self, others[self.relay.helper % others.size()], request, deadline,
-                 std::move(then));
+    call_direct(self, request, deadline, std::move(then));
 }
 
 } // namespace
@@ -192,4 +202,20 @@
     end_relayed(self, got.number, http::whole_answer{got.status, {}, got.body});
 }
 
+void end_calls_through(gateway& self, std::string const& helper)
+{
+    std::vector<std::uint64_t> lost;
+    for (auto const& [number, call] : self.relay.waiting)
+    {
+        if (call.helper == helper)
+        {
+            lost.push_back(number);
+        }
+    }
+    for (auto const number : lost)
+    {
+        end_relayed(self, number, no_answer(true));
+    }
+}
+
 } // namespace gooseberrywood::gateway
--- a/src/gateway/store_relay.hpp
+++ b/src/gateway/store_relay.hpp
@@ -21,6 +21,8 @@
 /// \brief A call that another gateway makes for this one.
 struct relayed_call
 {
+    /// Address of that gateway.
+    std::string helper;
     std::function<void(http::fetch_outcome)> then;
     base::event_source timer;
 };
@@ -33,8 +35,8 @@
     store::path path;
     std::uint64_t calls = 0;
     std::map<std::uint64_t, relayed_call> waiting;
-    /// Rises when a gateway did not help, so that another one is asked.
-    std::size_t helper = 0;
+    /// Calls that no other gateway could make either.
+    std::size_t failures = 0;
 };
 
 /// \ingroup gateway
@@ -50,6 +52,10 @@
 /// \brief Takes the answer to a call that another gateway has made.
 void take_store_answer(gateway& self, wire::store_answer const& got);
 
+/// \ingroup gateway
+/// \brief Ends the calls that a gateway makes for this one: it can't be reached any more.
+void end_calls_through(gateway& self, std::string const& helper);
+
 } // namespace gooseberrywood::gateway
 
 #endif
--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -2,9 +2,9 @@
 
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
+#include "gateway/choose_owner.hpp"
 #include "gateway/job_notices.hpp"
-#include "gateway/job_ownership.hpp"
-#include "gateway/owner_candidates.hpp"
+#include "gateway/job_running.hpp"
 #include "http/status.hpp"
 #include "platform/batch_calls.hpp"
 #include "rollout/store_keys.hpp"
@@ -32,6 +32,8 @@
     rollout::member owner;
     store::transaction write;
     int tries = 0;
+    /// A try without an answer may have taken effect.
+    bool may_be_stored = false;
     base::event_source timer;
 };
 
@@ -85,6 +87,7 @@
 {
     base::log_line(base::log_level::warning, "job_not_stored",
                    {{"job", what->record.id}, {"code", why.code}, {"reason", why.message}});
+    what->may_be_stored |= why.code == result_code::store_outcome_unknown;
     bool const is_own = what->owner.host == self.settings.host;
     if (why.code == result_code::lease_lost && !is_own && has_lease(self, base::mono_now()))
     {
@@ -94,7 +97,7 @@
         send_submission(self, what);
         return;
     }
-    if (why.code != result_code::store_outcome_unknown && what->tries == 1)
+    if (!what->may_be_stored)
     {
         answer_unsure(self, *what->from, why);
         return;
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -174,15 +174,14 @@
     return out;
 }
 
-job_change change_of(std::uint8_t number)
+job_assigned unpack(fb::JobAssigned const& m)
 {
-    return number == static_cast<std::uint8_t>(job_change::ended) ? job_change::ended
-                                                                  : job_change::assigned;
+    return {from_fb(m.job()), m.owner_revision(), from_fb(m.record())};
 }
 
-job_notice unpack(fb::JobNotice const& m)
+job_ended unpack(fb::JobEnded const& m)
 {
-    return {from_fb(m.job()), change_of(m.kind()), m.owner_revision(), from_fb(m.record())};
+    return {from_fb(m.job())};
 }
 
 store_call unpack(fb::StoreCall const& m)
@@ -249,8 +248,10 @@
         return unpack_as<fb::Ping>(root);
     case fb::Body::PeerVersions:
         return unpack_as<fb::PeerVersions>(root);
-    case fb::Body::JobNotice:
-        return unpack_as<fb::JobNotice>(root);
+    case fb::Body::JobAssigned:
+        return unpack_as<fb::JobAssigned>(root);
+    case fb::Body::JobEnded:
+        return unpack_as<fb::JobEnded>(root);
     case fb::Body::StoreCall:
         return unpack_as<fb::StoreCall>(root);
     case fb::Body::StoreAnswer:
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -185,13 +185,17 @@
     return {fb::Body::PeerVersions, fb::CreatePeerVersions(out, out.CreateVector(peers)).Union()};
 }
 
-body_offset pack(builder& out, job_notice const& m)
+body_offset pack(builder& out, job_assigned const& m)
 {
     auto const job = out.CreateString(m.job_id);
     auto const record = out.CreateString(m.record);
-    return {fb::Body::JobNotice, fb::CreateJobNotice(out, job, static_cast<std::uint8_t>(m.change),
-                                                     m.owner_revision, record)
-                                     .Union()};
+    return {fb::Body::JobAssigned,
+            fb::CreateJobAssigned(out, job, m.owner_revision, record).Union()};
+}
+
+body_offset pack(builder& out, job_ended const& m)
+{
+    return {fb::Body::JobEnded, fb::CreateJobEnded(out, out.CreateString(m.job_id)).Union()};
 }
 
 body_offset pack(builder& out, store_call const& m)
--- a/src/wire/frame_generated.h
+++ b/src/wire/frame_generated.h
@@ -76,8 +76,11 @@
 struct PeerVersions;
 struct PeerVersionsBuilder;
 
-struct JobNotice;
-struct JobNoticeBuilder;
+struct JobAssigned;
+struct JobAssignedBuilder;
+
+struct JobEnded;
+struct JobEndedBuilder;
 
 struct StoreCall;
 struct StoreCallBuilder;
@@ -113,14 +116,15 @@
   ConfigIntent = 16,
   Ping = 17,
   PeerVersions = 18,
-  JobNotice = 19,
-  StoreCall = 20,
-  StoreAnswer = 21,
+  JobAssigned = 19,
+  JobEnded = 20,
+  StoreCall = 21,
+  StoreAnswer = 22,
   MIN = NONE,
   MAX = StoreAnswer
 };
 
-inline const Body (&EnumValuesBody())[22] {
+inline const Body (&EnumValuesBody())[23] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -141,7 +145,8 @@
     Body::ConfigIntent,
     Body::Ping,
     Body::PeerVersions,
-    Body::JobNotice,
+    Body::JobAssigned,
+    Body::JobEnded,
     Body::StoreCall,
     Body::StoreAnswer
   };
@@ -149,7 +154,7 @@
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[23] = {
+  static const char * const names[24] = {
     "NONE",
     "Hello",
     "Start",
@@ -169,7 +174,8 @@
     "ConfigIntent",
     "Ping",
     "PeerVersions",
-    "JobNotice",
+    "JobAssigned",
+    "JobEnded",
     "StoreCall",
     "StoreAnswer",
     nullptr
@@ -259,8 +265,12 @@
   static const Body enum_value = Body::PeerVersions;
 };
 
-template<> struct BodyTraits<gooseberrywood::wire::fb::JobNotice> {
-  static const Body enum_value = Body::JobNotice;
+template<> struct BodyTraits<gooseberrywood::wire::fb::JobAssigned> {
+  static const Body enum_value = Body::JobAssigned;
+};
+
+template<> struct BodyTraits<gooseberrywood::wire::fb::JobEnded> {
+  static const Body enum_value = Body::JobEnded;
 };
 
 template<> struct BodyTraits<gooseberrywood::wire::fb::StoreCall> {
@@ -2023,20 +2033,16 @@
       peers__);
 }
 
-struct JobNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef JobNoticeBuilder Builder;
+struct JobAssigned FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobAssignedBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_JOB = 4,
-    VT_KIND = 6,
-    VT_OWNER_REVISION = 8,
-    VT_RECORD = 10
+    VT_OWNER_REVISION = 6,
+    VT_RECORD = 8
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
   }
-  uint8_t kind() const {
-    return GetField<uint8_t>(VT_KIND, 0);
-  }
   uint64_t owner_revision() const {
     return GetField<uint64_t>(VT_OWNER_REVISION, 0);
   }
@@ -2047,7 +2053,6 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
            verifier.VerifyString(job()) &&
-           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint64_t>(verifier, VT_OWNER_REVISION, 8) &&
            VerifyOffset(verifier, VT_RECORD) &&
            verifier.VerifyString(record()) &&
@@ -2055,63 +2060,107 @@
   }
 };
 
-struct JobNoticeBuilder {
-  typedef JobNotice Table;
+struct JobAssignedBuilder {
+  typedef JobAssigned Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_job(flatbuffers::Offset<flatbuffers::String> job) {
-    fbb_.AddOffset(JobNotice::VT_JOB, job);
-  }
-  void add_kind(uint8_t kind) {
-    fbb_.AddElement<uint8_t>(JobNotice::VT_KIND, kind, 0);
+    fbb_.AddOffset(JobAssigned::VT_JOB, job);
   }
   void add_owner_revision(uint64_t owner_revision) {
-    fbb_.AddElement<uint64_t>(JobNotice::VT_OWNER_REVISION, owner_revision, 0);
+    fbb_.AddElement<uint64_t>(JobAssigned::VT_OWNER_REVISION, owner_revision, 0);
   }
   void add_record(flatbuffers::Offset<flatbuffers::String> record) {
-    fbb_.AddOffset(JobNotice::VT_RECORD, record);
+    fbb_.AddOffset(JobAssigned::VT_RECORD, record);
   }
-  explicit JobNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit JobAssignedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<JobNotice> Finish() {
+  flatbuffers::Offset<JobAssigned> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<JobNotice>(end);
+    auto o = flatbuffers::Offset<JobAssigned>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<JobNotice> CreateJobNotice(
+inline flatbuffers::Offset<JobAssigned> CreateJobAssigned(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> job = 0,
-    uint8_t kind = 0,
     uint64_t owner_revision = 0,
     flatbuffers::Offset<flatbuffers::String> record = 0) {
-  JobNoticeBuilder builder_(_fbb);
+  JobAssignedBuilder builder_(_fbb);
   builder_.add_owner_revision(owner_revision);
   builder_.add_record(record);
   builder_.add_job(job);
-  builder_.add_kind(kind);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<JobNotice> CreateJobNoticeDirect(
+inline flatbuffers::Offset<JobAssigned> CreateJobAssignedDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *job = nullptr,
-    uint8_t kind = 0,
     uint64_t owner_revision = 0,
     const char *record = nullptr) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto record__ = record ? _fbb.CreateString(record) : 0;
-  return gooseberrywood::wire::fb::CreateJobNotice(
+  return gooseberrywood::wire::fb::CreateJobAssigned(
       _fbb,
       job__,
-      kind,
       owner_revision,
       record__);
 }
 
+struct JobEnded FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobEndedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           verifier.EndTable();
+  }
+};
+
+struct JobEndedBuilder {
+  typedef JobEnded Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(JobEnded::VT_JOB, job);
+  }
+  explicit JobEndedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobEnded> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobEnded>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobEnded> CreateJobEnded(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0) {
+  JobEndedBuilder builder_(_fbb);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<JobEnded> CreateJobEndedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  return gooseberrywood::wire::fb::CreateJobEnded(
+      _fbb,
+      job__);
+}
+
 struct StoreCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StoreCallBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2426,8 +2475,11 @@
   const gooseberrywood::wire::fb::PeerVersions *body_as_PeerVersions() const {
     return body_type() == gooseberrywood::wire::fb::Body::PeerVersions ? static_cast<const gooseberrywood::wire::fb::PeerVersions *>(body()) : nullptr;
   }
-  const gooseberrywood::wire::fb::JobNotice *body_as_JobNotice() const {
-    return body_type() == gooseberrywood::wire::fb::Body::JobNotice ? static_cast<const gooseberrywood::wire::fb::JobNotice *>(body()) : nullptr;
+  const gooseberrywood::wire::fb::JobAssigned *body_as_JobAssigned() const {
+    return body_type() == gooseberrywood::wire::fb::Body::JobAssigned ? static_cast<const gooseberrywood::wire::fb::JobAssigned *>(body()) : nullptr;
+  }
+  const gooseberrywood::wire::fb::JobEnded *body_as_JobEnded() const {
+    return body_type() == gooseberrywood::wire::fb::Body::JobEnded ? static_cast<const gooseberrywood::wire::fb::JobEnded *>(body()) : nullptr;
   }
   const gooseberrywood::wire::fb::StoreCall *body_as_StoreCall() const {
     return body_type() == gooseberrywood::wire::fb::Body::StoreCall ? static_cast<const gooseberrywood::wire::fb::StoreCall *>(body()) : nullptr;
@@ -2524,8 +2576,12 @@
   return body_as_PeerVersions();
 }
 
-template<> inline const gooseberrywood::wire::fb::JobNotice *Frame::body_as<gooseberrywood::wire::fb::JobNotice>() const {
-  return body_as_JobNotice();
+template<> inline const gooseberrywood::wire::fb::JobAssigned *Frame::body_as<gooseberrywood::wire::fb::JobAssigned>() const {
+  return body_as_JobAssigned();
+}
+
+template<> inline const gooseberrywood::wire::fb::JobEnded *Frame::body_as<gooseberrywood::wire::fb::JobEnded>() const {
+  return body_as_JobEnded();
 }
 
 template<> inline const gooseberrywood::wire::fb::StoreCall *Frame::body_as<gooseberrywood::wire::fb::StoreCall>() const {
@@ -2704,8 +2760,12 @@
       auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::PeerVersions *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Body::JobNotice: {
-      auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::JobNotice *>(obj);
+    case Body::JobAssigned: {
+      auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::JobAssigned *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::JobEnded: {
+      auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::JobEnded *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::StoreCall: {
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -239,28 +239,25 @@
 };
 
 /// \ingroup wire
-/// \brief What happened to a batch job.
-enum class job_change : std::uint8_t
-{
-    /// The receiver was made its owner.
-    assigned = 0,
-    /// The caller has ended it.
-    ended = 1,
-};
-
-/// \ingroup wire
-/// \brief From gateway to gateway: the store holds a change of a batch job that concerns the
-/// receiver. It saves the wait for the receiver's next read; a lost notice loses nothing.
-struct job_notice
+/// \brief From gateway to gateway: the store names the receiver as the owner of a batch job. It
+/// saves the wait for the receiver's next read; a lost notice loses nothing.
+struct job_assigned
 {
     std::string job_id;
-    job_change change = job_change::assigned;
     /// Revision of the receiver's entry as the owner.
     std::uint64_t owner_revision = 0;
     /// The job's record as stored, see `rollout::decode_job_record`.
     std::string record;
 };
 
+/// \ingroup wire
+/// \brief From gateway to gateway: the caller has ended a batch job that the receiver owns. As for
+/// `job_assigned`, a lost notice loses nothing.
+struct job_ended
+{
+    std::string job_id;
+};
+
 /// \ingroup wire
 /// \brief From gateway to gateway: a call to the store, which the sender can't reach.
 struct store_call
@@ -297,7 +294,7 @@
 using message =
     std::variant<hello, start, started, chunk, finished, refuse, cancel, fence, fenced, credit,
                  claim, claimed, suspect, config_request, config_content, config_intent, ping,
-                 peer_versions, job_notice, store_call, store_answer>;
+                 peer_versions, job_assigned, job_ended, store_call, store_answer>;
 
 /// \ingroup wire
 /// \brief An announced configuration, by version and hash of its record.
--- /dev/null
+++ b/test/gateway_job_notices_test.cpp
@@ -0,0 +1,162 @@
+#include "gateway/gateway.hpp"
+#include "gateway/job_notices.hpp"
+#include "gateway/store_relay.hpp"
+#include "http/status.hpp"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+using namespace gooseberrywood;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t owner_revision = 7;
+
+constexpr std::string_view one_sample =
+    R"({"step":1,"model":"m","min_version":1,"desired_count":1,"items":[
+        {"id":"s","path":"/t/run","headers":{"Model":"m","Token-Counts":"10,40"},"body":"eA==",
+         "tokens":50,"group":"g",
+         "scorer":{"id":"r","host":"desk.example","path":"/r/score","body":"eA=="}}]})";
+
+rollout::job_record new_record()
+{
+    rollout::job_record record;
+    record.id = "job";
+    record.team = "team-1";
+    record.samples = 1;
+    return record;
+}
+
+wire::job_assigned notice_of(rollout::job_record const& record)
+{
+    return {record.id, owner_revision, rollout::encode(record)};
+}
+
+/// A gateway with a lease, whose store answers when the test says so.
+struct gateway_with_slow_store
+{
+    gateway_with_slow_store()
+    {
+        self.settings.host = "a";
+        self.lease.id = 1;
+        self.lease.valid_until = base::mono_now() + 60s;
+        self.store.list = [this](std::string const& prefix, std::string const&, base::mono_time,
+                                 store::done<store::page> then)
+        {
+            listed.push_back(prefix);
+            waiting = std::move(then);
+        };
+    }
+    gateway_with_slow_store(gateway_with_slow_store const&) = delete;
+    gateway_with_slow_store& operator=(gateway_with_slow_store const&) = delete;
+
+    /// Answers the read of the job.
+    void answer()
+    {
+        store::item spec;
+        spec.key = "job/job/spec/0000";
+        spec.value = one_sample;
+        waiting(store::page{{spec}, false});
+    }
+
+    gateway::gateway self;
+    std::vector<std::string> listed;
+    store::done<store::page> waiting;
+};
+
+} // namespace
+
+SCENARIO("a gateway hears that it owns a job")
+{
+    gateway_with_slow_store of;
+    auto const record = new_record();
+    GIVEN("a job that it has not heard of")
+    {
+        gateway::take_notice(of.self, notice_of(record));
+        THEN("it reads the job once, however often it hears of it, and runs it")
+        {
+            gateway::take_notice(of.self, notice_of(record));
+            CHECK(of.listed == std::vector<std::string>{"job/job/"});
+            of.answer();
+            CHECK(of.self.jobs.at("job").owner_revision == owner_revision);
+            gateway::take_notice(of.self, notice_of(record));
+            CHECK(of.listed.size() == 1);
+        }
+        THEN("it does not run a job that ends while it is read")
+        {
+            // Guards against samples of ended jobs.
+            gateway::take_notice(of.self, wire::job_ended{"job"});
+            of.answer();
+            CHECK(of.self.jobs.empty());
+        }
+    }
+    GIVEN("a job that it knows, and that has lost its owner")
+    {
+        // Guards against jobs that stand still until the next read, because their records are
+        // known.
+        of.self.shared.records["job"] = {record, 3};
+        gateway::take_notice(of.self, notice_of(record));
+        THEN("it reads the job at once")
+        {
+            CHECK(of.listed.size() == 1);
+            CHECK(of.self.shared.records.at("job").revision == 3);
+        }
+    }
+    GIVEN("a job that was ended")
+    {
+        auto ended = record;
+        ended.ended = true;
+        of.self.shared.records["job"] = {ended, 3};
+        gateway::take_notice(of.self, notice_of(record));
+        THEN("it leaves it alone")
+        {
+            CHECK(of.listed.empty());
+        }
+    }
+    GIVEN("a notice that can't be read")
+    {
+        gateway::take_notice(of.self, wire::job_assigned{"job", owner_revision, "?"});
+        THEN("nothing happens")
+        {
+            CHECK(of.listed.empty());
+            CHECK(of.self.shared.records.empty());
+        }
+    }
+}
+
+SCENARIO("the gateway that makes calls to the store for another one is gone")
+{
+    // Guards against calls that wait for an answer that can't come.
+    gateway::gateway self;
+    self.settings.host = "a";
+    self.shared.members["b"] = {"b", 1, "127.0.0.1:1", 1};
+    self.peers.on_lost = [&](std::string const& address)
+    {
+        gateway::end_calls_through(self, address);
+    };
+    self.relay.direct = [](http::call_request const&, base::mono_time,
+                           std::function<void(http::fetch_outcome)> const& then)
+    {
+        then(http::whole_answer{http::status::unavailable, {}, ""});
+    };
+    std::optional<http::fetch_outcome> outcome;
+    http::call_request request;
+    request.method = "GET";
+    auto const asked_at = base::mono_now();
+    gateway::make_relayed_transport(self)(
+        request, asked_at + 5s, [&](http::fetch_outcome got) { outcome = std::move(got); });
+    while (!outcome)
+    {
+        g_main_context_iteration(nullptr, TRUE);
+    }
+    CHECK_FALSE(outcome->has_value());
+    CHECK(base::mono_now() < asked_at + 400ms);
+    CHECK(self.relay.waiting.empty());
+}
--- a/test/process/gateway_test.cpp
+++ b/test/process/gateway_test.cpp
@@ -214,11 +214,7 @@
         CHECK(call_gateway(weak, "DELETE", "/-/lots/job", "train.example", "e").status == 200);
         THEN("the strong one hears of it at once")
         {
-            auto const is_ended = [](json const& line)
-            {
-                return line.at("change") == "ended";
-            };
-            (void)wait_event(*strong.program, "job_notice", is_ended);
+            (void)wait_event(*strong.program, "job_ended_elsewhere");
             CHECK(eventually([&] { return gateway_state(strong).at("jobs").empty(); }));
         }
     }
--- a/test/wire_codec_test.cpp
+++ b/test/wire_codec_test.cpp
@@ -28,6 +28,19 @@
     return {{9, 1, true, {{10, 77}}}, base::wall_now(), 5, 6, message};
 }
 
+/// What arrives of a message.
+template <class Message>
+Message over_the_wire(Message const& sent)
+{
+    auto const encoded = wire::encode({{}, base::wall_now(), 0, 0, sent});
+    REQUIRE(encoded.has_value());
+    wire::frame_buffer buffer;
+    wire::append(buffer, bytes_of(*encoded));
+    auto const received = wire::decode(**wire::next_frame(buffer));
+    REQUIRE(received.has_value());
+    return std::get<Message>(received->body);
+}
+
 } // namespace
 
 SCENARIO("a frame survives encoding and decoding")
@@ -70,48 +83,36 @@
     }
 }
 
-SCENARIO("a notice of a job survives encoding and decoding")
+SCENARIO("messages between gateways survive encoding and decoding")
 {
-    wire::job_notice const sent{"job-1", wire::job_change::ended, 77, R"({"team":"x"})"};
-    auto const encoded = wire::encode({{}, base::wall_now(), 0, 0, sent});
-    REQUIRE(encoded.has_value());
-    wire::frame_buffer buffer;
-    wire::append(buffer, bytes_of(*encoded));
-    auto const received = wire::decode(**wire::next_frame(buffer));
-    REQUIRE(received.has_value());
-    auto const& got = std::get<wire::job_notice>(received->body);
-    CHECK(got.job_id == sent.job_id);
-    CHECK(got.change == sent.change);
-    CHECK(got.owner_revision == sent.owner_revision);
-    CHECK(got.record == sent.record);
-}
-
-SCENARIO("a call to the store and its answer survive encoding and decoding")
-{
-    wire::store_call const call{7, base::wall_now(), "POST", "/txn?x=1", std::string("\0a", 2)};
-    wire::store_answer const answer{7, 412, true, "{}"};
-    wire::frame_buffer buffer;
-    for (wire::message const& body : {wire::message(call), wire::message(answer)})
+    GIVEN("notices of jobs")
+    {
+        wire::job_assigned const sent{"job-1", 77, R"({"team":"x"})"};
+        auto const got = over_the_wire(sent);
+        CHECK(got.job_id == sent.job_id);
+        CHECK(got.owner_revision == sent.owner_revision);
+        CHECK(got.record == sent.record);
+        CHECK(over_the_wire(wire::job_ended{"job-1"}).job_id == "job-1");
+    }
+    GIVEN("a call to the store")
+    {
+        wire::store_call const sent{7, base::wall_now(), "POST", "/txn?x=1", std::string("\0a", 2)};
+        auto const got = over_the_wire(sent);
+        CHECK(got.number == sent.number);
+        CHECK(got.deadline == sent.deadline);
+        CHECK(got.method == sent.method);
+        CHECK(got.target == sent.target);
+        CHECK(got.body == sent.body);
+    }
+    GIVEN("its answer")
     {
-        auto const encoded = wire::encode({{}, base::wall_now(), 0, 0, body});
-        REQUIRE(encoded.has_value());
-        wire::append(buffer, bytes_of(*encoded));
+        wire::store_answer const sent{7, 412, true, "{}"};
+        auto const got = over_the_wire(sent);
+        CHECK(got.number == sent.number);
+        CHECK(got.status == sent.status);
+        CHECK(got.sent);
+        CHECK(got.body == sent.body);
     }
-    auto const first = wire::decode(**wire::next_frame(buffer));
-    REQUIRE(first.has_value());
-    auto const& got_call = std::get<wire::store_call>(first->body);
-    CHECK(got_call.number == call.number);
-    CHECK(got_call.deadline == call.deadline);
-    CHECK(got_call.method == call.method);
-    CHECK(got_call.target == call.target);
-    CHECK(got_call.body == call.body);
-    auto const second = wire::decode(**wire::next_frame(buffer));
-    REQUIRE(second.has_value());
-    auto const& got_answer = std::get<wire::store_answer>(second->body);
-    CHECK(got_answer.number == answer.number);
-    CHECK(got_answer.status == answer.status);
-    CHECK(got_answer.sent);
-    CHECK(got_answer.body == answer.body);
 }
 
 SCENARIO("hostile bytes are refused with bounded memory")
