Read each list by its own bound, and test the settings of gateways that talk to each other

The pause between reads of the operator's entries was taken from the bound for departures, which holds for the other list. The two are equal on today's deployments; another one may apply configurations in less time.

--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -156,10 +156,10 @@
     log_ids("upstream_removed", change.removed);
 }
 
-base::duration listing_pause(gateway const& self)
+/// Pause between two reads of a list.
+base::duration pause_for(base::duration in_effect)
 {
-    return std::chrono::duration_cast<base::duration>(self.settings.change_in_effect *
-                                                      listing_part);
+    return std::chrono::duration_cast<base::duration>(in_effect * listing_part);
 }
 
 base::duration shared_pause(gateway const& self)
@@ -188,13 +188,15 @@
 void start_refresh(gateway& self)
 {
     poll(self, self.operator_poller,
-         {platform::store_keys::operator_prefix, [&self] { return listing_pause(self); },
+         {platform::store_keys::operator_prefix,
+          [&self] { return pause_for(self.settings.configuration_in_effect); },
           [&self](items const& read, base::mono_time)
           {
               take_operator_state(self, read);
           }});
     poll(self, self.upstream_poller,
-         {platform::store_keys::upstream_prefix, [&self] { return listing_pause(self); },
+         {platform::store_keys::upstream_prefix,
+          [&self] { return pause_for(self.settings.departure_in_effect); },
           [&self](items const& read, base::mono_time sent_at)
           {
               take_upstreams(self, read, sent_at);
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -37,8 +37,10 @@
     base::duration stop_grace = std::chrono::seconds(8);
     /// No sample of a job starts later than this after the job was ended.
     base::duration job_end = std::chrono::seconds(3);
-    /// A configuration, and the departure of an upstream, are in effect within this time.
-    base::duration change_in_effect = std::chrono::seconds(2);
+    /// A new configuration is in effect within this time.
+    base::duration configuration_in_effect = std::chrono::seconds(2);
+    /// An upstream that leaves gets no more requests within this time.
+    base::duration departure_in_effect = std::chrono::seconds(2);
     /// Share of a processor that this process has, and how many times as fast it runs. Hosts with
     /// more of it own more jobs.
     double processor_share = 1;
--- a/src/settings/load_gateway.cpp
+++ b/src/settings/load_gateway.cpp
@@ -66,7 +66,8 @@
         read_whole_seconds(from, "usage_window_s", settings.usage_window);
         read_whole_seconds(from, "stop_grace_s", settings.stop_grace);
         read_milliseconds(from, "job_end_ms", settings.job_end);
-        read_milliseconds(from, "change_in_effect_ms", settings.change_in_effect);
+        read_milliseconds(from, "configuration_in_effect_ms", settings.configuration_in_effect);
+        read_milliseconds(from, "departure_in_effect_ms", settings.departure_in_effect);
         base::read_decimal(from, "processor_share", least_processors, most_processors,
                            settings.processor_share);
         base::read_decimal(from, "processor_cores", least_processors, most_processors,
--- a/test/gateway_settings_test.cpp
+++ b/test/gateway_settings_test.cpp
@@ -19,6 +19,12 @@
 key_withdrawal_ms = 5000
 usage_window_s = 5
 stop_grace_s = "10.5"
+listen_peers = "10.1.0.7:7660"
+job_end_ms = 2500
+configuration_in_effect_ms = 1500
+departure_in_effect_ms = 1700
+processor_share = 0.19
+processor_cores = 2
 )";
     GIVEN("good settings")
     {
@@ -27,6 +33,12 @@
         CHECK(read->first_start);
         CHECK(read->key_withdrawal == 5s);
         CHECK(read->stop_grace == 10'500ms);
+        CHECK(read->listen_peers == "10.1.0.7:7660");
+        CHECK(read->job_end == 2500ms);
+        CHECK(read->configuration_in_effect == 1500ms);
+        CHECK(read->departure_in_effect == 1700ms);
+        CHECK(read->processor_share == 0.19);
+        CHECK(read->processor_cores == 2);
     }
     GIVEN("an unknown key and a wrong address")
     {
@@ -36,6 +48,20 @@
         CHECK(read.error().message.find("stor") != std::string::npos);
         CHECK(read.error().message.find("leader_turn_ms") != std::string::npos);
     }
+    GIVEN("a share of a processor that is none")
+    {
+        for (std::string const wrong : {"0", "\"half\"", "-1.5"})
+        {
+            auto const text = std::string(R"(host = "a"
+domain = "d"
+listen_admin = "10.1.0.7:7670"
+store = "10.200.1.7:8408"
+processor_share = )") + wrong;
+            auto const read = settings::parse_gateway(text, "f.toml");
+            REQUIRE_FALSE(read.has_value());
+            CHECK(read.error().message.find("processor_share") != std::string::npos);
+        }
+    }
     GIVEN("a missing key")
     {
         CHECK_FALSE(settings::parse_gateway("host = \"a\"\n", "f.toml").has_value());
