--- a/src/duty/weights_plan.hpp
+++ b/src/duty/weights_plan.hpp
@@ -64,8 +64,9 @@
 /// Load pattern: a new version every few seconds for each trainer, all of them together at the
 /// limit of what can be loaded, and each with a new step of a hundred samples at once. Few
 /// upstreams load at once, and no model falls behind the others. A step that needs newer weights
-/// than its upstreams hold stands still, so that these go before those that a step can use as they
-/// are. \param needed oldest version that all running jobs of a model accept.
+/// than its upstreams hold stands still, so that these go first.
+///
+/// \param needed oldest version that all running jobs of a model accept.
 [[nodiscard]] std::vector<weights_order>
 orders_due(weights_plan const& plan, fleet::pool const& pool, named_versions const& named,
            fleet::weight_versions const& needed, base::mono_time now);
--- a/src/gateway/answer_caller.hpp
+++ b/src/gateway/answer_caller.hpp
@@ -14,7 +14,9 @@
 
 /// \ingroup gateway
 /// \brief Refuses a request that has not run and never will. Like the functions below, it writes a
-/// log line and counts the answer. \param come_back when the caller should try again.
+/// log line and counts the answer.
+///
+/// \param come_back when the caller should try again.
 void refuse(gateway& self, http::exchange& to, base::error const& why, base::duration come_back);
 
 /// \ingroup gateway
--- a/src/gateway/result_writer.hpp
+++ b/src/gateway/result_writer.hpp
@@ -10,7 +10,9 @@
 
 /// \ingroup gateway
 /// \brief Makes the result of a sample and hands it to the store; it is listed once the store has
-/// it. \param done false when the sample was given up.
+/// it.
+///
+/// \param done false when the sample was given up.
 void finish_sample(gateway& self, owned_job& job, std::size_t index, bool done);
 
 /// \ingroup gateway
--- a/src/rollout/job_placement.cpp
+++ b/src/rollout/job_placement.cpp
@@ -12,8 +12,7 @@
 namespace
 {
 
-// Two steps of one trainer on a host of the usual size. A sample that runs needs half a hundredth
-// of a core, and about a third of the open ones run.
+// A running sample needs about 0.005 cores, and a third of a job's samples run at once.
 constexpr double busy_samples_per_core = 550;
 
 // Hosts with less than this part of the strongest host's processor time get jobs last.
--- a/test/config_network.cpp
+++ b/test/config_network.cpp
@@ -1,10 +1,11 @@
 #include "config_network.hpp"
+
+#include "config_network_checks.hpp"
 #include "wire/send_times.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <sstream>
 
 using namespace std::chrono_literals;
 
@@ -14,7 +15,6 @@
 namespace
 {
 
-constexpr base::duration step_time = 50ms;
 constexpr int operator_base = 1000;
 
 bool chance(network& of, double share)
@@ -53,19 +53,6 @@
     return of.store_up && side(of, at) == 0;
 }
 
-std::set<std::string> keys_of(config::record const& of)
-{
-    std::set<std::string> keys;
-    std::istringstream lines(of.bundle_text);
-    std::string line;
-    std::getline(lines, line);
-    while (std::getline(lines, line))
-    {
-        keys.insert(line);
-    }
-    return keys;
-}
-
 void restart(network& of, int index)
 {
     auto& at = of.processes[index];
@@ -405,60 +392,6 @@
     }
 }
 
-void check_withdrawals(network& of, process const& entry)
-{
-    auto const state = state_of(of, entry);
-    if (state == config::serving_state::stopped || !entry.replica.current.current)
-    {
-        return;
-    }
-    auto served = keys_of(*entry.replica.current.current);
-    if (state == config::serving_state::restricted)
-    {
-        for (config::record const& other : config::restrictions(entry.replica.freshness))
-        {
-            auto const allowed = keys_of(other);
-            std::erase_if(served, [&](auto const& key) { return !allowed.contains(key); });
-        }
-    }
-    for (auto const& key : served)
-    {
-        auto const found = of.withdrawn_at.find(key);
-        if (found != of.withdrawn_at.end() && of.now >= found->second + config::withdrawal_target)
-        {
-            of.violation = fmt::format("{} serves {} at {}, withdrawn at {}", entry.host, key,
-                                       base::micros(of.now), base::micros(found->second));
-        }
-    }
-}
-
-void check_versions(network& of)
-{
-    for (auto& process : of.processes)
-    {
-        auto const now = std::pair(process.incarnation, config::version(process.replica.current));
-        if (now < process.last_version)
-        {
-            of.violation = fmt::format("{} went back to version {}", process.host, now.second);
-        }
-        process.last_version = now;
-    }
-    for (auto const& [version, at] : of.accepted_at)
-    {
-        auto const late = of.now - at - config::in_force_target;
-        bool const due = late >= 0s && late < step_time && at >= of.fault_free_since;
-        for (auto const& process : of.processes)
-        {
-            if (due && config::version(process.replica.current) < version)
-            {
-                of.violation =
-                    fmt::format("{} has version {} 10 s after {} was accepted", process.host,
-                                config::version(process.replica.current), version);
-            }
-        }
-    }
-}
-
 template <class Due>
 void take_due(network& of, std::multimap<base::mono_time, Due>& from,
               void (*use)(network&, Due const&))
