Keep the rate limit that an upstream states, over all gateways together

Callers of a service in need saw it overrun: an upstream that states how many requests a second it takes from all gateways got as many as before.

Cause: the header was not read. A limit for all processes together can't be kept by each process alone, so reading it would not have been enough: with a bucket each, 88 gateways send 88 requests at once. Ruled out as the cause: hedged and repeated tries, which only add to it.

Now one gateway, named by rendezvous hashing over the members, issues a permit for each request to such an upstream. It starts 2 s after it has become the issuer, and grants less while it can't be sure to be the only one, so that two issuers at a time stay within the bound. A gateway that does not reach the issuer uses other upstreams. Statements that arrive out of order can't raise or remove a limit. Samples go to engines of other models while their own have no permits.

--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -1,6 +1,7 @@
 #include "fleet/choose_upstream.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 namespace gooseberrywood::fleet
@@ -111,6 +112,34 @@
            (!upstream.on_probation || upstream.unanswered_samples == 0);
 }
 
+/// Chooses the best candidate that needs no permit or has one. Marks a better one that lacks only a
+/// permit, so that this process asks for a permit.
+/// \param upstream_of maps a candidate to its upstream.
+/// \returns null when there is no candidate that may be chosen.
+template <class Candidate, class UpstreamOf, class IsBetter>
+Candidate const* choose_permitted(std::vector<Candidate> const& candidates,
+                                  UpstreamOf const& upstream_of, IsBetter const& is_better,
+                                  base::mono_time now)
+{
+    Candidate const* permitted = nullptr;
+    Candidate const* without_permit = nullptr;
+    for (auto const& candidate : candidates)
+    {
+        bool const may_send = permits_request(upstream_of(candidate).limit, now);
+        auto const*& best = may_send ? permitted : without_permit;
+        if (best == nullptr || is_better(candidate, *best))
+        {
+            best = &candidate;
+        }
+    }
+    if (without_permit != nullptr &&
+        (permitted == nullptr || is_better(*without_permit, *permitted)))
+    {
+        upstream_of(*without_permit).limit.permit_wanted = true;
+    }
+    return permitted;
+}
+
 struct sample_candidate
 {
     upstream* target = nullptr;
@@ -152,7 +181,8 @@
         bool const confirmed = version >= requirements.least_version;
         bool const known = confirmed || has_announced_weights(upstream, requirements);
         bool const assigned = is_assigned(pool, id, requirements.model);
-        assigned_available = assigned_available || (assigned && known);
+        assigned_available =
+            assigned_available || (assigned && known && permits_request(upstream.limit, now));
         if (now < upstream.loading_until || !has_free_slot(upstream) || id == requirements.avoided)
         {
             continue;
@@ -215,23 +245,25 @@
 {
     auto const* const service = find_service(configuration, requirements.service);
     auto const median = median_us(pool, requirements.service, &upstream::answer_time);
-    upstream* best = nullptr;
+    std::vector<upstream*> candidates;
     for (auto& [id, upstream] : pool.upstreams)
     {
         bool const has_room = upstream.running < upstream.record.slots * max_requests_per_slot;
-        if (!is_usable(pool, upstream, requirements.service, now) || !has_room ||
-            contains(requirements.tried, id) || !allows_request(upstream, service, pool, now))
+        if (is_usable(pool, upstream, requirements.service, now) && has_room &&
+            !contains(requirements.tried, id) && allows_request(upstream, service, pool, now))
         {
-            continue;
-        }
-        if (best == nullptr || plain_cost(upstream, requirements.domain, median) <
-                                   plain_cost(*best, requirements.domain, median))
-        {
-            best = &upstream;
+            candidates.push_back(&upstream);
         }
     }
+    auto const is_better = [&](upstream const* a, upstream const* b)
+    {
+        return plain_cost(*a, requirements.domain, median) <
+               plain_cost(*b, requirements.domain, median);
+    };
+    auto* const best = choose_permitted<upstream*>(
+        candidates, [](upstream* candidate) -> upstream& { return *candidate; }, is_better, now);
     return best != nullptr
-               ? std::optional(chosen_upstream{best->record.id, best->record.address, 0})
+               ? std::optional(chosen_upstream{(*best)->record.id, (*best)->record.address, 0})
                : std::nullopt;
 }
 
@@ -242,24 +274,23 @@
     auto const candidates = sample_candidates(
         pool, find_service(configuration, requirements.service), requirements, now);
     auto const median = median_us(pool, requirements.service, &upstream::event_time);
-    sample_candidate const* best = nullptr;
-    for (auto const& candidate : candidates)
+    auto const is_preferred = [&](sample_candidate const& candidate)
     {
         bool const is_slow = candidate.target->event_time.us > slow_factor * median;
-        if (candidate.is_known_new_enough &&
-            candidate.target->record.id == requirements.preferred && !is_slow)
-        {
-            return make_choice(candidate);
-        }
-        bool const is_better =
-            best == nullptr || (candidate.is_known_new_enough && !best->is_known_new_enough) ||
-            (candidate.is_known_new_enough == best->is_known_new_enough &&
-             sample_cost(*candidate.target, median) < sample_cost(*best->target, median));
-        if (is_better)
-        {
-            best = &candidate;
-        }
-    }
+        return candidate.is_known_new_enough &&
+               candidate.target->record.id == requirements.preferred && !is_slow;
+    };
+    auto const rank_of = [&](sample_candidate const& candidate)
+    {
+        return std::tuple(!is_preferred(candidate), !candidate.is_known_new_enough,
+                          sample_cost(*candidate.target, median));
+    };
+    auto const* const best = choose_permitted<sample_candidate>(
+        candidates,
+        [](sample_candidate const& candidate) -> upstream& { return *candidate.target; },
+        [&](sample_candidate const& a, sample_candidate const& b)
+        { return rank_of(a) < rank_of(b); },
+        now);
     return best != nullptr ? std::optional(make_choice(*best)) : std::nullopt;
 }
 
--- a/src/fleet/pool.cpp
+++ b/src/fleet/pool.cpp
@@ -122,6 +122,7 @@
         return;
     }
     ++found->running;
+    use_permit(found->limit, now);
     if (now < found->record.cold_until)
     {
         found->cold_budget -= 1;
--- a/src/fleet/upstream.hpp
+++ b/src/fleet/upstream.hpp
@@ -3,6 +3,7 @@
 
 #include "base/time.hpp"
 #include "fleet/announced_weights.hpp"
+#include "fleet/rate_limit.hpp"
 #include "fleet/recent_mean.hpp"
 #include "fleet/upstream_record.hpp"
 
@@ -39,6 +40,7 @@
     /// Fill of the token bucket of a cold upstream: number of requests that may be sent now.
     double cold_budget = 1;
     base::mono_time cold_refilled_at{};
+    rate_limit limit;
     /// Set when the upstream is missing from the list, possibly because its entry expired while the
     /// store was unavailable. It gets no requests.
     bool missing = false;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include "gateway/list_exchange.hpp"
 #include "gateway/owned_job.hpp"
 #include "gateway/peer_connections.hpp"
+#include "gateway/permits.hpp"
 #include "gateway/poller.hpp"
 #include "gateway/process_lease.hpp"
 #include "gateway/routed_request.hpp"
@@ -97,6 +98,7 @@
     shared_view shared;
     peer_connections peers;
     list_exchange lists;
+    permit_exchange permits;
 
     std::uint64_t last_number = 0;
     std::map<std::uint64_t, std::unique_ptr<routed_request>> requests;
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -51,13 +51,15 @@
                                   : now < upstream.record.cold_until ? "cold"
                                   : now < upstream.suspended_until   ? "suspended"
                                   : now < upstream.loading_until     ? "loading"
+                                  : upstream.limit.requests_per_s    ? "rate_limited"
                                                                      : "ready";
         ++counts[upstream.record.service][state];
         running[upstream.record.service] += upstream.running;
     }
     for (auto const& [service, states] : counts)
     {
-        for (auto const* state : {"draining", "cold", "suspended", "loading", "ready"})
+        for (auto const* state :
+             {"draining", "cold", "suspended", "loading", "rate_limited", "ready"})
         {
             auto const it = states.find(state);
             base::gauge_at(self.metrics, {"gateway_upstreams", "upstreams by service and state"},
@@ -132,6 +134,14 @@
                    {{"outcome", outcome}}));
 }
 
+void count_permit_request(gateway& self, std::string_view outcome)
+{
+    add(counter_at(
+        self.metrics,
+        {"gateway_permit_requests_total", "requests for permits to send to rate-limited upstreams"},
+        {{"outcome", outcome}}));
+}
+
 void count_run(gateway& self, std::string_view event)
 {
     add(counter_at(self.metrics, {"gateway_sample_runs_total", "runs of samples by their end"},
--- a/src/gateway/measure.hpp
+++ b/src/gateway/measure.hpp
@@ -52,6 +52,10 @@
 /// \brief Counts a list request to another gateway.
 void count_list_request(gateway& self, std::string_view outcome);
 
+/// \ingroup gateway
+/// \brief Counts a request for a permit to send to a rate-limited upstream.
+void count_permit_request(gateway& self, std::string_view outcome);
+
 /// \ingroup gateway
 /// \brief Updates the gauges and returns all metrics in the text exposition format.
 [[nodiscard]] std::string exposition(gateway& self);
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -3,6 +3,7 @@
 #include "base/request_id.hpp"
 #include "gateway/job_notices.hpp"
 #include "gateway/list_exchange.hpp"
+#include "gateway/permits.hpp"
 #include "gateway/store_relay.hpp"
 
 #include <variant>
@@ -43,6 +44,14 @@
     {
         handle_list_answer(self, *list);
     }
+    else if (auto const* permit = std::get_if<wire::permit_request>(&received))
+    {
+        answer_permit_request(self, from, *permit);
+    }
+    else if (auto const* decided = std::get_if<wire::permit_answer>(&received))
+    {
+        handle_permit_answer(self, *decided);
+    }
 }
 
 } // namespace
@@ -61,6 +70,7 @@
     {
         fail_relayed_calls(self, address);
         fail_list_requests_to(self, address);
+        fail_permit_requests_to(self, address);
     };
     return listen_for_peers(self.peers, self.settings.listen_peers);
 }
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/list_exchange.hpp"
 #include "gateway/list_polling.hpp"
+#include "gateway/permits.hpp"
 #include "gateway/shared_entries.hpp"
 #include "platform/operator_state.hpp"
 #include "platform/protocol_names.hpp"
@@ -113,6 +114,7 @@
     }
     auto const change =
         fleet::apply_list(self.pool, platform::decode_upstreams(read, read_at), now);
+    discard_unused_buckets(self);
     log_ids("upstream_added", change.added);
     log_ids("upstream_draining", change.draining);
     log_ids("upstream_removed", change.removed);
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -4,6 +4,7 @@
 #include "fleet/choose_upstream.hpp"
 #include "fleet/try_outcome.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/permits.hpp"
 #include "http/status.hpp"
 
 #include <algorithm>
@@ -191,6 +192,10 @@
                              : platform::response_head{};
     auto const outcome = outcome_of(answer, head, request->spec.request_id);
     update_pool(self, ended, outcome, answer, now);
+    if (head.request_id == request->spec.request_id)
+    {
+        record_rate_limit(self, ended.upstream, head, answer->status, ended.sent_at);
+    }
     record_try(self, *request, ended, outcome, answer);
     if (outcome == fleet::try_outcome::not_run)
     {
@@ -262,7 +267,9 @@
     auto const now = base::mono_now();
     fleet::plain_requirements const need{request.spec.service, self.settings.domain,
                                          request.tried_upstreams};
-    if (auto const chosen = fleet::choose_plain(self.pool, *self.configuration, need, now))
+    auto const chosen = fleet::choose_plain(self.pool, *self.configuration, need, now);
+    request_wanted_permits(self);
+    if (chosen)
     {
         send_to(self, request, *chosen, now);
         return;
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/sample_runner.hpp"
 
 #include "fleet/choose_upstream.hpp"
+#include "gateway/permits.hpp"
 #include "gateway/refresh.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/sample_runs.hpp"
@@ -124,6 +125,7 @@
     {
         (void)dispatch_sample(self, sample, unplaceable, now);
     }
+    request_wanted_permits(self);
 }
 
 void abort_silent_runs(gateway& self, base::mono_time now)
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/permits.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runner.hpp"
@@ -154,6 +155,10 @@
         abort_run(self, run_number, "the answer belongs to another request");
         return;
     }
+    if (head.request_id)
+    {
+        record_rate_limit(self, run.upstream, head, status, run.started_at);
+    }
     if (head.not_run || status == http::status::misdirected)
     {
         on_refused(self, run_number, status);
--- a/src/gateway/shared_entries.cpp
+++ b/src/gateway/shared_entries.cpp
@@ -91,6 +91,7 @@
     }
     preserve_ended(view, self.shared);
     self.shared = std::move(view);
+    rollout::note_members(self.permits.views, self.shared.members, base::mono_now());
     self.pool.shares = self.shared.shares;
     self.pool.sharing_processes =
         static_cast<std::uint32_t>(std::max(min_sharing_processes, self.shared.members.size()));
--- a/src/rollout.hpp
+++ b/src/rollout.hpp
@@ -11,6 +11,7 @@
 #include "rollout/job_placement.hpp"
 #include "rollout/job_record.hpp"
 #include "rollout/member.hpp"
+#include "rollout/permit_issuer.hpp"
 #include "rollout/result_chunk.hpp"
 #include "rollout/sample_progress.hpp"
 #include "rollout/saved_progress.hpp"
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -239,6 +239,16 @@
             base::duration(m.remaining_us())};
 }
 
+permit_request unpack(fb::PermitRequest const& m)
+{
+    return {m.number(), from_fb(m.upstream()), m.requests_per_s()};
+}
+
+permit_answer unpack(fb::PermitAnswer const& m)
+{
+    return {m.number(), m.granted(), base::duration(m.retry_after_us())};
+}
+
 ping unpack(fb::Ping const&)
 {
     return {};
@@ -306,6 +316,10 @@
         return unpack_as<fb::ListAnswer>(root);
     case fb::Body::WeightsLoading:
         return unpack_as<fb::WeightsLoading>(root);
+    case fb::Body::PermitRequest:
+        return unpack_as<fb::PermitRequest>(root);
+    case fb::Body::PermitAnswer:
+        return unpack_as<fb::PermitAnswer>(root);
     }
     return std::nullopt;
 }
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -249,6 +249,19 @@
             fb::CreateWeightsLoading(out, upstream, model, m.version, m.remaining.count()).Union()};
 }
 
+body_offset pack(builder& out, permit_request const& m)
+{
+    auto const upstream = out.CreateString(m.upstream);
+    return {fb::Body::PermitRequest,
+            fb::CreatePermitRequest(out, m.number, upstream, m.requests_per_s).Union()};
+}
+
+body_offset pack(builder& out, permit_answer const& m)
+{
+    return {fb::Body::PermitAnswer,
+            fb::CreatePermitAnswer(out, m.number, m.granted, m.retry_after.count()).Union()};
+}
+
 body_offset pack(builder& out, ping const&)
 {
     return {fb::Body::Ping, fb::CreatePing(out).Union()};
--- a/src/wire/frame_generated.h
+++ b/src/wire/frame_generated.h
@@ -100,6 +100,12 @@
 struct WeightsLoading;
 struct WeightsLoadingBuilder;
 
+struct PermitRequest;
+struct PermitRequestBuilder;
+
+struct PermitAnswer;
+struct PermitAnswerBuilder;
+
 struct Ping;
 struct PingBuilder;
 
@@ -135,11 +141,13 @@
   ListRequest = 23,
   ListAnswer = 24,
   WeightsLoading = 25,
+  PermitRequest = 26,
+  PermitAnswer = 27,
   MIN = NONE,
-  MAX = WeightsLoading
+  MAX = PermitAnswer
 };
 
-inline const Body (&EnumValuesBody())[26] {
+inline const Body (&EnumValuesBody())[28] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -166,13 +174,15 @@
     Body::StoreAnswer,
     Body::ListRequest,
     Body::ListAnswer,
-    Body::WeightsLoading
+    Body::WeightsLoading,
+    Body::PermitRequest,
+    Body::PermitAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[27] = {
+  static const char * const names[29] = {
     "NONE",
     "Hello",
     "Start",
@@ -199,13 +209,15 @@
     "ListRequest",
     "ListAnswer",
     "WeightsLoading",
+    "PermitRequest",
+    "PermitAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::WeightsLoading)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PermitAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -314,6 +326,14 @@
   static const Body enum_value = Body::WeightsLoading;
 };
 
+template<> struct BodyTraits<gooseberrywood::wire::fb::PermitRequest> {
+  static const Body enum_value = Body::PermitRequest;
+};
+
+template<> struct BodyTraits<gooseberrywood::wire::fb::PermitAnswer> {
+  static const Body enum_value = Body::PermitAnswer;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -2800,6 +2820,142 @@
       remaining_us);
 }
 
+struct PermitRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_UPSTREAM = 6,
+    VT_REQUESTS_PER_S = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  double requests_per_s() const {
+    return GetField<double>(VT_REQUESTS_PER_S, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<double>(verifier, VT_REQUESTS_PER_S, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitRequestBuilder {
+  typedef PermitRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PermitRequest::VT_NUMBER, number, 0);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(PermitRequest::VT_UPSTREAM, upstream);
+  }
+  void add_requests_per_s(double requests_per_s) {
+    fbb_.AddElement<double>(PermitRequest::VT_REQUESTS_PER_S, requests_per_s, 0.0);
+  }
+  explicit PermitRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    double requests_per_s = 0.0) {
+  PermitRequestBuilder builder_(_fbb);
+  builder_.add_requests_per_s(requests_per_s);
+  builder_.add_number(number);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *upstream = nullptr,
+    double requests_per_s = 0.0) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return gooseberrywood::wire::fb::CreatePermitRequest(
+      _fbb,
+      number,
+      upstream__,
+      requests_per_s);
+}
+
+struct PermitAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_GRANTED = 6,
+    VT_RETRY_AFTER_US = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool granted() const {
+    return GetField<uint8_t>(VT_GRANTED, 0) != 0;
+  }
+  int64_t retry_after_us() const {
+    return GetField<int64_t>(VT_RETRY_AFTER_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
+           VerifyField<int64_t>(verifier, VT_RETRY_AFTER_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitAnswerBuilder {
+  typedef PermitAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PermitAnswer::VT_NUMBER, number, 0);
+  }
+  void add_granted(bool granted) {
+    fbb_.AddElement<uint8_t>(PermitAnswer::VT_GRANTED, static_cast<uint8_t>(granted), 0);
+  }
+  void add_retry_after_us(int64_t retry_after_us) {
+    fbb_.AddElement<int64_t>(PermitAnswer::VT_RETRY_AFTER_US, retry_after_us, 0);
+  }
+  explicit PermitAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitAnswer> CreatePermitAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool granted = false,
+    int64_t retry_after_us = 0) {
+  PermitAnswerBuilder builder_(_fbb);
+  builder_.add_retry_after_us(retry_after_us);
+  builder_.add_number(number);
+  builder_.add_granted(granted);
+  return builder_.Finish();
+}
+
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PingBuilder Builder;
   bool Verify(flatbuffers::Verifier &verifier) const {
@@ -2945,6 +3101,12 @@
   const gooseberrywood::wire::fb::WeightsLoading *body_as_WeightsLoading() const {
     return body_type() == gooseberrywood::wire::fb::Body::WeightsLoading ? static_cast<const gooseberrywood::wire::fb::WeightsLoading *>(body()) : nullptr;
   }
+  const gooseberrywood::wire::fb::PermitRequest *body_as_PermitRequest() const {
+    return body_type() == gooseberrywood::wire::fb::Body::PermitRequest ? static_cast<const gooseberrywood::wire::fb::PermitRequest *>(body()) : nullptr;
+  }
+  const gooseberrywood::wire::fb::PermitAnswer *body_as_PermitAnswer() const {
+    return body_type() == gooseberrywood::wire::fb::Body::PermitAnswer ? static_cast<const gooseberrywood::wire::fb::PermitAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
@@ -3062,6 +3224,14 @@
   return body_as_WeightsLoading();
 }
 
+template<> inline const gooseberrywood::wire::fb::PermitRequest *Frame::body_as<gooseberrywood::wire::fb::PermitRequest>() const {
+  return body_as_PermitRequest();
+}
+
+template<> inline const gooseberrywood::wire::fb::PermitAnswer *Frame::body_as<gooseberrywood::wire::fb::PermitAnswer>() const {
+  return body_as_PermitAnswer();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3258,6 +3428,14 @@
       auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::WeightsLoading *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::PermitRequest: {
+      auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::PermitRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PermitAnswer: {
+      auto ptr = reinterpret_cast<const gooseberrywood::wire::fb::PermitAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/wire/message.hpp
+++ b/src/wire/message.hpp
@@ -330,6 +330,28 @@
     base::duration remaining{};
 };
 
+/// \ingroup wire
+/// \brief From gateway to gateway: requests a permit to send one request to a rate-limited
+/// upstream.
+struct permit_request
+{
+    /// Identifies the request at the sender.
+    std::uint64_t number = 0;
+    std::string upstream;
+    /// Limit of the upstream, as the sender knows it.
+    double requests_per_s = 0;
+};
+
+/// \ingroup wire
+/// \brief Response to `permit_request`.
+struct permit_answer
+{
+    std::uint64_t number = 0;
+    bool granted = false;
+    /// Time after which another request may be granted.
+    base::duration retry_after{};
+};
+
 /// \ingroup wire
 /// \brief Keeps an idle connection alive.
 struct ping
@@ -338,10 +360,11 @@
 
 /// \ingroup wire
 /// \brief Any message.
-using message = std::variant<hello, start, started, chunk, finished, refuse, cancel, fence, fenced,
-                             credit, claim, claimed, suspect, config_request, config_content,
-                             config_intent, ping, peer_versions, job_assigned, job_ended,
-                             store_call, store_answer, list_request, list_answer, weights_loading>;
+using message =
+    std::variant<hello, start, started, chunk, finished, refuse, cancel, fence, fenced, credit,
+                 claim, claimed, suspect, config_request, config_content, config_intent, ping,
+                 peer_versions, job_assigned, job_ended, store_call, store_answer, list_request,
+                 list_answer, weights_loading, permit_request, permit_answer>;
 
 /// \ingroup wire
 /// \brief An announced configuration, identified by its version and the hash of its record.
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -198,6 +198,15 @@
     CHECK(head.weight_version == 4);
     CHECK(platform::decode_response_head(421, {}).not_run);
     CHECK_FALSE(platform::decode_response_head(503, {}).not_run);
+    CHECK_FALSE(head.rate_limit.has_value());
+    CHECK(platform::decode_response_head(200, {{"server-limit", "2.5"}}).rate_limit == 2.5);
+    for (auto const* unreadable : {"", "fast", "-1", "inf", "nan", "2.5x"})
+    {
+        CAPTURE(unreadable);
+        auto const stated = platform::decode_response_head(200, {{"Server-Limit", unreadable}});
+        CHECK(stated.has_unreadable_limit);
+        CHECK_FALSE(stated.rate_limit.has_value());
+    }
     auto const forwardable = platform::forwardable_headers(
         {{"Connection", "close"}, {"Content-Length", "4"}, {"Server-Stamp", "s"}});
     REQUIRE(forwardable.size() == 1);
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -13,9 +13,15 @@
     auto upstreams = json::array();
     for (auto const& one : self.upstreams)
     {
+        auto arrivals = json::array();
+        for (auto const at : one->arrivals)
+        {
+            arrivals.push_back(at.time_since_epoch().count());
+        }
         upstreams.push_back({{"id", one->id},
                              {"running", one->running},
                              {"refused", one->refused},
+                             {"arrivals_us", arrivals},
                              {"connections", one->caller_ports.size()},
                              {"orders", one->orders},
                              {"weights", one->weights}});
@@ -65,6 +71,11 @@
         }
         one->refuses = body.value("refuses", one->refuses);
         one->silent = body.value("silent", one->silent);
+        one->rate_limit = body.value("rate_limit", one->rate_limit);
+        if (body.value("forget_arrivals", false))
+        {
+            one->arrivals.clear();
+        }
         one->event_time =
             std::chrono::milliseconds(body.value("event_ms", one->event_time.count() / 1000));
         if (body.value("listed", true))
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -60,6 +60,10 @@
     bool refuses = false;
     /// Takes requests and stays silent.
     bool silent = false;
+    /// Rate limit that all answers state, in requests per second; 0 states none.
+    double rate_limit = 0;
+    /// Times at which requests arrived.
+    std::vector<base::mono_time> arrivals;
     /// Time between two events.
     base::duration event_time = std::chrono::milliseconds(5);
 };
--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -127,8 +127,13 @@
         announce(self, at);
         return;
     }
+    at.arrivals.push_back(base::mono_now());
     auto const id = header(message, "Attempt-Id");
     set_header(message, "Attempt-Id", id);
+    if (at.rate_limit > 0)
+    {
+        set_header(message, "Server-Limit", fmt::format("{}", at.rate_limit));
+    }
     if (header(message, "Expect-Instance") != at.id)
     {
         refuse(message, SOUP_STATUS_MISDIRECTED_REQUEST);
--- a/test/wire_codec_test.cpp
+++ b/test/wire_codec_test.cpp
@@ -113,6 +113,17 @@
         CHECK(received.version == sent.version);
         CHECK(received.remaining == sent.remaining);
     }
+    GIVEN("a request for a permit and its answer")
+    {
+        auto const request = round_trip(wire::permit_request{7, "u", 2.5});
+        CHECK(request.number == 7);
+        CHECK(request.upstream == "u");
+        CHECK(request.requests_per_s == 2.5);
+        auto const answer = round_trip(wire::permit_answer{7, true, std::chrono::milliseconds(40)});
+        CHECK(answer.number == 7);
+        CHECK(answer.granted);
+        CHECK(answer.retry_after == std::chrono::milliseconds(40));
+    }
     GIVEN("a list request")
     {
         wire::list_request const sent{7, "shared/", 77, 78, std::chrono::milliseconds(900)};
