Run a sample again where it broke off when no other upstream can take it

Trainers waited for samples that were never run again: after an upstream had crashed under a sample, the sample was not placed any more although all was calm and the upstream had room.

Cause: the upstream of a run that broke off was left out of the candidates until the next run of the sample began. If it was the only one that could take the sample, no run ever began. Samples of the same kind waited behind it. Ruled out: marks of crashing requests, which this form of the service does not keep.

Now that upstream is the last choice instead of none.

Before, gateway_test with one engine that breaks off its streams found no sample running again; it passes now, as does the new case of fleet_choose_test.

--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -151,6 +151,8 @@
     std::uint32_t expected_version = 0;
     /// The upstream is assigned to the sample's model or has no assignment.
     bool is_assigned = true;
+    /// The previous run of the sample broke off there.
+    bool is_avoided = false;
 };
 
 bool has_announced_weights(upstream const& upstream, sample_requirements const& requirements)
@@ -183,7 +185,7 @@
         bool const assigned = is_assigned(pool, id, requirements.model);
         assigned_available =
             assigned_available || (assigned && known && permits_request(upstream.limit, now));
-        if (now < upstream.loading_until || !has_free_slot(upstream) || id == requirements.avoided)
+        if (now < upstream.loading_until || !has_free_slot(upstream))
         {
             continue;
         }
@@ -200,7 +202,7 @@
                                         : requirements.least_version;
         if (allows_request(upstream, service, pool, now))
         {
-            found.push_back({&upstream, known, expected, assigned});
+            found.push_back({&upstream, known, expected, assigned, id == requirements.avoided});
         }
     }
     if (assigned_available)
@@ -282,8 +284,8 @@
     };
     auto const rank_of = [&](sample_candidate const& candidate)
     {
-        return std::tuple(!is_preferred(candidate), !candidate.is_known_new_enough,
-                          sample_cost(*candidate.target, median));
+        return std::tuple(candidate.is_avoided, !is_preferred(candidate),
+                          !candidate.is_known_new_enough, sample_cost(*candidate.target, median));
     };
     auto const* const best = choose_permitted<sample_candidate>(
         candidates,
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -35,7 +35,8 @@
     std::uint32_t least_version = 0;
     /// Upstream that has already processed the prompt of the group, or empty.
     std::string_view preferred;
-    /// Upstream of the previous run, which must not be chosen, or empty.
+    /// Upstream on which the previous run broke off, or empty. It is chosen only if no other one
+    /// can take the sample.
     std::string_view avoided;
 };
 
--- a/test/fleet_choose_test.cpp
+++ b/test/fleet_choose_test.cpp
@@ -394,3 +394,33 @@
         }
     }
 }
+
+SCENARIO("a sample goes back to the upstream that it left when no other one can take it")
+{
+    // Guards against samples that are never run again after upstreams crashed under them.
+    auto const config = make_configuration();
+    fleet::pool pool;
+    std::vector<fleet::upstream_record> const listed = {make_record("a", "engines", "krapina"),
+                                                        make_record("b", "engines", "zabok")};
+    (void)fleet::apply_list(pool, listed, at_ms(0));
+    auto requirements = for_version(3);
+    requirements.avoided = "a";
+    CHECK(fleet::choose_sample(pool, config, requirements, at_ms(0))->id == "b");
+    WHEN("the other one is assigned to another model")
+    {
+        pool.shares = {{"a", "m"}, {"b", "n"}};
+        REQUIRE(fleet::choose_sample(pool, config, requirements, at_ms(0)).has_value());
+        CHECK(fleet::choose_sample(pool, config, requirements, at_ms(0))->id == "a");
+    }
+    WHEN("the other one is gone")
+    {
+        (void)fleet::apply_list(pool, std::vector{listed[0]}, at_ms(10));
+        REQUIRE(fleet::choose_sample(pool, config, requirements, at_ms(10)).has_value());
+        CHECK(fleet::choose_sample(pool, config, requirements, at_ms(10))->id == "a");
+    }
+    WHEN("it was preferred, since it has read the prompt of the group")
+    {
+        requirements.preferred = "a";
+        CHECK(fleet::choose_sample(pool, config, requirements, at_ms(0))->id == "b");
+    }
+}
--- a/test/process/gateway_test.cpp
+++ b/test/process/gateway_test.cpp
@@ -131,6 +131,24 @@
     }
 }
 
+SCENARIO("samples under which the only engine breaks off its streams are run again")
+{
+    // Guards against samples that are never placed again after engines crashed under them.
+    site_service service(1);
+    set_site(service, "upstream", {{"id", "engines-1"}, {"listed", false}});
+    (void)wait_event(*service.gateways[0].program, "upstream_removed");
+    set_site(service, "upstream", {{"id", "engines-0"}, {"event_ms", 20}});
+    std::vector<int> const events(6, 40);
+    REQUIRE(submit(service.gateways[0], "job", events) == 202);
+    for (int i = 0; i < 4; ++i)
+    {
+        REQUIRE(eventually([&] { return upstream_state(service, "engines-0").at("running") > 0; }));
+        set_site(service, "upstream", {{"id", "engines-0"}, {"drops_runs", true}});
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    check_whole(wait_results(service.gateways[0], "job", events.size()), "job", events);
+}
+
 SCENARIO("one gateway carries out the duties")
 {
     site_service service(2);
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -71,6 +71,12 @@
         }
         one->refuses = body.value("refuses", one->refuses);
         one->silent = body.value("silent", one->silent);
+        one->software_version = body.value("software_version", one->software_version);
+        if (body.value("drops_runs", false))
+        {
+            one->dropped_until = one->runs_begun;
+        }
+        one->marks_events = body.value("marks_events", one->marks_events);
         one->rate_limit = body.value("rate_limit", one->rate_limit);
         if (body.value("forget_arrivals", false))
         {
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -60,6 +60,13 @@
     bool refuses = false;
     /// Takes requests and stays silent.
     bool silent = false;
+    /// Version of its software.
+    std::string software_version = "v1";
+    /// Events end with the software version that made them.
+    bool marks_events = false;
+    /// The streams up to this number are broken off.
+    std::uint32_t dropped_until = 0;
+    std::uint32_t runs_begun = 0;
     /// Rate limit that all answers state, in requests per second; 0 states none.
     double rate_limit = 0;
     /// Times at which requests arrived.
--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -38,13 +38,15 @@
     std::string id;
     std::int64_t next = 0;
     std::int64_t last = 0;
+    /// Number of this run at its upstream.
+    std::uint32_t number = 0;
     base::event_source timer;
 };
 
 void send_event(std::shared_ptr<event_run> const& run)
 {
     auto* const message = run->message.get();
-    if (peer_closed(message))
+    if (peer_closed(message) || run->number <= run->at->dropped_until)
     {
         --run->at->running;
         run->timer.reset();
@@ -60,7 +62,9 @@
         soup_server_message_unpause(message);
         return;
     }
-    auto const event = fmt::format("id: {}\ndata: {}-{}\n\n", run->next, run->id, run->next);
+    auto const mark = run->at->marks_events ? "@" + run->at->software_version : "";
+    auto const event =
+        fmt::format("id: {}\ndata: {}-{}{}\n\n", run->next, run->id, run->next, mark);
     soup_message_body_append(body, SOUP_MEMORY_COPY, event.data(), event.size());
     soup_server_message_unpause(message);
     ++run->next;
@@ -75,6 +79,7 @@
     run->owner = &self;
     run->at = &at;
     run->message = base::share(message);
+    run->number = ++at.runs_begun;
     run->id = header(message, "Attempt-Id");
     run->next = std::strtoll(after.c_str(), nullptr, 10) + 1;
     run->last = std::strtoll(body_of(message).c_str(), nullptr, 10);
@@ -180,7 +185,7 @@
     json const entry = {{"service", which.service},
                         {"address", fmt::format("127.0.0.1:{}", which.port)},
                         {"zone", "krapina"},
-                        {"version", "v1"},
+                        {"version", which.software_version},
                         {"slots", 8},
                         {"state", "ready"},
                         {"cold_remaining_ms", 0},
