Continue a text only at the software version that began it

Trainers got texts whose first part one software version had written and whose rest another one, with nothing in the answer to show it: a sample whose run broke off, fell silent or was moved off a slow engine went on at any engine. What two versions write does not fit together, and engines don't check it.

Cause: the version in an upstream's entry was ignored, and the progress of a sample did not say what had generated its text. Ruled out: the versions of weights, which are recorded for each event and are another thing.

Now the progress names service and software version of its text. Only upstreams of these are candidates. The text waits for one for 1 s; then, or at once when none serves, it is discarded and the sample starts again. A run whose upstream turns out to have started again with another version under its id loses its text. Entries of upstreams without a version name no upstream. The lines of runs tell the software version; text_discarded tells why a text was dropped.

--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -41,11 +41,23 @@
     return *middle;
 }
 
+/// \param software_version empty for any.
+bool has_version(upstream const& upstream, std::string_view software_version)
+{
+    return software_version.empty() || upstream.record.software_version == software_version;
+}
+
+/// Whether an upstream serves, though it may be suspended for a moment.
+bool is_serving(pool const& pool, upstream const& upstream, std::string_view service)
+{
+    return upstream.record.service == service && !upstream.record.draining && !upstream.missing &&
+           !pool.domains_out.contains(upstream.record.domain);
+}
+
 bool is_usable(pool const& pool, upstream const& upstream, std::string_view service,
                base::mono_time now)
 {
-    return upstream.record.service == service && !upstream.record.draining && !upstream.missing &&
-           now >= upstream.suspended_until && !pool.domains_out.contains(upstream.record.domain);
+    return is_serving(pool, upstream, service) && now >= upstream.suspended_until;
 }
 
 void refill_cold_budget(upstream& upstream, double requests_per_s, std::uint32_t sharing_processes,
@@ -175,7 +187,8 @@
     bool assigned_available = false;
     for (auto& [id, upstream] : pool.upstreams)
     {
-        if (!is_usable(pool, upstream, requirements.service, now))
+        if (!is_usable(pool, upstream, requirements.service, now) ||
+            !has_version(upstream, requirements.software_version))
         {
             continue;
         }
@@ -221,6 +234,16 @@
 
 } // namespace
 
+bool has_software_version(pool const& pool, std::string_view service,
+                          std::string_view software_version)
+{
+    return std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
+                       [&](auto const& entry) {
+                           return is_serving(pool, entry.second, service) &&
+                                  has_version(entry.second, software_version);
+                       });
+}
+
 bool should_move_sample(pool& pool, configuration const& configuration, std::string_view id,
                         sample_requirements const& requirements, base::mono_time now)
 {
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -33,6 +33,8 @@
     std::string_view model;
     /// Oldest version of the weights that may generate the sample.
     std::uint32_t least_version = 0;
+    /// Software version that began the sample's text and must continue it; empty without text.
+    std::string_view software_version;
     /// Upstream that has already processed the prompt of the group, or empty.
     std::string_view preferred;
     /// Upstream on which the previous run broke off, or empty. It is chosen only if no other one
@@ -78,6 +80,12 @@
                                                            sample_requirements const& requirements,
                                                            base::mono_time now);
 
+/// \ingroup fleet
+/// \brief Whether an upstream of a software version serves, so that a text of that version can be
+/// continued. It may be busy.
+[[nodiscard]] bool has_software_version(pool const& pool, std::string_view service,
+                                        std::string_view software_version);
+
 /// \ingroup fleet
 /// \brief Whether a running sample should move to another upstream: its own is slow, and the best
 /// alternative is more than twice as fast. The new upstream has to process the prompt and the text
--- a/src/fleet/upstream_record.hpp
+++ b/src/fleet/upstream_record.hpp
@@ -20,6 +20,9 @@
     std::string address;
     /// Failure domain.
     std::string domain;
+    /// Version of the upstream's software, not of weights. What two versions write does not fit
+    /// together.
+    std::string software_version;
     /// Number of requests that it processes concurrently.
     std::uint32_t slots = 1;
     /// Set when it will leave soon and takes no new requests.
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -4,6 +4,7 @@
 #include "gateway/list_exchange.hpp"
 #include "gateway/list_polling.hpp"
 #include "gateway/permits.hpp"
+#include "gateway/sample_runs.hpp"
 #include "gateway/shared_entries.hpp"
 #include "platform/operator_state.hpp"
 #include "platform/protocol_names.hpp"
@@ -115,6 +116,7 @@
     auto const change =
         fleet::apply_list(self.pool, platform::decode_upstreams(read, read_at), now);
     discard_unused_buckets(self);
+    abort_runs_on_replaced_upstreams(self);
     log_ids("upstream_added", change.added);
     log_ids("upstream_draining", change.draining);
     log_ids("upstream_removed", change.removed);
--- a/src/gateway/sample_run.hpp
+++ b/src/gateway/sample_run.hpp
@@ -4,6 +4,7 @@
 #include "base/time.hpp"
 #include "http/call.hpp"
 #include "platform/event_stream.hpp"
+#include "rollout/text_origin.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,6 +22,8 @@
     /// Index of the sample in its job.
     std::size_t index = 0;
     std::string upstream;
+    /// Service and software version of the upstream.
+    rollout::text_origin origin;
     std::shared_ptr<http::call> call;
     platform::event_stream stream;
     /// Version of the weights that the request requires of the upstream; 0 for any.
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -1,5 +1,6 @@
 #include "gateway/sample_runner.hpp"
 
+#include "base/log.hpp"
 #include "fleet/choose_upstream.hpp"
 #include "gateway/permits.hpp"
 #include "gateway/refresh.hpp"
@@ -8,6 +9,7 @@
 #include "process/main_loop.hpp"
 #include "rollout/waiting_sample.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,6 +32,9 @@
 // Limits the samples that are moved off slow upstreams in one check, so that they don't overload
 // the others.
 constexpr int max_moves_per_check = 2;
+// A text waits this long for an upstream of the software version that began it. To start again
+// costs the time that the text has taken, mostly less than two seconds.
+constexpr base::duration max_origin_wait = std::chrono::milliseconds(1000);
 // A sample with fewer expected tokens left is not moved.
 constexpr std::uint32_t min_tokens_to_move = 200;
 
@@ -69,41 +74,80 @@
     std::string service;
     std::string model;
     std::uint32_t least_version = 0;
+    /// Empty for any.
+    std::string software_version;
 
     friend auto operator<=>(sample_kind const&, sample_kind const&) = default;
 };
 
-/// Starts a run of a waiting sample.
+/// Chooses an upstream for a waiting sample. Its text, if it has one, is continued by the software
+/// version that began it.
 /// \param unplaceable kinds of samples that no upstream can take at present.
-/// \returns false when no upstream can take the sample at present.
-bool dispatch_sample(gateway& self, rollout::waiting_sample const& waiting,
-                     std::set<sample_kind>& unplaceable, base::mono_time now)
+std::optional<fleet::chosen_upstream> choose_for(gateway& self, owned_job const& job,
+                                                 std::size_t index, std::string const& service,
+                                                 std::set<sample_kind>& unplaceable,
+                                                 base::mono_time now)
 {
-    auto& job = self.jobs.at(waiting.job_id);
-    auto const& spec = job.spec.samples[waiting.index];
-    auto const* const route = route_of(self, job.record);
-    auto const& service = fleet::service_for_request(*route, spec.id);
-    sample_kind const key{service, spec.model, job.spec.least_version};
-    if (unplaceable.contains(key))
+    auto const& spec = job.spec.samples[index];
+    auto const& progress = job.samples[index];
+    auto const version = progress.origin ? progress.origin->software_version : std::string();
+    sample_kind const kind{service, spec.model, job.spec.least_version, version};
+    if (unplaceable.contains(kind))
     {
-        return false;
+        return std::nullopt;
     }
-    auto const& progress = job.samples[waiting.index];
+    fleet::sample_requirements need;
+    need.service = service;
+    need.model = spec.model;
+    need.least_version = job.spec.least_version;
+    need.software_version = version;
+    need.avoided = progress.avoided_upstream;
     auto const group = job.upstream_by_group.find(spec.group);
-    fleet::sample_requirements need{service, spec.model, job.spec.least_version, "",
-                                    progress.avoided_upstream};
     if (group != job.upstream_by_group.end())
     {
         need.preferred = group->second;
     }
-    auto const chosen = fleet::choose_sample(self.pool, *self.configuration, need, now);
+    auto chosen = fleet::choose_sample(self.pool, *self.configuration, need, now);
     if (!chosen)
     {
-        unplaceable.insert(key);
-        return false;
+        unplaceable.insert(kind);
+    }
+    return chosen;
+}
+
+/// Whether the text of a sample should wait for an upstream that may continue it.
+bool may_wait_for_origin(gateway const& self, rollout::sample_progress const& progress,
+                         std::string const& service, base::mono_time now)
+{
+    return progress.origin->service == service && now < progress.not_before + max_origin_wait &&
+           fleet::has_software_version(self.pool, service, progress.origin->software_version);
+}
+
+/// Starts a run of a waiting sample if an upstream can take it at present. A text that nothing can
+/// continue is discarded, and the sample starts again.
+void dispatch_sample(gateway& self, rollout::waiting_sample const& waiting,
+                     std::set<sample_kind>& unplaceable, base::mono_time now)
+{
+    auto& job = self.jobs.at(waiting.job_id);
+    auto& progress = job.samples[waiting.index];
+    auto const& spec = job.spec.samples[waiting.index];
+    auto const& service = fleet::service_for_request(*route_of(self, job.record), spec.id);
+    auto chosen = choose_for(self, job, waiting.index, service, unplaceable, now);
+    if (!chosen && progress.origin && !may_wait_for_origin(self, progress, service, now))
+    {
+        base::log_line(base::log_level::info, "text_discarded",
+                       {{"sample", spec.id},
+                        {"job", waiting.job_id},
+                        {"software", progress.origin->software_version},
+                        {"events", static_cast<std::int64_t>(progress.events)},
+                        {"reason", "no upstream of the software version that began it is free"}});
+        rollout::discard_text(progress);
+        chosen = choose_for(self, job, waiting.index, service, unplaceable, now);
+    }
+    if (chosen)
+    {
+        start_run(self, job, waiting.index, *chosen, now);
     }
-    start_run(self, job, waiting.index, *chosen, now);
-    return true;
 }
 
 void dispatch_waiting_samples(gateway& self)
@@ -123,7 +167,7 @@
     std::set<sample_kind> unplaceable;
     for (auto const& sample : waiting)
     {
-        (void)dispatch_sample(self, sample, unplaceable, now);
+        dispatch_sample(self, sample, unplaceable, now);
     }
     request_wanted_permits(self);
 }
@@ -158,8 +202,12 @@
         }
         auto const* const upstream = fleet::find_upstream(self.pool, run.upstream);
         auto const service = upstream != nullptr ? upstream->record.service : std::string();
-        fleet::sample_requirements const need{service, context->spec->model,
-                                              context->job->spec.least_version, "", run.upstream};
+        fleet::sample_requirements need;
+        need.service = service;
+        need.model = context->spec->model;
+        need.least_version = context->job->spec.least_version;
+        need.software_version = run.origin.software_version;
+        need.avoided = run.upstream;
         if (fleet::should_move_sample(self.pool, *self.configuration, run.upstream, need, now))
         {
             slow_runs.push_back(run_number);
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace gooseberrywood::gateway
 {
@@ -47,6 +48,7 @@
                    {{"sample", context.spec->id},
                     {"job", run.job_id},
                     {"upstream", run.upstream},
+                    {"software", run.origin.software_version},
                     {"reason", reason},
                     {"status", status},
                     {"weights", std::int64_t{run.version}},
@@ -206,7 +208,7 @@
         run.version = *event.version;
         fleet::note_weights(self.pool, run.upstream, context.spec->model, run.version);
     }
-    if (!rollout::append_event(*context.progress, event, run.version))
+    if (!rollout::append_event(*context.progress, event, run.version, run.origin))
     {
         return false;
     }
@@ -316,9 +318,17 @@
     run.job_id = job.record.id;
     run.index = index;
     run.upstream = chosen.id;
+    if (auto const* const upstream = fleet::find_upstream(self.pool, chosen.id))
+    {
+        run.origin = {upstream->record.service, upstream->record.software_version};
+    }
     run.expected_version = chosen.expected_version;
     run.started_at = now;
     run.silence_deadline = now + first_event_timeout;
+    if (progress.origin && *progress.origin != run.origin)
+    {
+        rollout::discard_text(progress);
+    }
     platform::upstream_target const target{
         chosen.id,       chosen.address, job.record.host,
         job.record.team, spec.id,        std::min(job.give_up_at, now + max_run_time)};
@@ -354,6 +364,27 @@
     end_run(self, run_number, {});
 }
 
+void abort_runs_on_replaced_upstreams(gateway& self)
+{
+    std::vector<std::uint64_t> affected;
+    for (auto const& [run_number, run] : self.runs)
+    {
+        auto const* const upstream = fleet::find_upstream(self.pool, run.upstream);
+        if (upstream != nullptr && upstream->record.software_version != run.origin.software_version)
+        {
+            affected.push_back(run_number);
+        }
+    }
+    for (auto const run_number : affected)
+    {
+        if (auto const context = context_of(self, self.runs.at(run_number)))
+        {
+            rollout::discard_text(*context->progress);
+        }
+        abort_run(self, run_number, "the upstream has another software version now");
+    }
+}
+
 void cancel_run(gateway& self, std::string const& job_id, std::size_t index)
 {
     cancel_runs_if(self, [&](sample_run const& run)
--- a/src/gateway/sample_runs.hpp
+++ b/src/gateway/sample_runs.hpp
@@ -42,6 +42,11 @@
 /// received.
 void move_run(gateway& self, std::uint64_t run_number);
 
+/// \ingroup gateway
+/// \brief Discards the texts of runs on upstreams that have started again with another software
+/// version, and aborts these runs.
+void abort_runs_on_replaced_upstreams(gateway& self);
+
 /// \ingroup gateway
 /// \brief Cancels the run of one sample, if there is one.
 void cancel_run(gateway& self, std::string const& job_id, std::size_t index);
--- a/src/rollout.hpp
+++ b/src/rollout.hpp
@@ -16,6 +16,7 @@
 #include "rollout/sample_progress.hpp"
 #include "rollout/saved_progress.hpp"
 #include "rollout/store_keys.hpp"
+#include "rollout/text_origin.hpp"
 #include "rollout/waiting_sample.hpp"
 
 #endif
--- a/src/rollout/sample_progress.cpp
+++ b/src/rollout/sample_progress.cpp
@@ -3,7 +3,8 @@
 namespace gooseberrywood::rollout
 {
 
-bool append_event(sample_progress& progress, stream_event const& event, std::uint32_t version)
+bool append_event(sample_progress& progress, stream_event const& event, std::uint32_t version,
+                  text_origin const& origin)
 {
     if (progress.last_event_id && event.id != *progress.last_event_id + 1)
     {
@@ -17,6 +18,7 @@
     ++progress.events;
     progress.last_event_id = event.id;
     progress.versions.insert(version);
+    progress.origin = origin;
     return true;
 }
 
@@ -30,6 +32,7 @@
     progress.text.clear();
     progress.events = 0;
     progress.last_event_id.reset();
+    progress.origin.reset();
     progress.versions.clear();
     progress.complete = false;
 }
--- a/src/rollout/sample_progress.hpp
+++ b/src/rollout/sample_progress.hpp
@@ -3,6 +3,7 @@
 
 #include "base/time.hpp"
 #include "rollout/stream_event.hpp"
+#include "rollout/text_origin.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -38,6 +39,8 @@
     std::size_t events = 0;
     /// Id of the last event in the text.
     std::optional<std::int64_t> last_event_id;
+    /// What generated the text; absent without text.
+    std::optional<text_origin> origin;
     /// Versions of the weights that generated an event of the text.
     std::set<std::uint32_t> versions;
     /// The text is complete; at most its score is missing.
@@ -55,9 +58,10 @@
 /// \ingroup rollout
 /// \brief Appends an event to the text of a sample.
 /// \param version version of the weights that generated the event.
+/// \param origin what generated the event.
 /// \returns false, without a change, when the event id does not directly follow the last one.
 [[nodiscard]] bool append_event(sample_progress& progress, stream_event const& event,
-                                std::uint32_t version);
+                                std::uint32_t version, text_origin const& origin);
 
 /// \ingroup rollout
 /// \brief Whether the sample is unfinished and has text from which another owner of the job can
--- a/test/fleet_choose_test.cpp
+++ b/test/fleet_choose_test.cpp
@@ -310,7 +310,7 @@
             auto const model = "m" + std::to_string(process);
             for (int i = 0; i < samples; ++i)
             {
-                fleet::sample_requirements const requirements{"engines", model, 1, "", ""};
+                fleet::sample_requirements const requirements{"engines", model, 1, "", "", ""};
                 if (auto const chosen = fleet::choose_sample(pool, config, requirements, at_ms(0)))
                 {
                     fleet::note_sample_sent(pool, chosen->id, at_ms(0));
@@ -344,7 +344,7 @@
         (void)fleet::apply_list(pool, listed, at_ms(0));
         THEN("its samples use other engines that have the weights")
         {
-            fleet::sample_requirements const requirements{"engines", "m0", 1, "", ""};
+            fleet::sample_requirements const requirements{"engines", "m0", 1, "", "", ""};
             CHECK(fleet::choose_sample(pool, config, requirements, at_ms(0)).has_value());
         }
     }
@@ -424,3 +424,40 @@
         CHECK(fleet::choose_sample(pool, config, requirements, at_ms(0))->id == "b");
     }
 }
+
+SCENARIO("a text is continued only by upstreams of the software version that began it")
+{
+    auto const config = make_configuration();
+    fleet::pool pool;
+    std::vector<fleet::upstream_record> listed = {make_record("a", "engines", "krapina"),
+                                                  make_record("b", "engines", "zabok")};
+    listed[0].software_version = "v1";
+    listed[1].software_version = "v2";
+    (void)fleet::apply_list(pool, listed, at_ms(0));
+    auto requirements = for_version(3);
+    requirements.software_version = "v1";
+    CHECK(fleet::choose_sample(pool, config, requirements, at_ms(0))->id == "a");
+    WHEN("the upstream of that version is slow and busy")
+    {
+        fleet::note_event_interval(pool, "a", 140ms, at_ms(0));
+        fleet::note_event_interval(pool, "b", 10ms, at_ms(0));
+        fleet::note_request_sent(pool, "a", at_ms(0));
+        fleet::note_request_sent(pool, "a", at_ms(0));
+        THEN("none is chosen, and the sample does not move")
+        {
+            CHECK_FALSE(fleet::choose_sample(pool, config, requirements, at_ms(0)).has_value());
+            CHECK_FALSE(fleet::should_move_sample(pool, config, "a", requirements, at_ms(0)));
+            CHECK(fleet::has_software_version(pool, "engines", "v1"));
+        }
+    }
+    WHEN("the upstream of that version is leaving")
+    {
+        listed[0].draining = true;
+        (void)fleet::apply_list(pool, listed, at_ms(10));
+        THEN("no upstream of that version serves")
+        {
+            CHECK_FALSE(fleet::has_software_version(pool, "engines", "v1"));
+            CHECK_FALSE(fleet::choose_sample(pool, config, requirements, at_ms(10)).has_value());
+        }
+    }
+}
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -84,8 +84,10 @@
     CHECK(upstreams[0].cold_until == at_ms(1600));
     CHECK(upstreams[0].weights.at("m0") == 3);
     CHECK(upstreams[0].started_ms == 17);
-    for (std::string const field : {"\"service\":\"s\"", "\"slots\":8", "\"state\":\"draining\"",
-                                    "\"address\":\"10.0.0.9:80\"", "\"cold_remaining_ms\":1500"})
+    CHECK(upstreams[0].software_version == "v1");
+    for (std::string const field :
+         {"\"service\":\"s\"", "\"slots\":8", "\"state\":\"draining\"",
+          "\"address\":\"10.0.0.9:80\"", "\"cold_remaining_ms\":1500", "\"version\":\"v1\""})
     {
         auto text = valid_entry;
         text.replace(text.find(field), field.size(), "\"x\":1");
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -83,18 +83,20 @@
 
 SCENARIO("events are appended to the text of a sample in order")
 {
+    rollout::text_origin const origin{"engines", "v1"};
     rollout::sample_progress progress;
-    REQUIRE(rollout::append_event(progress, {1, "a", {}}, 4));
-    REQUIRE(rollout::append_event(progress, {2, "b", {}}, 5));
+    REQUIRE(rollout::append_event(progress, {1, "a", {}}, 4, origin));
+    REQUIRE(rollout::append_event(progress, {2, "b", {}}, 5, origin));
     THEN("all versions that generated the text are recorded")
     {
         CHECK(progress.text == "a\nb");
         CHECK(progress.versions == std::set<std::uint32_t>{4, 5});
+        CHECK(progress.origin == origin);
     }
     THEN("an event after a gap and a duplicate event are rejected and change nothing")
     {
-        CHECK_FALSE(rollout::append_event(progress, {4, "d", {}}, 5));
-        CHECK_FALSE(rollout::append_event(progress, {2, "b", {}}, 5));
+        CHECK_FALSE(rollout::append_event(progress, {4, "d", {}}, 5, origin));
+        CHECK_FALSE(rollout::append_event(progress, {2, "b", {}}, 5, origin));
         CHECK(progress.text == "a\nb");
         CHECK(progress.last_event_id == 2);
     }
