Save with a text which software version generated it

Cause: the saved progress of a sample had the text, but not what generated it. Ruled out: the owner's own choice of engines, which keeps to the version since the last commit.

Now service and software version are saved with the text, and the next owner waits for such an upstream from the moment at which it has loaded the job. A text that does not tell, as earlier builds saved it, is discarded; the number of failed runs stays.

gateway_software_versions_test, "saved texts go on ...", failed before: 4 of 8 texts were joined where the old version had left while all gateways were down. It passes now.

--- a/src/gateway/job_running.cpp
+++ b/src/gateway/job_running.cpp
@@ -99,6 +99,8 @@
         if (it != job.index_by_id.end())
         {
             job.samples[it->second] = std::move(progress);
+            // The text waits from now on for an upstream that may continue it.
+            job.samples[it->second].not_before = base::mono_now();
         }
     }
     apply_listed_results(self, job, std::move(stored.results));
--- a/test/process/gateway_software_versions_test.cpp
+++ b/test/process/gateway_software_versions_test.cpp
@@ -135,3 +135,40 @@
         }
     }
 }
+
+SCENARIO("saved texts go on at the software version that began them after all gateways were killed")
+{
+    site_service service(2);
+    constexpr int events = 200;
+    std::vector<int> const samples(8, events);
+    set_version(service, "engines-0", "v1");
+    set_version(service, "engines-1", "v2");
+    std::this_thread::sleep_for(list_time);
+    REQUIRE(submit(service.gateways[0], "job", samples) == 202);
+    // Texts are saved each 1.2 s.
+    std::this_thread::sleep_for(2500ms);
+    for (auto const& gateway : service.gateways)
+    {
+        send_signal(*gateway.program, SIGKILL);
+    }
+    WHEN("both versions serve when gateways come back")
+    {
+        add_gateway(service);
+        auto const results = wait_results(service.gateways.back(), "job", samples.size());
+        check_one_version_each(results, events);
+        THEN("texts were resumed")
+        {
+            CHECK(site_state(service).at("resumed") > 0);
+        }
+    }
+    WHEN("the old version has left when gateways come back")
+    {
+        set_site(service, "upstream", {{"id", "engines-0"}, {"listed", false}, {"refuses", true}});
+        add_gateway(service);
+        THEN("its texts begin anew")
+        {
+            auto const results = wait_results(service.gateways.back(), "job", samples.size());
+            check_one_version_each(results, events);
+        }
+    }
+}
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -112,12 +112,25 @@
             CHECK(decoded->at("id").text == "a\nb");
             CHECK(decoded->at("id").last_event_id == 2);
             CHECK(decoded->at("id").versions == progress.versions);
+            CHECK(decoded->at("id").origin == origin);
             CHECK(decoded->at("id").complete);
             CHECK(decoded->at("id").phase == rollout::sample_phase::waiting);
         }
     }
 }
 
+SCENARIO("a saved text that does not tell what generated it is not resumed")
+{
+    // Guards against texts that are joined from two software versions after a change of the owner.
+    auto const decoded = rollout::decode_progress(
+        R"({"samples":[{"id":"i","text":"a","events":1,"last_event_id":1,"versions":[4],)"
+        R"("complete":false,"failed_runs":2,"failed_rewards":0}]})");
+    REQUIRE(decoded.has_value());
+    CHECK_FALSE(decoded->at("i").last_event_id.has_value());
+    CHECK(decoded->at("i").text.empty());
+    CHECK(decoded->at("i").failed_runs == 2);
+}
+
 SCENARIO("job records and results are decoded as they were encoded")
 {
     rollout::job_record const record{"id", "team", "host", "/path/", base::wall_time{12us},
