Let callers take a stream up only at the software version that began it

A caller whose stream broke off got its rest from any upstream of the service: of 16 take-ups at another gateway, with two versions in service, those that began at the version that the gateway would not have chosen were joined from both (the report "rejoined", in a test of our own; no deployment at hand has routes with streams).

Cause: the request with the caller's last event was passed on like any other. Nothing recorded what had begun the stream, and no gateway but the first could have known.

A take-up goes only to upstreams of these. Without proof, or when nothing of that version serves, it is refused with 503 stream_not_resumable and runs nowhere. Weighed and left: memory of the gateways alone (lost when all are killed) and versions derived from ids (views differ). A stream costs one more call to the store.

The serving of plain requests moves from callers.cpp, which had grown large, to serve_plain.cpp.

--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -55,6 +55,8 @@
                      "The process cannot tell whether its configuration is still in force."},
     result_code_info{rc::retry_budget_spent, "retry_budget_spent", 503, 75, true,
                      "The request was refused and the retry budget is spent."},
+    result_code_info{rc::stream_not_resumable, "stream_not_resumable", 503, 75, true,
+                     "What began the stream is unknown, or nothing of that version serves."},
     result_code_info{rc::outcome_unknown, "outcome_unknown", 502, 76, false,
                      "The request may have run; its answer is lost."},
     result_code_info{rc::upstream_error, "upstream_error", 502, 76, false,
--- a/src/base/result_code.hpp
+++ b/src/base/result_code.hpp
@@ -42,6 +42,7 @@
     ledger_full = 115,
     configuration_stale = 116,
     retry_budget_spent = 117,
+    stream_not_resumable = 118,
 
     // 200-299: the request ran, or may have run.
     outcome_unknown = 200,
--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -226,10 +226,14 @@
     return found;
 }
 
+chosen_upstream make_choice(upstream_record const& record, std::uint32_t expected_version)
+{
+    return {record.id, record.address, record.service, record.software_version, expected_version};
+}
+
 chosen_upstream make_choice(sample_candidate const& candidate)
 {
-    return {candidate.target->record.id, candidate.target->record.address,
-            candidate.expected_version};
+    return make_choice(candidate.target->record, candidate.expected_version);
 }
 
 } // namespace
@@ -275,6 +279,7 @@
     {
         bool const has_room = upstream.running < upstream.record.slots * max_requests_per_slot;
         if (is_usable(pool, upstream, requirements.service, now) && has_room &&
+            has_version(upstream, requirements.software_version) &&
             !contains(requirements.tried, id) && allows_request(upstream, service, pool, now))
         {
             candidates.push_back(&upstream);
@@ -287,9 +292,7 @@
     };
     auto* const best = choose_permitted<upstream*>(
         candidates, [](upstream* candidate) -> upstream& { return *candidate; }, is_better, now);
-    return best != nullptr
-               ? std::optional(chosen_upstream{(*best)->record.id, (*best)->record.address, 0})
-               : std::nullopt;
+    return best != nullptr ? std::optional(make_choice((*best)->record, 0)) : std::nullopt;
 }
 
 std::optional<chosen_upstream> choose_sample(pool& pool, configuration const& configuration,
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -23,6 +23,8 @@
     std::string_view domain;
     /// Upstreams that earlier tries of the request used.
     std::span<std::string const> tried;
+    /// Software version that must serve the request; empty for any.
+    std::string_view software_version;
 };
 
 /// \ingroup fleet
@@ -48,6 +50,8 @@
 {
     std::string id;
     std::string address;
+    std::string service;
+    std::string software_version;
     /// Version of the weights that the sample requires, sent along so that an upstream without it
     /// refuses the sample; 0 when the upstream is known to have a version that is new enough.
     std::uint32_t expected_version = 0;
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -3,10 +3,9 @@
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
 #include "gateway/end_job.hpp"
-#include "gateway/measure.hpp"
 #include "gateway/read_job.hpp"
 #include "gateway/refresh.hpp"
-#include "gateway/route_request.hpp"
+#include "gateway/serve_plain.hpp"
 #include "gateway/submit_job.hpp"
 #include "http/status.hpp"
 #include "platform/batch_calls.hpp"
@@ -25,15 +24,6 @@
 
 // Another gateway may have a newer configuration already, and this one may have it by then.
 constexpr base::duration retry_after_stale = std::chrono::milliseconds(200);
-// A full service has a free slot again after a few requests.
-constexpr base::duration retry_after_full = std::chrono::milliseconds(100);
-
-// Divisor of the target latency. A request that finds no free upstream within this part of it is
-// refused, so that the caller can still be served in time elsewhere.
-constexpr int dispatch_deadline_divisor = 5;
-// Divisor of the target latency. A second upstream is tried after this part of it.
-constexpr int hedge_delay_divisor = 2;
-
 /// Rejects a request that the configuration does not allow. While a newer configuration may allow
 /// it, the request is refused with a retry delay instead.
 void deny(gateway& self, http::exchange& exchange, std::uint16_t status, base::error const& error,
@@ -83,111 +73,6 @@
     return *team;
 }
 
-std::string_view outcome_name(routed_outcome const& outcome)
-{
-    switch (outcome.kind)
-    {
-    case outcome_kind::answered:
-        return http::status::is_server_error(outcome.answer.status) ? "failed" : "answered";
-    case outcome_kind::refused:
-        return "refused";
-    case outcome_kind::unknown:
-        break;
-    }
-    return "unknown";
-}
-
-void record_outcome(gateway& self, platform::caller_head const& head, fleet::route const& route,
-                    routed_outcome const& outcome, base::mono_time arrived_at)
-{
-    auto const duration = base::mono_now() - arrived_at;
-    auto const name = outcome_name(outcome);
-    count_answer(self, route.name, name, duration);
-    base::log_line(base::log_level::info, "request_ended",
-                   {{"request", head.request_id},
-                    {"route", route.name},
-                    {"outcome", name},
-                    {"upstream", outcome.upstream},
-                    {"status", std::int64_t{outcome.answer.status}},
-                    {"tries", std::int64_t{outcome.tries}},
-                    {"took_us", duration.count()}});
-}
-
-void send_outcome(gateway& self, http::exchange& exchange, routed_outcome const& outcome)
-{
-    switch (outcome.kind)
-    {
-    case outcome_kind::answered:
-    {
-        auto const headers = platform::forwardable_headers(outcome.answer.headers);
-        auto const type = http::find_header(headers, "Content-Type");
-        http::respond(exchange, outcome.answer.status, type.value_or("application/octet-stream"),
-                      outcome.answer.body, headers);
-        break;
-    }
-    case outcome_kind::refused:
-        refuse(self, exchange, outcome.error, retry_after_full);
-        break;
-    case outcome_kind::unknown:
-        answer_error(self, exchange,
-                     outcome.error.code == result_code::deadline_passed ? http::status::timeout
-                                                                        : http::status::bad_gateway,
-                     outcome.error);
-        break;
-    }
-}
-
-routed_spec make_plain_spec(http::exchange const& exchange, platform::caller_head const& head,
-                            fleet::route const& route, std::string team, base::mono_time now)
-{
-    routed_spec spec;
-    spec.service = fleet::service_for_request(route, head.request_id);
-    spec.host = head.host;
-    spec.team = std::move(team);
-    spec.request_id = head.request_id;
-    spec.idempotent = route.kind == fleet::route_kind::idempotent;
-    spec.max_runs = route.attempts;
-    spec.deadline = std::min(now + route.timeout, head.deadline.value_or(base::mono_time::max()));
-    spec.dispatch_deadline =
-        std::min(spec.deadline, now + route.target_latency / dispatch_deadline_divisor);
-    spec.hedge_delay = route.target_latency / hedge_delay_divisor;
-    spec.call = {head.method,
-                 head.target,
-                 head.content_type,
-                 std::string(exchange.body),
-                 head.forwarded_headers,
-                 spec.idempotent};
-    return spec;
-}
-
-void serve_plain(gateway& self, std::shared_ptr<http::exchange> const& exchange,
-                 platform::caller_head const& head, fleet::route const& route,
-                 std::string const& team, base::mono_time now)
-{
-    auto spec = make_plain_spec(*exchange, head, route, team, now);
-    auto const number =
-        start_request(self, std::move(spec),
-                      [&self, exchange, head, route, team, now](routed_outcome const& outcome)
-                      {
-                          record_outcome(self, head, route, outcome, now);
-                          if (outcome.started_at && !team.empty())
-                          {
-                              duty::count_request(self.usage, team, *outcome.started_at);
-                          }
-                          send_outcome(self, *exchange, outcome);
-                      });
-    exchange->on_disconnected = [&self, number, team, id = head.request_id]
-    {
-        base::log_line(base::log_level::info, "caller_gone", {{"request", id}});
-        auto const started_at = cancel_request(self, number);
-        if (started_at && !team.empty())
-        {
-            duty::count_request(self.usage, team, *started_at);
-        }
-    };
-    self.open_exchanges.push_back(exchange);
-}
-
 void serve_request(gateway& self, std::shared_ptr<http::exchange> const& exchange,
                    platform::caller_head const& head, base::mono_time now)
 {
@@ -208,7 +93,7 @@
         submit_job(self, exchange, head, *route, *team);
         return;
     }
-    serve_plain(self, exchange, head, *route, *team, now);
+    serve_plain(self, {exchange, head, *route, *team, now});
 }
 
 void handle_batch_call(gateway& self, std::shared_ptr<http::exchange> const& exchange,
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #include "gateway/sample_run.hpp"
 #include "gateway/shared_view.hpp"
 #include "gateway/store_relay.hpp"
+#include "gateway/stream_origins.hpp"
 #include "http/server.hpp"
 #include "process/main_loop.hpp"
 #include "rollout/member.hpp"
@@ -99,6 +100,7 @@
     peer_connections peers;
     list_exchange lists;
     permit_exchange permits;
+    stream_origins origins;
 
     std::uint64_t last_number = 0;
     std::map<std::uint64_t, std::unique_ptr<routed_request>> requests;
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -140,12 +140,13 @@
                     {"runs", std::int64_t{request.runs}}});
 }
 
-routed_outcome answered_outcome(http::fetch_outcome& answer, std::string upstream)
+routed_outcome answered_outcome(http::fetch_outcome& answer, routed_try const& ended)
 {
     routed_outcome outcome;
     outcome.kind = outcome_kind::answered;
     outcome.answer = std::move(*answer);
-    outcome.upstream = std::move(upstream);
+    outcome.upstream = ended.upstream;
+    outcome.origin = ended.origin;
     return outcome;
 }
 
@@ -208,12 +209,12 @@
     }
     if (outcome == fleet::try_outcome::answered)
     {
-        finish(self, *request, answered_outcome(answer, ended.upstream));
+        finish(self, *request, answered_outcome(answer, ended));
         return;
     }
     if (outcome == fleet::try_outcome::failed)
     {
-        request->failed_answer = answered_outcome(answer, ended.upstream);
+        request->failed_answer = answered_outcome(answer, ended);
     }
     bool const has_time = now + min_try_duration < request->spec.deadline;
     perform_step(self, *request,
@@ -252,6 +253,7 @@
     fleet::note_request_sent(self.pool, chosen.id, now);
     auto& started_try = request.running_tries[index];
     started_try.upstream = chosen.id;
+    started_try.origin = {chosen.service, chosen.software_version};
     started_try.sent_at = now;
     started_try.started_at = base::wall_now();
     started_try.fetch = http::start_fetch(
@@ -266,7 +268,7 @@
 {
     auto const now = base::mono_now();
     fleet::plain_requirements const need{request.spec.service, self.settings.domain,
-                                         request.tried_upstreams};
+                                         request.tried_upstreams, request.spec.software_version};
     auto const chosen = fleet::choose_plain(self.pool, *self.configuration, need, now);
     request_wanted_permits(self);
     if (chosen)
--- a/src/gateway/routed_request.hpp
+++ b/src/gateway/routed_request.hpp
@@ -5,6 +5,7 @@
 #include "base/time.hpp"
 #include "http/fetch.hpp"
 #include "platform/upstream_calls.hpp"
+#include "rollout/text_origin.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -27,6 +28,8 @@
     std::string team;
     std::string request_id;
     platform::plain_call call;
+    /// Software version that must serve the request; empty for any.
+    std::string software_version;
     bool idempotent = false;
     /// Maximum number of upstreams that the request may run on.
     std::uint32_t max_runs = 1;
@@ -57,6 +60,8 @@
     /// Set when `kind` is `answered`.
     http::fetched_response answer;
     std::string upstream;
+    /// Service and software version of that upstream when the request was sent.
+    rollout::text_origin origin;
     /// When the request started to run, if it may have run.
     std::optional<base::wall_time> started_at;
     /// Set when there is no answer.
@@ -69,6 +74,8 @@
 struct routed_try
 {
     std::string upstream;
+    /// Service and software version of the upstream.
+    rollout::text_origin origin;
     base::mono_time sent_at{};
     base::wall_time started_at{};
     std::shared_ptr<http::fetch> fetch;
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -318,10 +318,7 @@
     run.job_id = job.record.id;
     run.index = index;
     run.upstream = chosen.id;
-    if (auto const* const upstream = fleet::find_upstream(self.pool, chosen.id))
-    {
-        run.origin = {upstream->record.service, upstream->record.software_version};
-    }
+    run.origin = {chosen.service, chosen.software_version};
     run.expected_version = chosen.expected_version;
     run.started_at = now;
     run.silence_deadline = now + first_event_timeout;
--- /dev/null
+++ b/src/gateway/serve_plain.cpp
@@ -0,0 +1,231 @@
+#include "gateway/serve_plain.hpp"
+
+#include "base/log.hpp"
+#include "fleet/choose_upstream.hpp"
+#include "gateway/answer_caller.hpp"
+#include "gateway/measure.hpp"
+#include "gateway/route_request.hpp"
+#include "gateway/stream_origins.hpp"
+#include "http/status.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberrywood::gateway
+{
+
+namespace
+{
+
+using base::result_code;
+
+// A full service has a free slot again after a few requests.
+constexpr base::duration retry_after_full = std::chrono::milliseconds(100);
+
+// Divisor of the target latency. A request that finds no free upstream within this part of it is
+// refused, so that the caller can still be served in time elsewhere.
+constexpr int dispatch_deadline_divisor = 5;
+// Divisor of the target latency. A second upstream is tried after this part of it.
+constexpr int hedge_delay_divisor = 2;
+
+// The store, or an upstream of the version that began a stream, may be back by then.
+constexpr base::duration retry_after_not_resumable = std::chrono::milliseconds(500);
+
+std::string_view outcome_name(routed_outcome const& outcome)
+{
+    switch (outcome.kind)
+    {
+    case outcome_kind::answered:
+        return http::status::is_server_error(outcome.answer.status) ? "failed" : "answered";
+    case outcome_kind::refused:
+        return "refused";
+    case outcome_kind::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+void record_outcome(gateway& self, plain_request const& request, routed_outcome const& outcome)
+{
+    auto const duration = base::mono_now() - request.arrived_at;
+    auto const name = outcome_name(outcome);
+    count_answer(self, request.route.name, name, duration);
+    base::log_line(base::log_level::info, "request_ended",
+                   {{"request", request.head.request_id},
+                    {"route", request.route.name},
+                    {"outcome", name},
+                    {"upstream", outcome.upstream},
+                    {"status", std::int64_t{outcome.answer.status}},
+                    {"tries", std::int64_t{outcome.tries}},
+                    {"took_us", duration.count()}});
+}
+
+void send_outcome(gateway& self, http::exchange& exchange, routed_outcome const& outcome)
+{
+    switch (outcome.kind)
+    {
+    case outcome_kind::answered:
+    {
+        auto const headers = platform::forwardable_headers(outcome.answer.headers);
+        auto const type = http::find_header(headers, "Content-Type");
+        http::respond(exchange, outcome.answer.status, type.value_or("application/octet-stream"),
+                      outcome.answer.body, headers);
+        break;
+    }
+    case outcome_kind::refused:
+        refuse(self, exchange, outcome.error, retry_after_full);
+        break;
+    case outcome_kind::unknown:
+        answer_error(self, exchange,
+                     outcome.error.code == result_code::deadline_passed ? http::status::timeout
+                                                                        : http::status::bad_gateway,
+                     outcome.error);
+        break;
+    }
+}
+
+routed_spec make_spec(plain_request const& request)
+{
+    auto const& [exchange, head, route, team, now] = request;
+    routed_spec spec;
+    spec.service = fleet::service_for_request(route, head.request_id);
+    spec.host = head.host;
+    spec.team = team;
+    spec.request_id = head.request_id;
+    spec.idempotent = route.kind == fleet::route_kind::idempotent;
+    spec.max_runs = route.attempts;
+    spec.deadline = std::min(now + route.timeout, head.deadline.value_or(base::mono_time::max()));
+    spec.dispatch_deadline =
+        std::min(spec.deadline, now + route.target_latency / dispatch_deadline_divisor);
+    spec.hedge_delay = route.target_latency / hedge_delay_divisor;
+    spec.call = {head.method,
+                 head.target,
+                 head.content_type,
+                 std::string(exchange->body),
+                 head.forwarded_headers,
+                 spec.idempotent};
+    return spec;
+}
+
+void count_usage(gateway& self, plain_request const& request,
+                 std::optional<base::wall_time> const& started_at)
+{
+    if (started_at && !request.team.empty())
+    {
+        duty::count_request(self.usage, request.team, *started_at);
+    }
+}
+
+/// Whether the outcome begins a stream that the caller may take up at another gateway.
+bool begins_stream(plain_request const& request, routed_outcome const& outcome)
+{
+    return request.route.kind == fleet::route_kind::streaming && !request.head.takes_up_stream &&
+           outcome.kind == outcome_kind::answered &&
+           http::status::is_success(outcome.answer.status);
+}
+
+void on_outcome(gateway& self, plain_request const& request, routed_outcome const& outcome)
+{
+    record_outcome(self, request, outcome);
+    count_usage(self, request, outcome.started_at);
+    if (!begins_stream(request, outcome))
+    {
+        send_outcome(self, *request.exchange, outcome);
+        return;
+    }
+    save_stream_origin(self, request.head.request_id, outcome.origin,
+                       [&self, request, outcome]
+                       {
+                           if (!request.exchange->disconnected)
+                           {
+                               send_outcome(self, *request.exchange, outcome);
+                           }
+                       });
+}
+
+void start(gateway& self, plain_request const& request, routed_spec spec)
+{
+    auto const number = start_request(self, std::move(spec),
+                                      [&self, request](routed_outcome const& outcome)
+                                      { on_outcome(self, request, outcome); });
+    // The request holds the exchange, so the handler must not hold the request.
+    request.exchange->on_disconnected =
+        [&self, number, team = request.team, id = request.head.request_id]
+    {
+        base::log_line(base::log_level::info, "caller_gone", {{"request", id}});
+        auto const started_at = cancel_request(self, number);
+        if (started_at && !team.empty())
+        {
+            duty::count_request(self.usage, team, *started_at);
+        }
+    };
+    self.open_exchanges.push_back(request.exchange);
+}
+
+void refuse_take_up(gateway& self, plain_request const& request, std::string reason)
+{
+    refuse(self, *request.exchange, {result_code::stream_not_resumable, std::move(reason)},
+           retry_after_not_resumable);
+}
+
+void continue_stream(gateway& self, plain_request const& request,
+                     base::result<std::optional<rollout::text_origin>> const& origin)
+{
+    if (!origin)
+    {
+        refuse_take_up(self, request,
+                       "the store does not tell what began the stream: " + origin.error().message);
+        return;
+    }
+    if (!*origin)
+    {
+        refuse_take_up(self, request, "no gateway knows what began the stream");
+        return;
+    }
+    auto const& [service, software_version] = **origin;
+    bool const is_routed = std::any_of(request.route.services.begin(), request.route.services.end(),
+                                       [&](auto const& share) { return share.service == service; });
+    if (!is_routed || !fleet::has_software_version(self.pool, service, software_version))
+    {
+        refuse_take_up(self, request, "no upstream of the software version that began it serves");
+        return;
+    }
+    auto spec = make_spec(request);
+    spec.service = service;
+    spec.software_version = software_version;
+    start(self, request, std::move(spec));
+}
+
+void take_up_stream(gateway& self, plain_request const& request)
+{
+    if (request.head.resumed_attempt.empty())
+    {
+        refuse_take_up(self, request,
+                       "the request does not name the attempt that began the stream");
+        return;
+    }
+    auto const deadline = std::min(request.arrived_at + request.route.timeout,
+                                   request.head.deadline.value_or(base::mono_time::max()));
+    find_stream_origin(self, request.head.resumed_attempt, deadline,
+                       [&self, request](auto const& origin)
+                       {
+                           if (!http::is_caller_disconnected(*request.exchange))
+                           {
+                               continue_stream(self, request, origin);
+                           }
+                       });
+}
+
+} // namespace
+
+void serve_plain(gateway& self, plain_request request)
+{
+    if (request.route.kind == fleet::route_kind::streaming && request.head.takes_up_stream)
+    {
+        take_up_stream(self, request);
+        return;
+    }
+    start(self, request, make_spec(request));
+}
+
+} // namespace gooseberrywood::gateway
--- a/src/rollout/saved_progress.cpp
+++ b/src/rollout/saved_progress.cpp
@@ -14,17 +14,19 @@
 
 json to_json(std::string const& id, sample_progress const& progress)
 {
-    auto const origin = progress.origin.value_or(text_origin{});
-    return {{"id", id},
-            {"text", progress.text},
-            {"events", progress.events},
-            {"last_event_id", progress.last_event_id.value_or(0)},
-            {"service", origin.service},
-            {"software_version", origin.software_version},
-            {"versions", progress.versions},
-            {"complete", progress.complete},
-            {"failed_runs", progress.failed_runs},
-            {"failed_rewards", progress.failed_rewards}};
+    json object = {{"id", id},
+                   {"text", progress.text},
+                   {"events", progress.events},
+                   {"last_event_id", progress.last_event_id.value_or(0)},
+                   {"versions", progress.versions},
+                   {"complete", progress.complete},
+                   {"failed_runs", progress.failed_runs},
+                   {"failed_rewards", progress.failed_rewards}};
+    if (progress.origin)
+    {
+        add_fields(object, *progress.origin);
+    }
+    return object;
 }
 
 bool read_versions(json const& item, std::set<std::uint32_t>& versions)
@@ -45,20 +47,6 @@
     return true;
 }
 
-/// Reads what generated the text. A text of unknown origin is discarded, as builds up to 0.1.0
-/// saved it: no upstream may continue it. The number of failed attempts stays.
-void read_origin(json const& item, sample_progress& progress)
-{
-    auto service = base::read_text(item, "service");
-    auto version = base::read_text(item, "software_version");
-    if (!service || !version || version->empty())
-    {
-        discard_text(progress);
-        return;
-    }
-    progress.origin = text_origin{std::move(*service), std::move(*version)};
-}
-
 std::optional<sample_progress> from_json(json const& item)
 {
     auto text = base::read_text(item, "text");
@@ -82,7 +70,12 @@
     progress.complete = *complete;
     progress.failed_runs = static_cast<std::uint32_t>(*failed_runs);
     progress.failed_rewards = static_cast<std::uint32_t>(*failed_rewards);
-    read_origin(item, progress);
+    progress.origin = read_origin(item);
+    if (!progress.origin)
+    {
+        // Builds up to 0.1.0 saved no origin. No upstream may continue a text of unknown origin.
+        discard_text(progress);
+    }
     return progress;
 }
 
--- a/src/rollout/store_keys.hpp
+++ b/src/rollout/store_keys.hpp
@@ -46,6 +46,14 @@
     return fmt::format("job/{}/progress", id);
 }
 
+/// Key of the origin of a stream that a caller may take up again.
+/// \param attempt_hash hash of the id of the caller's attempt that began the stream. The id itself
+/// is the caller's text, of any length.
+[[nodiscard]] inline std::string stream_origin_key(std::string_view attempt_hash)
+{
+    return fmt::format("stream/{}", attempt_hash);
+}
+
 [[nodiscard]] inline std::string record_key(std::string_view id)
 {
     return fmt::format("{}{}", record_prefix, id);
--- a/test/fleet_choose_test.cpp
+++ b/test/fleet_choose_test.cpp
@@ -54,7 +54,7 @@
                                                         make_record("b", "desk", "zabok")};
     (void)fleet::apply_list(pool, listed, at_ms(0));
     std::vector<std::string> tried;
-    fleet::plain_requirements requirements{"desk", "zabok", tried};
+    fleet::plain_requirements requirements{"desk", "zabok", tried, ""};
     THEN("among equally loaded ones, the one in the own failure domain is chosen")
     {
         CHECK(fleet::choose_plain(pool, config, requirements, at_ms(0))->id == "b");
--- a/test/fleet_rate_limit_test.cpp
+++ b/test/fleet_rate_limit_test.cpp
@@ -77,7 +77,7 @@
     auto& limited = pool.upstreams.at("a").limit;
     (void)fleet::note_statement(limited, 1.0, at_ms(0), at_ms(0));
     std::vector<std::string> const tried;
-    fleet::plain_requirements const need{"desk", "d", tried};
+    fleet::plain_requirements const need{"desk", "d", tried, ""};
     WHEN("it has none")
     {
         auto const chosen = fleet::choose_plain(pool, configuration, need, at_ms(10));
--- a/test/process/support/site_service.cpp
+++ b/test/process/support/site_service.cpp
@@ -31,6 +31,7 @@
             {"routes",
              {route("lookup", "desk.example", "/q/", "idempotent", "desk", false),
               route("reward", "desk.example", "/r/", "idempotent", "desk", true),
+              route("chat", "chat.example", "/s/", "streaming", "engines", false),
               route("train", "train.example", "/t/", "rollout", "engines", false)}},
             {"services",
              {{{"name", "engines"},
@@ -111,13 +112,15 @@
 
 http_response call_gateway(gateway_under_test const& at, std::string const& method,
                            std::string const& target, std::string const& host,
-                           std::string const& id, std::string const& body, std::string const& key)
+                           std::string const& id, std::string const& body, std::string const& key,
+                           std::vector<std::pair<std::string, std::string>> const& headers)
 {
     http_request request{fmt::format("http://127.0.0.1:{}{}", at.http_port, target), method, body};
     request.headers = {{"Host", host},
                        {"Attempt-Id", id},
                        {"Deadline-Ms", "3000"},
                        {"Authorization", "Bearer " + key}};
+    request.headers.insert(request.headers.end(), headers.begin(), headers.end());
     auto answer = fetch(request);
     if (!answer)
     {
--- a/test/process/support/site_service.hpp
+++ b/test/process/support/site_service.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace gooseberrywood::test
@@ -45,10 +46,11 @@
 void set_site(site_service const& of, std::string const& what, nlohmann::json const& body);
 
 /// Sends a request of the team, or with another key.
-[[nodiscard]] http_response call_gateway(gateway_under_test const& at, std::string const& method,
-                                         std::string const& target, std::string const& host,
-                                         std::string const& id, std::string const& body = "",
-                                         std::string const& key = "key-1");
+[[nodiscard]] http_response
+call_gateway(gateway_under_test const& at, std::string const& method, std::string const& target,
+             std::string const& host, std::string const& id, std::string const& body = "",
+             std::string const& key = "key-1",
+             std::vector<std::pair<std::string, std::string>> const& headers = {});
 
 /// Body of a batch job of samples that have this many events each.
 [[nodiscard]] std::string make_batch_job(std::string const& id, std::vector<int> const& events,
