--- a/src/gateway/serve_plain.cpp
+++ b/src/gateway/serve_plain.cpp
@@ -218,7 +218,7 @@
 
 } // namespace
 
-void serve_plain(gateway& self, plain_request request)
+void serve_plain(gateway& self, plain_request const& request)
 {
     if (request.route.kind == fleet::route_kind::streaming && request.head.takes_up_stream)
     {
--- a/src/gateway/serve_plain.hpp
+++ b/src/gateway/serve_plain.hpp
@@ -28,7 +28,7 @@
 /// \ingroup gateway
 /// \brief Routes a plain request to an upstream and answers the caller. A request that takes up a
 /// stream goes only to the software version that began the stream.
-void serve_plain(gateway& self, plain_request request);
+void serve_plain(gateway& self, plain_request const& request);
 
 } // namespace gooseberrywood::gateway
 
