--- a/src/gateway/serve_plain.cpp
+++ b/src/gateway/serve_plain.cpp
@@ -182,17 +182,19 @@
         refuse_take_up(self, request, "no gateway knows what began the stream");
         return;
     }
-    auto const& [service, software_version] = **origin;
-    bool const is_routed = std::any_of(request.route.services.begin(), request.route.services.end(),
-                                       [&](auto const& share) { return share.service == service; });
-    if (!is_routed || !fleet::has_software_version(self.pool, service, software_version))
+    auto const& began_by = **origin;
+    bool const is_routed =
+        std::any_of(request.route.services.begin(), request.route.services.end(),
+                    [&](auto const& share) { return share.service == began_by.service; });
+    if (!is_routed ||
+        !fleet::has_software_version(self.pool, began_by.service, began_by.software_version))
     {
         refuse_take_up(self, request, "no upstream of the software version that began it serves");
         return;
     }
     auto spec = make_spec(request);
-    spec.service = service;
-    spec.software_version = software_version;
+    spec.service = began_by.service;
+    spec.software_version = began_by.software_version;
     start(self, request, std::move(spec));
 }
 
