--- a/test/fleet_choose_test.cpp
+++ b/test/fleet_choose_test.cpp
@@ -1,3 +1,4 @@
+#include "at_ms.hpp"
 #include "fleet.hpp"
 
 #include <doctest/doctest.h>
@@ -6,16 +7,12 @@
 #include <map>
 
 using namespace gooseberrywood;
+using gooseberrywood::test::at_ms;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-base::mono_time at_ms(std::int64_t milliseconds)
-{
-    return base::mono_time{std::chrono::milliseconds(milliseconds)};
-}
-
 fleet::configuration make_configuration()
 {
     fleet::configuration configuration;
--- a/test/fleet_pool_test.cpp
+++ b/test/fleet_pool_test.cpp
@@ -1,18 +1,15 @@
+#include "at_ms.hpp"
 #include "fleet.hpp"
 
 #include <doctest/doctest.h>
 
 using namespace gooseberrywood;
+using gooseberrywood::test::at_ms;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-base::mono_time at_ms(std::int64_t milliseconds)
-{
-    return base::mono_time{std::chrono::milliseconds(milliseconds)};
-}
-
 fleet::upstream_record make_record(std::string id)
 {
     fleet::upstream_record record;
--- a/test/fleet_rate_limit_test.cpp
+++ b/test/fleet_rate_limit_test.cpp
@@ -1,3 +1,4 @@
+#include "at_ms.hpp"
 #include "fleet.hpp"
 
 #include <doctest/doctest.h>
@@ -6,17 +7,13 @@
 #include <vector>
 
 using namespace gooseberrywood;
+using gooseberrywood::test::at_ms;
 using namespace std::chrono_literals;
 using fleet::issuer_certainty;
 
 namespace
 {
 
-base::mono_time at_ms(std::int64_t milliseconds)
-{
-    return base::mono_time{std::chrono::milliseconds(milliseconds)};
-}
-
 fleet::upstream_record make_record(std::string id)
 {
     fleet::upstream_record record;
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -1,3 +1,4 @@
+#include "at_ms.hpp"
 #include "platform/platform.hpp"
 #include "property.hpp"
 
@@ -5,16 +6,12 @@
 #include <nlohmann/json.hpp>
 
 using namespace gooseberrywood;
+using gooseberrywood::test::at_ms;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-base::mono_time at_ms(std::int64_t milliseconds)
-{
-    return base::mono_time{std::chrono::milliseconds(milliseconds)};
-}
-
 constexpr std::string_view configuration = R"({"version":7,
 "routes":[{"name":"r","host":"h.example","prefix":"/p/","route_type":"idempotent","timeout_ms":800,
 "target_latency_ms":150,"priority":2,"traffic_split":[{"service":"s","weight":90},
--- a/test/rollout_permit_issuer_test.cpp
+++ b/test/rollout_permit_issuer_test.cpp
@@ -1,3 +1,4 @@
+#include "at_ms.hpp"
 #include "rollout.hpp"
 
 #include <doctest/doctest.h>
@@ -5,15 +6,11 @@
 #include <string>
 
 using namespace gooseberrywood;
+using gooseberrywood::test::at_ms;
 
 namespace
 {
 
-base::mono_time at_ms(std::int64_t milliseconds)
-{
-    return base::mono_time{std::chrono::milliseconds(milliseconds)};
-}
-
 rollout::member_map make_members(std::initializer_list<char const*> hosts)
 {
     rollout::member_map members;
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -1,3 +1,4 @@
+#include "at_ms.hpp"
 #include "property.hpp"
 #include "rollout.hpp"
 
@@ -7,16 +8,12 @@
 #include <queue>
 
 using namespace gooseberrywood;
+using gooseberrywood::test::at_ms;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-base::mono_time at_ms(std::int64_t milliseconds)
-{
-    return base::mono_time{std::chrono::milliseconds(milliseconds)};
-}
-
 rollout::waiting_sample make_waiting(std::size_t index, std::uint32_t tokens, base::mono_time due)
 {
     return {"job", index, due, tokens, 0};
--- a/test/store_list_copy_test.cpp
+++ b/test/store_list_copy_test.cpp
@@ -1,3 +1,4 @@
+#include "at_ms.hpp"
 #include "property.hpp"
 #include "store/list_copy.hpp"
 
@@ -6,15 +7,11 @@
 #include <map>
 
 using namespace gooseberrywood;
+using gooseberrywood::test::at_ms;
 
 namespace
 {
 
-base::mono_time at_ms(std::int64_t milliseconds)
-{
-    return base::mono_time{std::chrono::milliseconds(milliseconds)};
-}
-
 store::read_window between_ms(std::int64_t begin, std::int64_t end)
 {
     return {at_ms(begin), at_ms(end)};
