Split the answers to runs of samples from the start and end of runs

What an answer does to a run is in sample_run_answers.cpp. The search for messages that a lost gateway will not answer stood in three places; it is numbers_sent_to now. No change of behaviour; unit tests and lint pass.

--- a/src/gateway/list_exchange.cpp
+++ b/src/gateway/list_exchange.cpp
@@ -4,6 +4,7 @@
 #include "gateway/gateway.hpp"
 #include "gateway/job_running.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/pending_messages.hpp"
 #include "gateway/refresh.hpp"
 #include "rollout/list_readers.hpp"
 #include "rollout/result_chunk.hpp"
@@ -12,7 +13,6 @@
 
 #include <span>
 #include <utility>
-#include <vector>
 
 namespace gooseberrywood::gateway
 {
@@ -160,15 +160,7 @@
 
 void fail_list_requests_to(gateway& self, std::string const& address)
 {
-    std::vector<std::uint64_t> affected;
-    for (auto const& [number, request] : self.lists.pending)
-    {
-        if (request.address == address)
-        {
-            affected.push_back(number);
-        }
-    }
-    for (auto const number : affected)
+    for (auto const number : numbers_sent_to(self.lists.pending, address))
     {
         complete_request(self, number, std::nullopt);
     }
--- a/src/gateway/permits.cpp
+++ b/src/gateway/permits.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/gateway.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/pending_messages.hpp"
 #include "gateway/sample_runner.hpp"
 #include "http/status.hpp"
 
@@ -10,7 +11,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace gooseberrywood::gateway
 {
@@ -179,15 +179,7 @@
 
 void fail_permit_requests_to(gateway& self, std::string const& address)
 {
-    std::vector<std::uint64_t> affected;
-    for (auto const& [number, request] : self.permits.pending)
-    {
-        if (request.address == address)
-        {
-            affected.push_back(number);
-        }
-    }
-    for (auto const number : affected)
+    for (auto const number : numbers_sent_to(self.permits.pending, address))
     {
         on_no_answer(self, number);
     }
--- a/src/gateway/sample_runs.hpp
+++ b/src/gateway/sample_runs.hpp
@@ -32,6 +32,22 @@
 void start_run(gateway& self, owned_job& job, std::size_t index,
                fleet::chosen_upstream const& chosen, base::mono_time now);
 
+// Delays before a sample is dispatched again: the first one after a run that was aborted or failed,
+// the second one after a run that the upstream refused or whose weights were too old.
+inline constexpr base::duration abort_delay = std::chrono::milliseconds(50);
+inline constexpr base::duration refusal_delay = std::chrono::milliseconds(20);
+
+/// \ingroup gateway
+/// \brief Logs and counts an event of a run.
+/// \param status HTTP status of the upstream's answer; 0 without one.
+void log_run(gateway& self, std::string_view event, sample_run const& run,
+             run_context const& context, std::string_view reason, std::int64_t status);
+
+/// \ingroup gateway
+/// \brief Ends a run. Its sample returns to the waiting state and is not dispatched before the
+/// delay has passed.
+void end_run(gateway& self, std::uint64_t run_number, base::duration delay);
+
 /// \ingroup gateway
 /// \brief Aborts a run that failed or timed out. Another upstream resumes the sample after the last
 /// event received.
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/gateway.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/pending_messages.hpp"
 #include "http/status.hpp"
 #include "wire/codec.hpp"
 
@@ -212,15 +213,7 @@
 
 void fail_relayed_calls(gateway& self, std::string const& relay_address)
 {
-    std::vector<std::uint64_t> affected;
-    for (auto const& [number, call] : self.relay.pending)
-    {
-        if (call.relay_address == relay_address)
-        {
-            affected.push_back(number);
-        }
-    }
-    for (auto const number : affected)
+    for (auto const number : numbers_sent_to(self.relay.pending, relay_address))
     {
         complete_relayed_call(self, number, no_answer(true));
     }
--- a/src/gateway/store_relay.hpp
+++ b/src/gateway/store_relay.hpp
@@ -22,7 +22,7 @@
 struct relayed_call
 {
     /// Peer address of that gateway.
-    std::string relay_address;
+    std::string address;
     std::function<void(http::fetch_outcome)> done;
     base::event_source timer;
 };
