Remember the rate limit of an upstream that is not listed for a while

An upstream that is cut off from the store loses its entry and serves on. When it is listed again, gateways that had been told of its rate limit sent as to any upstream until its next answer, each of them. Found by reading; the new case of fleet_rate_limit_test failed before (no limit known).

Cause: the limit was dropped with the upstream. It is kept for 120 s now, and restored unless the upstream has restarted.

--- a/src/fleet/pool.cpp
+++ b/src/fleet/pool.cpp
@@ -47,6 +47,28 @@
     }
 }
 
+// An upstream that is cut off from the store for longer is taken as gone.
+constexpr base::duration unlisted_limit_lifetime = std::chrono::seconds(120);
+
+void keep_limit(pool& pool, upstream const& removed, base::mono_time now)
+{
+    if (removed.limit.requests_per_s)
+    {
+        pool.unlisted_limits[removed.record.id] = {removed.record.started_ms, removed.limit,
+                                                   now + unlisted_limit_lifetime};
+    }
+}
+
+/// Restores the rate limit of an upstream that is listed again, unless it has restarted.
+void restore_limit(pool& pool, upstream& added)
+{
+    auto const kept = pool.unlisted_limits.extract(added.record.id);
+    if (!kept.empty() && kept.mapped().started_ms == added.record.started_ms)
+    {
+        added.limit = kept.mapped().limit;
+    }
+}
+
 void remove_missing(pool& pool, std::set<std::string_view> const& listed, base::mono_time now,
                     pool_change& change)
 {
@@ -64,6 +86,7 @@
             continue;
         }
         change.removed.push_back(it->first);
+        keep_limit(pool, it->second, now);
         it = pool.upstreams.erase(it);
     }
 }
@@ -81,6 +104,7 @@
         if (is_new)
         {
             it->second.record = record;
+            restore_limit(pool, it->second);
             change.added.push_back(record.id);
             continue;
         }
@@ -91,6 +115,8 @@
         update(it->second, record);
     }
     remove_missing(pool, ids, now, change);
+    std::erase_if(pool.unlisted_limits,
+                  [&](auto const& kept) { return now >= kept.second.forget_at; });
     return change;
 }
 
--- a/src/fleet/pool.hpp
+++ b/src/fleet/pool.hpp
@@ -19,6 +19,17 @@
 /// \brief Model that each upstream serves, by the id of the upstream.
 using model_shares = std::map<std::string, std::string, std::less<>>;
 
+/// \ingroup fleet
+/// \brief Rate limit of an upstream that is no longer listed. It may be listed again: its entry
+/// also expires while it can't reach the store.
+struct unlisted_limit
+{
+    /// Incarnation that stated the limit; see `upstream_record::started_ms`.
+    std::int64_t started_ms = 0;
+    rate_limit limit;
+    base::mono_time forget_at{};
+};
+
 /// \ingroup fleet
 /// \brief The upstreams that this process may use.
 struct pool
@@ -31,6 +42,8 @@
     std::set<std::string, std::less<>> domains_out;
     /// Number of processes that share the budget of a cold upstream; at least 1.
     std::uint32_t sharing_processes = 1;
+    /// By id.
+    std::map<std::string, unlisted_limit> unlisted_limits;
     /// Until this time, upstreams that are missing from the list are kept: their entries may have
     /// expired while the store was unavailable.
     base::mono_time keep_missing_until{};
--- a/test/fleet_rate_limit_test.cpp
+++ b/test/fleet_rate_limit_test.cpp
@@ -110,6 +110,21 @@
         fleet::note_request_sent(pool, "b", at_ms(10));
         CHECK(fleet::choose_plain(pool, configuration, need, at_ms(10))->id == "b");
     }
+    WHEN("it is missing from the list and comes back")
+    {
+        // Guards against a limit that is forgotten while the upstream is cut off from the store.
+        (void)fleet::apply_list(pool, std::vector{listed[1]}, at_ms(20));
+        (void)fleet::apply_list(pool, listed, at_ms(5000));
+        CHECK(pool.upstreams.at("a").limit.requests_per_s == 1.0);
+    }
+    WHEN("it is missing from the list and has restarted when it comes back")
+    {
+        auto restarted = listed;
+        restarted[0].started_ms = 7;
+        (void)fleet::apply_list(pool, std::vector{listed[1]}, at_ms(20));
+        (void)fleet::apply_list(pool, restarted, at_ms(5000));
+        CHECK_FALSE(pool.upstreams.at("a").limit.requests_per_s.has_value());
+    }
     WHEN("it restarts")
     {
         auto restarted = listed;
