--- a/src/fleet/permit_bucket.cpp
+++ b/src/fleet/permit_bucket.cpp
@@ -18,7 +18,9 @@
 // another one.
 constexpr double min_requests_per_s = 0.1;
 
+// Processes that know different limits name them at different times.
 constexpr base::duration raise_delay = std::chrono::seconds(2);
+// A denied process asks again within this time, since the limit may have been raised.
 constexpr base::duration max_denial = std::chrono::seconds(2);
 
 struct bucket_size
