--- a/test/rate_limit_model_test.cpp
+++ b/test/rate_limit_model_test.cpp
@@ -140,7 +140,7 @@
         {
             fleet::use_permit(self.limit, now);
         }
-        bool const counts = now >= self.told_at + told_delay && now >= self.disturbed_until;
+        bool const counts = now - told_delay >= self.told_at && now >= self.disturbed_until;
         arrivals.push_back({now, counts});
         later(duration(10ms, 1200ms), [this, &self, sent_at = now, incarnation = self.incarnation]
               { answer(self, sent_at, incarnation); });
