Discard a text only when the sample can start again at once

After a kill of all gateways the first one that is back loads its jobs before it has read the list of upstreams. No upstream of the version that began a saved text was known then, so the text was discarded though that version served, and the sample waited all the same.

Cause: the text was given up before another upstream was chosen. Now it is discarded where the run on another version starts, and nowhere else.

--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -1,6 +1,5 @@
 #include "gateway/sample_runner.hpp"
 
-#include "base/log.hpp"
 #include "fleet/choose_upstream.hpp"
 #include "gateway/permits.hpp"
 #include "gateway/refresh.hpp"
@@ -80,18 +79,18 @@
     friend auto operator<=>(sample_kind const&, sample_kind const&) = default;
 };
 
-/// Chooses an upstream for a waiting sample. Its text, if it has one, is continued by the software
-/// version that began it.
+/// Chooses an upstream for a waiting sample.
+/// \param software_version version that must run it; empty for any.
 /// \param unplaceable kinds of samples that no upstream can take at present.
 std::optional<fleet::chosen_upstream> choose_for(gateway& self, owned_job const& job,
                                                  std::size_t index, std::string const& service,
+                                                 std::string const& software_version,
                                                  std::set<sample_kind>& unplaceable,
                                                  base::mono_time now)
 {
     auto const& spec = job.spec.samples[index];
     auto const& progress = job.samples[index];
-    auto const version = progress.origin ? progress.origin->software_version : std::string();
-    sample_kind const kind{service, spec.model, job.spec.least_version, version};
+    sample_kind const kind{service, spec.model, job.spec.least_version, software_version};
     if (unplaceable.contains(kind))
     {
         return std::nullopt;
@@ -100,7 +99,7 @@
     need.service = service;
     need.model = spec.model;
     need.least_version = job.spec.least_version;
-    need.software_version = version;
+    need.software_version = software_version;
     need.avoided = progress.avoided_upstream;
     auto const group = job.upstream_by_group.find(spec.group);
     if (group != job.upstream_by_group.end())
@@ -123,8 +122,9 @@
            fleet::has_software_version(self.pool, service, progress.origin->software_version);
 }
 
-/// Starts a run of a waiting sample if an upstream can take it at present. A text that nothing can
-/// continue is discarded, and the sample starts again.
+/// Starts a run of a waiting sample if an upstream can take it at present. The text of the sample,
+/// if it has one, is continued by the software version that began it. When no such upstream takes
+/// the sample, but another one does, the text is discarded and the sample starts again.
 void dispatch_sample(gateway& self, rollout::waiting_sample const& waiting,
                      std::set<sample_kind>& unplaceable, base::mono_time now)
 {
@@ -132,17 +132,11 @@
     auto& progress = job.samples[waiting.index];
     auto const& spec = job.spec.samples[waiting.index];
     auto const& service = fleet::service_for_request(*route_of(self, job.record), spec.id);
-    auto chosen = choose_for(self, job, waiting.index, service, unplaceable, now);
+    auto const version = progress.origin ? progress.origin->software_version : std::string();
+    auto chosen = choose_for(self, job, waiting.index, service, version, unplaceable, now);
     if (!chosen && progress.origin && !may_wait_for_origin(self, progress, service, now))
     {
-        base::log_line(base::log_level::info, "text_discarded",
-                       {{"sample", spec.id},
-                        {"job", waiting.job_id},
-                        {"software", progress.origin->software_version},
-                        {"events", static_cast<std::int64_t>(progress.events)},
-                        {"reason", "no upstream of the software version that began it is free"}});
-        rollout::discard_text(progress);
-        chosen = choose_for(self, job, waiting.index, service, unplaceable, now);
+        chosen = choose_for(self, job, waiting.index, service, "", unplaceable, now);
     }
     if (chosen)
     {
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -34,6 +34,23 @@
     }
 }
 
+/// Discards the text of a sample unless the upstream of the new run may continue it.
+void discard_foreign_text(rollout::sample_progress& progress, sample_run const& run,
+                          std::string const& sample)
+{
+    if (!progress.origin || *progress.origin == run.origin)
+    {
+        return;
+    }
+    base::log_line(base::log_level::info, "text_discarded",
+                   {{"sample", sample},
+                    {"job", run.job_id},
+                    {"software", progress.origin->software_version},
+                    {"events", static_cast<std::int64_t>(progress.events)},
+                    {"reason", "no upstream of the software version that began it is free"}});
+    rollout::discard_text(progress);
+}
+
 template <class Condition>
 void cancel_runs_if(gateway& self, Condition const& condition)
 {
@@ -110,10 +127,7 @@
     run.expected_version = chosen.expected_version;
     run.started_at = now;
     run.silence_deadline = now + first_event_timeout;
-    if (progress.origin && *progress.origin != run.origin)
-    {
-        rollout::discard_text(progress);
-    }
+    discard_foreign_text(progress, run, spec.id);
     platform::upstream_target const target{
         chosen.id,       chosen.address, job.record.host,
         job.record.team, spec.id,        std::min(job.give_up_at, now + max_run_time)};
