--- a/test/gateway_lease_keeper_test.cpp
+++ b/test/gateway_lease_keeper_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.hpp"
 #include "gateway/lease_keeper.hpp"
+#include "run_loop.hpp"
 
 #include <doctest/doctest.h>
 
@@ -7,21 +8,7 @@
 
 using namespace gooseberrywood;
 using namespace std::chrono_literals;
-
-namespace
-{
-
-void run_for(base::duration duration)
-{
-    bool is_over = false;
-    auto const timer = base::at(base::mono_now() + duration, [&] { is_over = true; });
-    while (!is_over)
-    {
-        g_main_context_iteration(nullptr, TRUE);
-    }
-}
-
-} // namespace
+using test::run_for;
 
 SCENARIO("a gateway limits its lease calls while the store is down")
 {
--- a/test/gateway_main_loop_delay_test.cpp
+++ b/test/gateway_main_loop_delay_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 #include "gateway/sample_runner.hpp"
 #include "process/main_loop.hpp"
+#include "run_loop.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,21 +11,7 @@
 
 using namespace gooseberrywood;
 using namespace std::chrono_literals;
-
-namespace
-{
-
-void run_for(base::duration duration)
-{
-    bool is_over = false;
-    auto const timer = base::at(base::mono_now() + duration, [&] { is_over = true; });
-    while (!is_over)
-    {
-        g_main_context_iteration(nullptr, TRUE);
-    }
-}
-
-} // namespace
+using test::run_for;
 
 SCENARIO("a delay of the gateway's main loop does not count as silence of its upstreams")
 {
--- a/test/gateway_peer_connections_test.cpp
+++ b/test/gateway_peer_connections_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/peer_connections.hpp"
+#include "run_loop.hpp"
 
 #include <doctest/doctest.h>
 
@@ -8,24 +9,11 @@
 
 using namespace gooseberrywood;
 using namespace std::chrono_literals;
+using test::run_until;
 
 namespace
 {
 
-/// Runs the main loop until the condition holds, for at most five seconds.
-/// \returns whether the condition holds.
-template <class Condition>
-bool run_until(Condition const& condition)
-{
-    bool timed_out = false;
-    auto const timer = base::at(base::mono_now() + 5s, [&] { timed_out = true; });
-    while (!condition() && !timed_out)
-    {
-        g_main_context_iteration(nullptr, TRUE);
-    }
-    return condition();
-}
-
 wire::store_answer numbered_message(std::uint64_t number, std::size_t bytes = 0)
 {
     return {number, 200, true, std::string(bytes, 'x')};
