Stand-in: upstreams that crash, fail or answer late

An upstream of the stand-in ends when it begins to run a request with the body crash, closes what runs there, and comes back after 0.5 s under its id with a new start time, or under a new id. It can answer 500 a number of times, and lookups late. No test needed that so far, so no test could find a request that is sent on after it has crashed three upstreams.

--- a/test/process/support/site_service.cpp
+++ b/test/process/support/site_service.cpp
@@ -65,8 +65,9 @@
 
 } // namespace
 
-site_service::site_service(int count)
-    : site(std::make_unique<process>("standin_site", std::vector<std::string>{}))
+site_service::site_service(int count, int desks)
+    : site(std::make_unique<process>("standin_site",
+                                     std::vector<std::string>{fmt::format("--desks={}", desks)}))
 {
     site_port = wait_listening(*site);
     side_door_port = site_state(*this).at("side_door_port").get<std::uint16_t>();
--- a/test/process/support/site_service.hpp
+++ b/test/process/support/site_service.hpp
@@ -27,7 +27,7 @@
 struct site_service
 {
     /// The first gateway is the strongest one, so that it gets the jobs while it lives.
-    explicit site_service(int gateways);
+    explicit site_service(int gateways, int desks = 2);
 
     std::unique_ptr<process> site;
     std::uint16_t site_port = 0;
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -8,20 +8,27 @@
 
 using nlohmann::json;
 
+json to_json(std::vector<base::mono_time> const& times)
+{
+    auto list = json::array();
+    for (auto const at : times)
+    {
+        list.push_back(at.time_since_epoch().count());
+    }
+    return list;
+}
+
 void show_state(site& self, SoupServerMessage* message)
 {
     auto upstreams = json::array();
     for (auto const& one : self.upstreams)
     {
-        auto arrivals = json::array();
-        for (auto const at : one->arrivals)
-        {
-            arrivals.push_back(at.time_since_epoch().count());
-        }
+        auto const arrivals = to_json(one->arrivals);
         upstreams.push_back({{"id", one->id},
                              {"running", one->running},
                              {"refused", one->refused},
                              {"arrivals_us", arrivals},
+                             {"crashes_us", to_json(one->crashes)},
                              {"connections", one->caller_ports.size()},
                              {"orders", one->orders},
                              {"weights", one->weights}});
@@ -70,6 +77,7 @@
             continue;
         }
         one->refuses = body.value("refuses", one->refuses);
+        one->fails = body.value("fails", one->fails);
         one->silent = body.value("silent", one->silent);
         one->software_version = body.value("software_version", one->software_version);
         if (body.value("drops_runs", false))
@@ -78,6 +86,9 @@
         }
         one->marks_events = body.value("marks_events", one->marks_events);
         one->rate_limit = body.value("rate_limit", one->rate_limit);
+        one->renames = body.value("renames", one->renames);
+        one->answer_time =
+            std::chrono::milliseconds(body.value("answer_ms", one->answer_time.count() / 1000));
         if (body.value("forget_arrivals", false))
         {
             one->arrivals.clear();
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -58,6 +58,8 @@
     std::set<std::uint16_t> caller_ports;
     /// Answers 503 without running anything.
     bool refuses = false;
+    /// Number of requests that it runs and answers with 500, even while it refuses.
+    std::uint32_t fails = 0;
     /// Takes requests and stays silent.
     bool silent = false;
     /// Version of its software.
@@ -71,6 +73,18 @@
     double rate_limit = 0;
     /// Times at which requests arrived.
     std::vector<base::mono_time> arrivals;
+    /// Unix milliseconds of its start.
+    std::int64_t born = 1;
+    /// Times at which a request made it crash.
+    std::vector<base::mono_time> crashes;
+    /// Set while it is down after a crash: connections are closed without an answer.
+    base::event_source restart;
+    /// Time from a crash to the restart.
+    base::duration down_time = std::chrono::milliseconds(500);
+    /// After a crash it starts under a new id.
+    bool renames = false;
+    /// Time until a lookup is answered.
+    base::duration answer_time{};
     /// Time between two events.
     base::duration event_time = std::chrono::milliseconds(5);
 };
--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -10,6 +10,9 @@
 
 using nlohmann::json;
 
+/// An upstream that begins to run a request with this body ends.
+constexpr char const* crashing_body = "crash";
+
 std::string header(SoupServerMessage* message, char const* name)
 {
     auto const* const value =
@@ -46,7 +49,7 @@
 void send_event(std::shared_ptr<event_run> const& run)
 {
     auto* const message = run->message.get();
-    if (peer_closed(message) || run->number <= run->at->dropped_until)
+    if (peer_closed(message) || run->number <= run->at->dropped_until || run->at->restart)
     {
         --run->at->running;
         run->timer.reset();
@@ -94,6 +97,47 @@
     send_event(run);
 }
 
+void restart(site& self, site_upstream& at)
+{
+    // Moved out, since this runs in its handler.
+    auto const keep = std::move(at.restart);
+    at.restart.reset();
+    ++at.born;
+    if (at.renames)
+    {
+        self.values.erase("servers/" + at.id);
+        at.id = fmt::format("{}-{}", at.service, self.revision);
+    }
+    announce(self, at);
+}
+
+/// Ends the upstream and all that runs there, and starts it again after a while.
+void crash(site& self, site_upstream& at)
+{
+    at.crashes.push_back(base::mono_now());
+    at.restart = base::at(base::mono_now() + at.down_time, [&self, &at] { restart(self, at); });
+}
+
+/// Answers a lookup after the upstream's time, unless the upstream has ended meanwhile.
+void answer_later(site_upstream& at, SoupServerMessage* message)
+{
+    soup_server_message_pause(message);
+    std::shared_ptr<SoupServerMessage> const held = base::share(message);
+    auto const timer = std::make_shared<base::event_source>();
+    *timer = base::at(base::mono_now() + at.answer_time,
+                      [&at, born = at.born, timer, held]
+                      {
+                          auto const keep = std::move(*timer);
+                          if (at.restart || at.born != born)
+                          {
+                              close_connection(held.get());
+                              return;
+                          }
+                          answer(held.get(), SOUP_STATUS_OK, {{"echo", body_of(held.get())}});
+                          soup_server_message_unpause(held.get());
+                      });
+}
+
 void take_order(site_upstream& at, SoupServerMessage* message)
 {
     auto const body = json::parse(body_of(message));
@@ -118,6 +162,11 @@
 
 void serve_upstream(site& self, site_upstream& at, SoupServerMessage* message)
 {
+    if (at.restart)
+    {
+        close_connection(message);
+        return;
+    }
     at.caller_ports.insert(g_inet_socket_address_get_port(
         G_INET_SOCKET_ADDRESS(soup_server_message_get_remote_address(message))));
     auto const path = path_of(message);
@@ -150,6 +199,13 @@
         refuse(message, SOUP_STATUS_MISDIRECTED_REQUEST);
         return;
     }
+    if (at.fails > 0)
+    {
+        --at.fails;
+        ++self.runs[id];
+        answer(message, SOUP_STATUS_INTERNAL_SERVER_ERROR, json::object());
+        return;
+    }
     if (at.refuses)
     {
         ++at.refused;
@@ -158,6 +214,12 @@
     }
     ++self.runs[id];
     self.teams[id] = header(message, "Tenant");
+    if (body_of(message) == crashing_body)
+    {
+        crash(self, at);
+        close_connection(message);
+        return;
+    }
     if (at.silent)
     {
         soup_server_message_pause(message);
@@ -169,6 +231,11 @@
         start_stream(self, at, message);
         return;
     }
+    if (at.answer_time.count() > 0)
+    {
+        answer_later(at, message);
+        return;
+    }
     answer(message, SOUP_STATUS_OK, {{"echo", body_of(message)}});
 }
 
@@ -191,7 +258,7 @@
                         {"cold_remaining_ms", 0},
                         {"models", models},
                         {"seq", 1},
-                        {"born", 1}};
+                        {"born", which.born}};
     self.values["servers/" + which.id] = {entry.dump(), ++self.revision, 0};
 }
 
