--- a/src/gateway/stream_origins.cpp
+++ b/src/gateway/stream_origins.cpp
@@ -16,7 +16,7 @@
 
 // Callers take a stream up within their own deadline, which is seconds.
 constexpr base::duration min_lifetime = std::chrono::seconds(60);
-constexpr base::duration lease_length = std::chrono::seconds(150);
+constexpr entry_lifetime stored_lifetime{min_lifetime, std::chrono::seconds(150)};
 // The caller waits for its answer meanwhile.
 constexpr base::duration save_timeout = std::chrono::milliseconds(250);
 
@@ -32,27 +32,6 @@
     origins.known[key] = {origin, now + min_lifetime};
 }
 
-/// Calls back with a lease that lasts long enough for a new entry, or with 0.
-void with_lease(gateway& self, base::mono_time deadline, std::function<void(std::uint64_t)> then)
-{
-    auto const now = base::mono_now();
-    if (now + min_lifetime < self.origins.lease_ends_at)
-    {
-        then(self.origins.lease);
-        return;
-    }
-    self.store.grant(lease_length, deadline,
-                     [&self, now, then = std::move(then)](base::result<std::uint64_t> const& lease)
-                     {
-                         if (lease)
-                         {
-                             self.origins.lease = *lease;
-                             self.origins.lease_ends_at = now + lease_length;
-                         }
-                         then(lease.value_or(0));
-                     });
-}
-
 void log_not_saved(std::string const& attempt, std::string_view reason)
 {
     base::log_line(base::log_level::warning, "stream_origin_not_saved",
@@ -67,28 +46,29 @@
     auto const deadline = base::mono_now() + save_timeout;
     auto const key = key_of(attempt);
     remember(self.origins, key, origin, base::mono_now());
-    with_lease(self, deadline,
-               [&self, key, attempt, origin, deadline, then = std::move(then)](std::uint64_t lease)
-               {
-                   if (lease == 0)
-                   {
-                       log_not_saved(attempt, "the store granted no lease");
-                       then();
-                       return;
-                   }
-                   store::transaction entry;
-                   entry.writes.push_back({key, rollout::encode(origin), lease});
-                   self.store.commit_transaction(
-                       entry, deadline,
-                       [attempt, then](base::result<store::commit> const& outcome)
-                       {
-                           if (!outcome)
-                           {
-                               log_not_saved(attempt, outcome.error().message);
-                           }
-                           then();
-                       });
-               });
+    with_entry_lease(
+        self, self.origins.lease, stored_lifetime, deadline,
+        [&self, key, attempt, origin, deadline, then = std::move(then)](std::uint64_t lease)
+        {
+            if (lease == 0)
+            {
+                log_not_saved(attempt, "the store granted no lease");
+                then();
+                return;
+            }
+            store::transaction entry;
+            entry.writes.push_back({key, rollout::encode(origin), lease});
+            self.store.commit_transaction(
+                entry, deadline,
+                [attempt, then](base::result<store::commit> const& outcome)
+                {
+                    if (!outcome)
+                    {
+                        log_not_saved(attempt, outcome.error().message);
+                    }
+                    then();
+                });
+        });
 }
 
 void find_stream_origin(gateway& self, std::string const& attempt, base::mono_time deadline,
--- a/src/gateway/stream_origins.hpp
+++ b/src/gateway/stream_origins.hpp
@@ -3,9 +3,9 @@
 
 #include "base/result.hpp"
 #include "base/time.hpp"
+#include "gateway/entry_lease.hpp"
 #include "rollout/text_origin.hpp"
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -36,9 +36,8 @@
 {
     /// Origins of streams that this process has sent, by the key in the store.
     std::map<std::string, known_origin> known;
-    /// Lease that removes the entries; a new one is granted before it becomes too short.
-    std::uint64_t lease = 0;
-    base::mono_time lease_ends_at{};
+    /// Lease that removes the entries.
+    entry_lease lease;
 };
 
 /// \ingroup gateway
