Refuse requests that have crashed three upstreams, at all gateways

What callers saw: a request that ends each upstream that begins to run it came again under new ids, and every gateway sent it on, on up to `attempts` upstreams for each id; requests beside it were lost with the upstreams.

Cause: runs were counted for one attempt in one process. Nothing outlived the attempt.

Change: fleet/crash_marks keeps marks of a request and the end of an incarnation under it; gateway/crash_watch shares them through shared/crash/ in the store, or by frames while the store does not confirm. Samples and reward calls are never marked. Malformed answers now have a code of their own (http/call.cpp), as they are no crash.

Log lines (upstream_broke_off, crashing_request_refused, crash_marks_not_stored) and the counter come in this commit: the line names the number of known crashes, which needs the marks.

--- a/src/base/result_code.hpp
+++ b/src/base/result_code.hpp
@@ -43,6 +43,7 @@
     configuration_stale = 116,
     retry_budget_spent = 117,
     stream_not_resumable = 118,
+    crashing_request = 119,
 
     // 200-299: the request ran, or may have run.
     outcome_unknown = 200,
--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -228,7 +228,8 @@
 
 chosen_upstream make_choice(upstream_record const& record, std::uint32_t expected_version)
 {
-    return {record.id, record.address, record.service, record.software_version, expected_version};
+    return {record.id,         record.address,  record.service, record.software_version,
+            record.started_ms, expected_version};
 }
 
 chosen_upstream make_choice(sample_candidate const& candidate)
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -52,6 +52,8 @@
     std::string address;
     std::string service;
     std::string software_version;
+    /// Incarnation; see `upstream_record::started_ms`.
+    std::int64_t started_ms = 0;
     /// Version of the weights that the sample requires, sent along so that an upstream without it
     /// refuses the sample; 0 when the upstream is known to have a version that is new enough.
     std::uint32_t expected_version = 0;
--- a/src/gateway/dump.cpp
+++ b/src/gateway/dump.cpp
@@ -77,6 +77,7 @@
             {"leads", self.candidate.held.has_value()},
             {"members", dump_members(self)},
             {"requests", self.requests.size()},
+            {"crash_marks", self.crashes.marks.by_id.size()},
             {"runs", self.runs.size()},
             {"upstreams", dump_upstreams(self, now)},
             {"jobs", dump_jobs(self)}};
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "duty/weights_plan.hpp"
 #include "fleet/configuration.hpp"
 #include "fleet/pool.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/list_exchange.hpp"
 #include "gateway/owned_job.hpp"
 #include "gateway/peer_connections.hpp"
@@ -101,6 +102,7 @@
     list_exchange lists;
     permit_exchange permits;
     stream_origins origins;
+    crash_watch crashes;
 
     std::uint64_t last_number = 0;
     std::map<std::uint64_t, std::unique_ptr<routed_request>> requests;
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -119,6 +119,15 @@
                    {{"service", service}, {"outcome", outcome}}));
 }
 
+void count_crash_sighting(gateway& self, std::string_view outcome)
+{
+    add(counter_at(
+        self.metrics,
+        {"gateway_crash_sightings_total",
+         "tries under which an upstream broke off, and requests refused because of that"},
+        {{"outcome", outcome}}));
+}
+
 void count_relayed(gateway& self, bool served)
 {
     add(counter_at(self.metrics,
--- a/src/gateway/measure.hpp
+++ b/src/gateway/measure.hpp
@@ -26,6 +26,11 @@
 /// \brief Counts a finished try of a plain request at an upstream.
 void count_try(gateway& self, std::string_view service, std::string_view outcome);
 
+/// \ingroup gateway
+/// \brief Counts a try under which an upstream seems to have ended, or a request that was refused
+/// because upstreams have ended under equal ones.
+void count_crash_sighting(gateway& self, std::string_view outcome);
+
 /// \ingroup gateway
 /// \brief Counts a finished run of a sample.
 void count_run(gateway& self, std::string_view event);
--- a/src/gateway/peer_messages.cpp
+++ b/src/gateway/peer_messages.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peer_messages.hpp"
 
 #include "base/request_id.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/job_notices.hpp"
 #include "gateway/list_exchange.hpp"
 #include "gateway/permits.hpp"
@@ -52,6 +53,10 @@
     {
         handle_permit_answer(self, *decided);
     }
+    else if (auto const* crashed = std::get_if<wire::suspect>(&received))
+    {
+        apply_crash_notice(self, from, *crashed);
+    }
 }
 
 } // namespace
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -1,6 +1,7 @@
 #include "gateway/refresh.hpp"
 
 #include "base/log.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/list_exchange.hpp"
 #include "gateway/list_polling.hpp"
 #include "gateway/permits.hpp"
@@ -116,6 +117,7 @@
     auto const change =
         fleet::apply_list(self.pool, platform::decode_upstreams(read, read_at), now);
     discard_unused_buckets(self);
+    review_crashes(self, read_at);
     abort_runs_on_replaced_upstreams(self);
     log_ids("upstream_added", change.added);
     log_ids("upstream_draining", change.draining);
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "fleet/choose_upstream.hpp"
 #include "fleet/try_outcome.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/permits.hpp"
 #include "http/status.hpp"
@@ -140,6 +141,31 @@
                     {"runs", std::int64_t{request.runs}}});
 }
 
+/// Tells the crash watch how a try ended.
+void note_try(gateway& self, routed_request& request, routed_try const& ended,
+              fleet::try_outcome outcome, http::fetch_outcome const& answer)
+{
+    if (!answer)
+    {
+        bool const is_broken = answer.error().sent && !answer.error().timed_out &&
+                               answer.error().why.code == result_code::connection_lost;
+        if (is_broken)
+        {
+            note_broken_try(self, request.spec, ended);
+        }
+        return;
+    }
+    // Other answers may come from elsewhere: they don't tell that the upstream lives.
+    if (outcome == fleet::try_outcome::answered || outcome == fleet::try_outcome::failed)
+    {
+        note_upstream_answered(self, ended);
+    }
+    if (outcome == fleet::try_outcome::answered && http::status::is_success(answer->status))
+    {
+        note_served(self, request.spec);
+    }
+}
+
 routed_outcome answered_outcome(http::fetch_outcome& answer, routed_try const& ended)
 {
     routed_outcome outcome;
@@ -198,6 +224,7 @@
         record_rate_limit(self, ended.upstream, head, answer->status, ended.sent_at);
     }
     record_try(self, *request, ended, outcome, answer);
+    note_try(self, *request, ended, outcome, answer);
     if (outcome == fleet::try_outcome::not_run)
     {
         --request->runs;
@@ -223,6 +250,12 @@
                       static_cast<std::uint32_t>(request->running_tries.size()), has_time}));
 }
 
+bool may_hedge(gateway const& self, routed_request& request)
+{
+    return request.runs < request.spec.max_runs &&
+           !is_crash_suspect(self, request.spec, base::mono_now());
+}
+
 void schedule_hedge(gateway& self, routed_request& request)
 {
     if (!request.spec.idempotent || request.runs >= request.spec.max_runs ||
@@ -234,7 +267,7 @@
                                    [&self, number = request.number]
                                    {
                                        auto* const found = find(self, number);
-                                       if (found != nullptr && found->runs < found->spec.max_runs)
+                                       if (found != nullptr && may_hedge(self, *found))
                                        {
                                            try_next(self, *found);
                                        }
@@ -254,6 +287,7 @@
     auto& started_try = request.running_tries[index];
     started_try.upstream = chosen.id;
     started_try.origin = {chosen.service, chosen.software_version};
+    started_try.upstream_started_ms = chosen.started_ms;
     started_try.sent_at = now;
     started_try.started_at = base::wall_now();
     started_try.fetch = http::start_fetch(
@@ -264,9 +298,33 @@
     schedule_hedge(self, request);
 }
 
+/// Ends a request that crashes upstreams, once no try of it is in progress.
+void stop_crashing_request(gateway& self, routed_request& request, base::mono_time until)
+{
+    if (!request.running_tries.empty())
+    {
+        return;
+    }
+    if (request.runs > 0)
+    {
+        perform_step(self, request, fleet::next_step::give_up);
+        return;
+    }
+    routed_outcome outcome;
+    outcome.kind = outcome_kind::refused;
+    outcome.error = refuse_crashing_request(self, request.spec);
+    outcome.refused_until = until;
+    finish(self, request, std::move(outcome));
+}
+
 void try_next(gateway& self, routed_request& request)
 {
     auto const now = base::mono_now();
+    if (auto const until = refused_until(self, request.spec, now))
+    {
+        stop_crashing_request(self, request, *until);
+        return;
+    }
     fleet::plain_requirements const need{request.spec.service, self.settings.domain,
                                          request.tried_upstreams, request.spec.software_version};
     auto const chosen = fleet::choose_plain(self.pool, *self.configuration, need, now);
@@ -290,8 +348,17 @@
                  request.runs == 0 ? fleet::next_step::refuse : fleet::next_step::give_up);
 }
 
+void note_abandoned_tries(gateway& self, routed_request& request)
+{
+    for (auto const& [index, running] : request.running_tries)
+    {
+        note_abandoned_try(self, request.spec, running);
+    }
+}
+
 void on_deadline(gateway& self, routed_request& request)
 {
+    note_abandoned_tries(self, request);
     if (request.runs == 0)
     {
         finish_without_answer(self, request, outcome_kind::refused, result_code::deadline_passed,
@@ -350,6 +417,7 @@
         return std::nullopt;
     }
     auto started_at = it->second->started_at;
+    note_abandoned_tries(self, *it->second);
     for (auto const& [index, running] : it->second->running_tries)
     {
         fleet::note_request_ended(self.pool, running.upstream);
--- a/src/gateway/routed_request.hpp
+++ b/src/gateway/routed_request.hpp
@@ -31,6 +31,11 @@
     /// Software version that must serve the request; empty for any.
     std::string software_version;
     bool idempotent = false;
+    /// Whether upstreams may end under the request, so that equal requests must be refused; see
+    /// `crash_watch`.
+    bool may_crash_upstreams = false;
+    /// Equal for equal requests; computed when it is needed first.
+    std::optional<std::uint64_t> fingerprint;
     /// Maximum number of upstreams that the request may run on.
     std::uint32_t max_runs = 1;
     base::mono_time deadline{};
@@ -66,6 +71,8 @@
     std::optional<base::wall_time> started_at;
     /// Set when there is no answer.
     base::error error;
+    /// Set when the request is refused until this time for certain.
+    std::optional<base::mono_time> refused_until;
     std::uint32_t tries = 0;
 };
 
@@ -76,6 +83,8 @@
     std::string upstream;
     /// Service and software version of the upstream.
     rollout::text_origin origin;
+    /// Incarnation of the upstream; see `upstream_record::started_ms`.
+    std::int64_t upstream_started_ms = 0;
     base::mono_time sent_at{};
     base::wall_time started_at{};
     std::shared_ptr<http::fetch> fetch;
--- a/src/gateway/serve_plain.cpp
+++ b/src/gateway/serve_plain.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "fleet/choose_upstream.hpp"
 #include "gateway/answer_caller.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/route_request.hpp"
 #include "gateway/stream_origins.hpp"
@@ -73,7 +74,9 @@
         break;
     }
     case outcome_kind::refused:
-        refuse(self, exchange, outcome.error, retry_after_full);
+        refuse(self, exchange, outcome.error,
+               outcome.refused_until ? *outcome.refused_until - base::mono_now()
+                                     : retry_after_full);
         break;
     case outcome_kind::unknown:
         answer_error(self, exchange,
@@ -93,6 +96,7 @@
     spec.team = team;
     spec.request_id = head.request_id;
     spec.idempotent = route.kind == fleet::route_kind::idempotent;
+    spec.may_crash_upstreams = true;
     spec.max_runs = route.attempts;
     spec.deadline = std::min(now + route.timeout, head.deadline.value_or(base::mono_time::max()));
     spec.dispatch_deadline =
@@ -143,8 +147,25 @@
                        });
 }
 
+/// Refuses a request if upstreams have ended under equal ones.
+/// \returns whether it was refused.
+bool refuse_if_crashing(gateway& self, plain_request const& request, routed_spec& spec)
+{
+    auto const now = base::mono_now();
+    auto const until = refused_until(self, spec, now);
+    if (until)
+    {
+        refuse(self, *request.exchange, refuse_crashing_request(self, spec), *until - now);
+    }
+    return until.has_value();
+}
+
 void start(gateway& self, plain_request const& request, routed_spec spec)
 {
+    if (refuse_if_crashing(self, request, spec))
+    {
+        return;
+    }
     auto const number = start_request(self, std::move(spec),
                                       [&self, request](routed_outcome const& outcome)
                                       { on_outcome(self, request, outcome); });
--- a/src/gateway/shared_entries.cpp
+++ b/src/gateway/shared_entries.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "duty/model_shares.hpp"
+#include "gateway/crash_watch.hpp"
 #include "gateway/job_ownership.hpp"
 #include "gateway/leadership.hpp"
 #include "rollout/store_keys.hpp"
@@ -95,6 +96,7 @@
     self.pool.shares = self.shared.shares;
     self.pool.sharing_processes =
         static_cast<std::uint32_t>(std::max(min_sharing_processes, self.shared.members.size()));
+    apply_stored_crashes(self, items, sent_at);
     reconcile_jobs(self);
     check_leadership(self);
 }
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -30,7 +30,12 @@
     }
     c.ended = true;
     auto const handlers = std::move(c.handlers);
-    handlers.on_failed({base::result_code::connection_lost, failure->message}, c.sent);
+    bool const is_malformed =
+        g_error_matches(failure, SOUP_SESSION_ERROR, SOUP_SESSION_ERROR_PARSING) != 0;
+    handlers.on_failed(
+        {is_malformed ? base::result_code::upstream_error : base::result_code::connection_lost,
+         failure->message},
+        c.sent);
 }
 
 void complete(call& c)
--- a/src/rollout/store_keys.hpp
+++ b/src/rollout/store_keys.hpp
@@ -18,6 +18,8 @@
 inline constexpr std::string_view leader_key = "shared/leader";
 /// Assignment of models to upstreams; written by the leader.
 inline constexpr std::string_view shares_key = "shared/shares";
+/// Prefix of the marks of requests under which upstreams crashed; see `encode_crash_notice`.
+inline constexpr std::string_view crash_mark_prefix = "shared/crash/";
 
 /// Prefix of the other entries of a job: its specification, its results and its saved progress.
 [[nodiscard]] inline std::string job_prefix(std::string_view id)
