Save how often a sample has failed for the next owner of its job

What callers saw: nothing; upstreams ran a sample that fails at each run up to `attempts` times for each owner of its job, so that three times `attempts` could be exceeded after some changes of the owner.

Cause: progress was saved only of samples with a text, at a hand-over, or a long one, each 1.2 s. A sample that fails at once has none, so failed_runs went with its owner.

Change: samples with failed runs or failed reward calls are saved too. A kill within 1.2 s of the failure still loses it.

--- a/src/gateway/hand_over.cpp
+++ b/src/gateway/hand_over.cpp
@@ -33,9 +33,10 @@
     rollout::saved_progress unfinished;
     for (auto const& [sample_id, index] : job.index_by_id)
     {
-        if (rollout::has_resumable_text(job.samples[index]))
+        auto const& sample = job.samples[index];
+        if (rollout::has_resumable_text(sample) || rollout::has_failures_to_save(sample))
         {
-            unfinished[sample_id] = job.samples[index];
+            unfinished[sample_id] = sample;
         }
     }
     store::transaction write;
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -113,7 +113,8 @@
     job->owner_revision = 0;
 }
 
-/// Progress of long samples, whose loss would make the job late. Empty until the next save is due.
+/// Progress of long samples, whose loss would make the job late, and of samples that failed. Empty
+/// until the next save is due.
 rollout::saved_progress progress_to_save(owned_job& job, base::mono_time now)
 {
     rollout::saved_progress progress;
@@ -127,7 +128,8 @@
         auto const& sample = job.samples[index];
         bool const is_long =
             rollout::has_resumable_text(sample) && sample.events >= min_events_to_save;
-        if (is_long && bytes + sample.text.size() < max_chunk_bytes)
+        bool const is_saved = is_long || rollout::has_failures_to_save(sample);
+        if (is_saved && bytes + sample.text.size() < max_chunk_bytes)
         {
             bytes += sample.text.size();
             progress[id] = sample;
--- a/src/rollout/sample_progress.cpp
+++ b/src/rollout/sample_progress.cpp
@@ -27,6 +27,12 @@
     return progress.events > 0 && progress.phase < sample_phase::finished;
 }
 
+bool has_failures_to_save(sample_progress const& progress)
+{
+    return progress.phase < sample_phase::finished &&
+           (progress.failed_runs > 0 || progress.failed_rewards > 0);
+}
+
 void discard_text(sample_progress& progress)
 {
     progress.text.clear();
--- a/src/rollout/sample_progress.hpp
+++ b/src/rollout/sample_progress.hpp
@@ -68,6 +68,11 @@
 /// resume it.
 [[nodiscard]] bool has_resumable_text(sample_progress const& progress);
 
+/// \ingroup rollout
+/// \brief Whether the sample is unfinished and has failed attempts, which the next owner of the job
+/// must know, so that it does not count anew.
+[[nodiscard]] bool has_failures_to_save(sample_progress const& progress);
+
 /// \ingroup rollout
 /// \brief Discards the generated text, so that the next run starts from the beginning.
 void discard_text(sample_progress& progress);
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -128,6 +128,31 @@
     CHECK(decoded->at("i").failed_runs == 2);
 }
 
+SCENARIO("the next owner of a job counts the failed runs of a sample anew")
+{
+    rollout::sample_progress progress;
+    CHECK_FALSE(rollout::has_failures_to_save(progress));
+    GIVEN("a sample that failed before it had a text")
+    {
+        progress.failed_runs = 2;
+        CHECK_FALSE(rollout::has_resumable_text(progress));
+        THEN("its failures are saved and read back")
+        {
+            CHECK(rollout::has_failures_to_save(progress));
+            auto const saved =
+                rollout::decode_progress(rollout::encode_progress({{"s", progress}}));
+            REQUIRE(saved);
+            CHECK(saved->at("s").failed_runs == 2);
+            CHECK(saved->at("s").phase == rollout::sample_phase::waiting);
+        }
+        THEN("they are not saved once the sample is finished")
+        {
+            progress.phase = rollout::sample_phase::finished;
+            CHECK_FALSE(rollout::has_failures_to_save(progress));
+        }
+    }
+}
+
 SCENARIO("job records and results are decoded as they were encoded")
 {
     rollout::job_record const record{"id", "team", "host", "/path/", base::wall_time{12us},
