Leave readers to the store while a write of results has no known outcome

Cause: the answers to an owner's writes were lost though the results were stored. The owner took "no known outcome" for "not stored" and told its callers and other gateways that there are no more results.

The two new cases of gateway_list_exchange_test were not run on the old code, which has no such member.

Change: an owner says that there are no more results only while it knows: for 0.5 s after the first attempt to store some, and again once the outcome is known or the store has certainly done nothing. Later it leaves other gateways, and its own callers, to the store; listed results are still shown from memory. A caller that asks from beyond what an owner knows is answered from the store as well. A read that adds to the cache while the owner is asked no longer hides what the owner lists beyond it.

--- a/src/gateway/job_running.cpp
+++ b/src/gateway/job_running.cpp
@@ -80,6 +80,7 @@
     job.finished.insert(job.finished.begin(), std::make_move_iterator(job.writing.begin()),
                         std::make_move_iterator(job.writing.end()));
     job.writing.clear();
+    note_nothing_unlisted(job);
     apply_listed_results(self, job, std::move(listed));
     std::erase_if(job.finished,
                   [&](rollout::sample_result const& result) { return is_listed(job, result); });
@@ -135,6 +136,17 @@
     return job.owner_revision != 0 && has_lease(self, now);
 }
 
+bool knows_stored_results(gateway const& self, owned_job const& job, base::mono_time now)
+{
+    return owns(self, job, now) && now < job.listed_complete_until;
+}
+
+void note_nothing_unlisted(owned_job& job)
+{
+    job.listed_complete_until = base::mono_time::max();
+    job.may_be_stored = false;
+}
+
 void start_submitted_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
                          std::uint64_t owner_revision)
 {
--- a/src/gateway/job_running.hpp
+++ b/src/gateway/job_running.hpp
@@ -13,6 +13,16 @@
 /// \brief Whether this process is guaranteed to own a job, so that no other one writes its results.
 [[nodiscard]] bool owns(gateway const& self, owned_job const& job, base::mono_time now);
 
+/// \ingroup gateway
+/// \brief Whether the listed results of a job are certain to include every result that a caller may
+/// have been shown. If not, callers must be answered from the store.
+[[nodiscard]] bool knows_stored_results(gateway const& self, owned_job const& job,
+                                        base::mono_time now);
+
+/// \ingroup gateway
+/// \brief Records that the store holds no other results of a job than the listed ones.
+void note_nothing_unlisted(owned_job& job);
+
 /// \ingroup gateway
 /// \brief Starts a newly submitted job whose owner entry this process has just written.
 void start_submitted_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
--- a/src/gateway/list_exchange.cpp
+++ b/src/gateway/list_exchange.cpp
@@ -51,7 +51,8 @@
 }
 
 /// Answers a request for the results of a job that this gateway owns. The request's version is the
-/// position of the first result to send. All listed results are in the store.
+/// position of the first result to send. All listed results are in the store. While the store may
+/// hold more of them, the other gateway must read them there.
 wire::list_answer answer_with_owned_results(gateway const& self, wire::list_request const& request,
                                             base::mono_time now)
 {
@@ -59,7 +60,8 @@
     for (auto const& [id, job] : self.jobs)
     {
         bool const is_requested = rollout::result_prefix(id) == request.prefix;
-        if (!is_requested || !owns(self, job, now) || request.version > job.listed.size())
+        if (!is_requested || !knows_stored_results(self, job, now) ||
+            request.version > job.listed.size())
         {
             continue;
         }
--- a/src/gateway/owned_job.hpp
+++ b/src/gateway/owned_job.hpp
@@ -41,6 +41,11 @@
     /// Results of the write in progress. A retry sends the same results until the outcome is known,
     /// so that an earlier attempt that takes effect late has no further effect.
     std::vector<rollout::sample_result> writing;
+    /// Until this time, `listed` certainly holds every result that a caller may have been shown.
+    /// Later, the store may have the results of `writing`, whose outcome is not known.
+    base::mono_time listed_complete_until = base::mono_time::max();
+    /// An attempt to store `writing` had no known outcome, so that the results may be stored.
+    bool may_be_stored = false;
     /// A write of results or progress is in progress.
     bool write_running = false;
     /// Fires when the next write starts.
--- a/src/gateway/read_job.cpp
+++ b/src/gateway/read_job.cpp
@@ -80,10 +80,35 @@
                     });
 }
 
+/// Adds results that the owner lists from a position on, of which a concurrent read may have added
+/// some meanwhile.
+bool append_owned_results(result_cache& cache, std::size_t position,
+                          std::vector<store::item> const& items)
+{
+    for (auto const& item : items)
+    {
+        auto results = rollout::decode_results(item.value);
+        if (!results)
+        {
+            base::log_line(base::log_level::error, "unreadable_results", {{"key", item.key}});
+            return false;
+        }
+        auto const known = std::min(cache.results.size() - position, results->size());
+        if (known < results->size())
+        {
+            std::move(results->begin() + static_cast<std::ptrdiff_t>(known), results->end(),
+                      std::back_inserter(cache.results));
+            cache.last_key = item.key;
+        }
+    }
+    return true;
+}
+
 /// Adds the results from the answer of the job's owner to the cache.
-/// \returns false when the results must be read from the store.
+/// \returns false when the results must be read from the store: also when the caller asks from
+/// beyond the results that the owner knows, since it was shown more elsewhere.
 bool apply_owner_answer(gateway& self, std::string const& id, std::size_t known_before,
-                        std::optional<wire::list_answer> const& answer)
+                        std::size_t from_position, std::optional<wire::list_answer> const& answer)
 {
     auto& cache = self.result_caches[id];
     bool const was_evicted = cache.results.size() < known_before;
@@ -91,9 +116,8 @@
     {
         return false;
     }
-    // If so, a concurrent read has already added the results that this answer holds.
-    bool const has_grown = cache.results.size() > known_before;
-    return has_grown || append_to_cache(cache, answer->changes.items);
+    return append_owned_results(cache, known_before, answer->changes.items) &&
+           from_position <= cache.results.size();
 }
 
 /// Answers with the results of a job that this process does not own. Asks the owner, which holds
@@ -120,7 +144,7 @@
                  [&self, exchange, id, total, from_position,
                   known](std::optional<wire::list_answer> const& answer)
                  {
-                     if (!apply_owner_answer(self, id, known, answer))
+                     if (!apply_owner_answer(self, id, known, from_position, answer))
                      {
                          read_stored_results(self, exchange, id, total, from_position);
                          return;
@@ -130,6 +154,16 @@
                  });
 }
 
+/// Whether the listed results of a job in memory answer a call. Results that are asked for are
+/// final; that there are none yet must be certain.
+bool can_answer_from_memory(gateway const& self, owned_job const& job, std::size_t from_position)
+{
+    bool const is_complete = job.listed.size() >= job.record.samples;
+    return is_complete || from_position < job.listed.size() ||
+           (from_position == job.listed.size() &&
+            knows_stored_results(self, job, base::mono_now()));
+}
+
 void answer_body(gateway& self, http::exchange& exchange, rollout::batch_job const& job,
                  std::string const& sample_id)
 {
@@ -151,8 +185,8 @@
                   std::string const& team)
 {
     auto const own = self.jobs.find(call.job_id);
-    if (own != self.jobs.end() && owns(self, own->second, base::mono_now()) &&
-        own->second.record.team == team)
+    if (own != self.jobs.end() && own->second.record.team == team &&
+        can_answer_from_memory(self, own->second, call.from_position))
     {
         answer_results(*exchange, own->second.record.samples, call.from_position,
                        own->second.listed);
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -29,6 +29,9 @@
 // Stays below the store's limit for the size of a value; a single result may be larger.
 constexpr std::size_t max_chunk_bytes = 400'000;
 
+// A stored result that a caller was shown must be shown to all callers a second later.
+constexpr base::duration unknown_write_tolerance = std::chrono::milliseconds(500);
+
 owned_job* find_job(gateway& self, std::string const& id)
 {
     auto const it = self.jobs.find(id);
@@ -62,6 +65,25 @@
     job.finished.erase(job.finished.begin(), end);
 }
 
+/// Records that an attempt to store results begins. Other gateways may show them from now on.
+void note_write_begins(owned_job& job)
+{
+    job.listed_complete_until =
+        std::min(job.listed_complete_until, base::mono_now() + unknown_write_tolerance);
+}
+
+/// Records that an attempt to store results failed.
+void note_write_failed(owned_job& job, base::result_code code)
+{
+    bool const not_executed =
+        code == base::result_code::store_unavailable || code == base::result_code::lease_lost;
+    job.may_be_stored = job.may_be_stored || !not_executed;
+    if (!job.may_be_stored)
+    {
+        note_nothing_unlisted(job);
+    }
+}
+
 void mark_listed(gateway& self, owned_job& job)
 {
     for (auto const& result : job.writing)
@@ -80,6 +102,7 @@
     }
     std::move(job.writing.begin(), job.writing.end(), std::back_inserter(job.listed));
     job.writing.clear();
+    note_nothing_unlisted(job);
     if (!job.finished.empty())
     {
         schedule_write(self, job, batch_delay);
@@ -100,6 +123,7 @@
         base::log_line(
             base::log_level::warning, "results_not_stored",
             {{"job", id}, {"code", outcome.error().code}, {"reason", outcome.error().message}});
+        note_write_failed(*job, outcome.error().code);
         schedule_write(self, *job, retry_delay);
         return;
     }
@@ -157,6 +181,7 @@
     write.expected.push_back({rollout::owner_key(job.record.id), job.owner_revision});
     if (!job.writing.empty())
     {
+        note_write_begins(job);
         write.writes.push_back({rollout::result_key(job.record.id, job.listed.size()),
                                 rollout::encode_results(job.writing), 0});
     }
--- a/test/gateway_list_exchange_test.cpp
+++ b/test/gateway_list_exchange_test.cpp
@@ -220,6 +220,24 @@
             CHECK_FALSE(answer->available);
         }
     }
+    WHEN("the outcome of a write of the owner is unknown for so long that others show its results")
+    {
+        job.listed_complete_until = base::mono_now() - 1ms;
+        THEN("the owner does not answer with fewer results than are stored")
+        {
+            request_from(3);
+            CHECK_FALSE(answer->available);
+        }
+    }
+    WHEN("a write of the owner has just begun")
+    {
+        job.listed_complete_until = base::mono_now() + 60s;
+        THEN("the owner answers with the results that it knows to be stored")
+        {
+            request_from(1);
+            CHECK(answer->available);
+        }
+    }
     WHEN("the owner does not answer")
     {
         owner.self.peers.on_message = [](wire::connection&, wire::message const&) {
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -52,6 +52,7 @@
     auto const name = body.at("mode").get<std::string>();
     auto const mode = name == "refuses"         ? store_mode::refuses
                       : name == "loses_answers" ? store_mode::loses_answers
+                      : name == "loses_commits" ? store_mode::loses_commits
                       : name == "answers_late"  ? store_mode::answers_late
                                                 : store_mode::serves;
     self.side_door_mode = mode;
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -37,6 +37,8 @@
     refuses,
     /// Does what it is asked and closes the connection instead of answering.
     loses_answers,
+    /// As above for transactions, and serves the rest.
+    loses_commits,
     /// Does what it is asked at once and answers transactions late.
     answers_late,
 };
--- a/test/standin/site/store.cpp
+++ b/test/standin/site/store.cpp
@@ -233,6 +233,14 @@
     }
 }
 
+/// Does what is asked and closes the connection instead of answering.
+void lose_answer(site& self, SoupServerMessage* message)
+{
+    serve_call(self, message);
+    soup_server_message_pause(message);
+    close_connection(message);
+}
+
 // Below the longest time that a gateway waits, above the time between its reads.
 constexpr guint late_by_ms = 820;
 
@@ -266,9 +274,15 @@
         answer(message, SOUP_STATUS_SERVICE_UNAVAILABLE, json::object());
         break;
     case store_mode::loses_answers:
+        lose_answer(self, message);
+        break;
+    case store_mode::loses_commits:
+        if (path_of(message) == "/-/kv-txn")
+        {
+            lose_answer(self, message);
+            break;
+        }
         serve_call(self, message);
-        soup_server_message_pause(message);
-        close_connection(message);
         break;
     case store_mode::answers_late:
         serve_call(self, message);
