Announce the close of connections while a gateway stops, and answer all

Callers on kept connections were not told that a gateway leaves, went on to use it to the last moment, and a request that was at an upstream at the end of the grace time got a closed connection.

Cause: after SIGTERM answers bore no `Connection: close`, connections ended with the process only, and its end looked at requests, not at connections; at the end of the grace time it exited with requests on them.

Evidence: gateway_kept_connections_test (new, plain sockets).

Change: the server notes its connections and whether a request is being read or answered on each. After SIGTERM each answer announces the close. When the time for new connections is over, the gateway stops to listen and closes connections without a request; it ends when no connection is open. At the end of the grace time what still runs is answered: 503 if it ran nowhere, else 504.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/measure.hpp"
 #include "gateway/peer_messages.hpp"
 #include "gateway/refresh.hpp"
+#include "gateway/route_request.hpp"
 #include "gateway/sample_runner.hpp"
 #include "http/call.hpp"
 #include "platform/store_client.hpp"
@@ -31,6 +32,8 @@
 constexpr base::duration stop_check_interval = std::chrono::milliseconds(50);
 // Reserved at the end of the stop grace period, after which the process is killed.
 constexpr base::duration stop_margin = std::chrono::milliseconds(1000);
+// Time for the answers that are sent at the end.
+constexpr base::duration last_answers_duration = std::chrono::milliseconds(400);
 
 // Without the store a gateway accepts no jobs, and soon no keys. The load balancer needs two
 // seconds to send callers elsewhere, so the gateway reports not ready before its keys become too
@@ -85,15 +88,29 @@
     return {};
 }
 
+/// Whether a request is being read, runs or is being answered. A connection that is open may carry
+/// one.
 bool has_work(gateway const& self)
 {
-    return !self.requests.empty() || (self.callers && self.callers->open_responses > 0);
+    return !self.requests.empty() || !self.callers->connections->empty();
 }
 
+/// Stops the process once no caller waits for an answer. Callers that still wait at the end are
+/// answered first.
 void stop_when_idle(gateway& self, base::mono_time listen_until, base::mono_time latest)
 {
     auto const now = base::mono_now();
-    if (now < latest && (now < listen_until || has_work(self)))
+    if (now < listen_until)
+    {
+        return;
+    }
+    http::stop_listening(*self.callers);
+    http::close_idle_connections(*self.callers);
+    if (now >= latest)
+    {
+        end_requests(self);
+    }
+    if (has_work(self) && now < latest + last_answers_duration)
     {
         return;
     }
@@ -116,6 +133,7 @@
         process::stop(self.loop);
         return;
     }
+    http::announce_close(*self.callers);
     resign(self);
     hand_over_jobs(self, [&self] { revoke_lease(self); });
     auto const now = base::mono_now();
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <utility>
+#include <vector>
 
 namespace gooseberrywood::gateway
 {
@@ -342,6 +343,22 @@
     return number;
 }
 
+void end_requests(gateway& self)
+{
+    std::vector<std::uint64_t> numbers;
+    for (auto const& [number, request] : self.requests)
+    {
+        numbers.push_back(number);
+    }
+    for (auto const number : numbers)
+    {
+        if (auto* const found = find(self, number))
+        {
+            on_deadline(self, *found);
+        }
+    }
+}
+
 std::optional<base::wall_time> cancel_request(gateway& self, std::uint64_t number)
 {
     auto const it = self.requests.find(number);
--- a/src/gateway/route_request.hpp
+++ b/src/gateway/route_request.hpp
@@ -18,6 +18,11 @@
 std::uint64_t start_request(gateway& self, routed_spec spec,
                             std::function<void(routed_outcome)> done);
 
+/// \ingroup gateway
+/// \brief Ends all requests as their deadlines would: those that may have run without a known
+/// outcome, the others as refused. For the end of the time in which the process must stop.
+void end_requests(gateway& self);
+
 /// \ingroup gateway
 /// \brief Cancels a request and its running tries; its `done` handler is not called.
 /// \returns when the request started to run, if it may have run.
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -13,6 +13,15 @@
 namespace
 {
 
+void announce_close_if_due(exchange const& request)
+{
+    if (request.closes_connection && *request.closes_connection)
+    {
+        soup_message_headers_replace(
+            soup_server_message_get_response_headers(request.message.get()), "Connection", "close");
+    }
+}
+
 void set_headers(exchange& request, std::uint16_t status, std::string_view content_type,
                  std::span<header const> headers)
 {
@@ -25,6 +34,7 @@
     {
         soup_message_headers_replace(response_headers, name.c_str(), value.c_str());
     }
+    announce_close_if_due(request);
 }
 
 SoupMessageBody* response_body(exchange& request)
@@ -44,6 +54,7 @@
     if (!answered && !disconnected)
     {
         soup_server_message_set_status(message.get(), SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
+        announce_close_if_due(*this);
         soup_server_message_unpause(message.get());
     }
 }
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -46,6 +46,9 @@
     /// Called if the caller's connection is lost before the response is complete.
     std::function<void()> on_disconnected;
 
+    /// Whether the answer must announce that its connection is closed.
+    std::shared_ptr<bool const> closes_connection;
+
     /// Response bytes that are queued but not yet written to the socket.
     std::size_t queued_response_bytes = 0;
     bool answered = false;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -8,6 +8,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <utility>
 
@@ -39,8 +40,23 @@
                max_body_bytes;
 }
 
-void on_got_headers(SoupServerMessage* message, gpointer)
+open_connection* connection_of(server& owner, SoupServerMessage* message)
 {
+    auto const it = owner.connections->find(socket_of(message));
+    return it != owner.connections->end() ? &it->second : nullptr;
+}
+
+void mark_in_use(server& owner, SoupServerMessage* message, bool is_in_use)
+{
+    if (auto* const connection = connection_of(owner, message))
+    {
+        connection->is_in_use = is_in_use;
+    }
+}
+
+void on_got_headers(SoupServerMessage* message, gpointer data)
+{
+    mark_in_use(*static_cast<server*>(data), message, true);
     if (is_body_too_large(message))
     {
         reject_large_body(message);
@@ -63,10 +79,16 @@
     }
 }
 
-void on_request_started(SoupServer*, SoupServerMessage* message, gpointer)
+void on_request_ended(SoupServerMessage* message, gpointer data)
 {
-    g_signal_connect(message, "got-headers", G_CALLBACK(on_got_headers), nullptr);
+    mark_in_use(*static_cast<server*>(data), message, false);
+}
+
+void on_request_started(SoupServer*, SoupServerMessage* message, gpointer data)
+{
+    g_signal_connect(message, "got-headers", G_CALLBACK(on_got_headers), data);
     g_signal_connect(message, "got-chunk", G_CALLBACK(on_got_chunk), nullptr);
+    g_signal_connect(message, "finished", G_CALLBACK(on_request_ended), data);
 }
 
 void on_wrote_data(SoupServerMessage*, guint size, gpointer data)
@@ -112,6 +134,7 @@
     }
     auto const made = std::make_shared<exchange>();
     made->message = base::share(message);
+    made->closes_connection = owner.is_closing;
     made->method = soup_server_message_get_method(message);
     made->path = path != nullptr ? path : "/";
     char const* const query = g_uri_get_query(soup_server_message_get_uri(message));
@@ -126,14 +149,31 @@
     owner.handle(made);
 }
 
-void count_closed_connection(gpointer data, GObject*)
+/// Names a connection to the handler of its end. The server may be gone by then.
+struct connection_end
+{
+    std::weak_ptr<connection_map> connections;
+    GSocket* socket = nullptr;
+};
+
+void forget_connection(gpointer data, GObject*)
+{
+    std::unique_ptr<connection_end> const ended(static_cast<connection_end*>(data));
+    if (auto const connections = ended->connections.lock())
+    {
+        connections->erase(ended->socket);
+    }
+}
+
+bool has_unread_bytes(GSocket* socket)
 {
-    --static_cast<server*>(data)->open_connections;
+    char byte = 0;
+    return recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void accept_connection(server& owner, base::object_ptr<GSocket> socket)
 {
-    if (owner.open_connections >= max_connections)
+    if (owner.connections->size() >= max_connections)
     {
         return;
     }
@@ -155,12 +195,13 @@
                            g_object_unref);
     base::object_ptr<GSocketConnection> const stream(
         g_socket_connection_factory_create_connection(socket.get()));
-    if (soup_server_accept_iostream(owner.soup.get(), G_IO_STREAM(stream.get()), local.get(),
-                                    remote.get(), nullptr) != 0)
-    {
-        ++owner.open_connections;
-        g_object_weak_ref(G_OBJECT(stream.get()), count_closed_connection, &owner);
-    }
+    // libsoup reads a request that has arrived before it returns.
+    auto* const key = socket.get();
+    (*owner.connections)[key].socket = std::move(socket);
+    auto ended = std::make_unique<connection_end>(connection_end{owner.connections, key});
+    g_object_weak_ref(G_OBJECT(stream.get()), forget_connection, ended.release());
+    soup_server_accept_iostream(owner.soup.get(), G_IO_STREAM(stream.get()), local.get(),
+                                remote.get(), nullptr);
 }
 
 // Opens a listener on the loopback interface to make libsoup keep connections alive. libsoup
@@ -219,4 +260,21 @@
     stopped.listening.reset();
 }
 
+void announce_close(server& closing)
+{
+    *closing.is_closing = true;
+}
+
+void close_idle_connections(server& closing)
+{
+    for (auto const& [key, connection] : *closing.connections)
+    {
+        if (!connection.is_in_use && !has_unread_bytes(key))
+        {
+            // libsoup reads the end of the connection and closes it.
+            g_socket_shutdown(key, TRUE, TRUE, nullptr);
+        }
+    }
+}
+
 } // namespace gooseberrywood::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -9,12 +9,26 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string_view>
 
 namespace gooseberrywood::http
 {
 
+/// \ingroup http
+/// \brief An open connection of a server.
+struct open_connection
+{
+    base::object_ptr<GSocket> socket;
+    /// A request is being read or answered.
+    bool is_in_use = false;
+};
+
+/// \ingroup http
+/// \brief Open connections of a server by their sockets.
+using connection_map = std::map<GSocket*, open_connection>;
+
 /// \ingroup http
 /// \brief An HTTP server on the main loop. It rejects bodies larger than `max_body_bytes` while
 /// they are received.
@@ -25,9 +39,11 @@
     base::object_ptr<SoupServer> soup;
     std::unique_ptr<wire::listener> listening;
     std::function<void(std::shared_ptr<exchange> const&)> handle;
-    std::size_t open_connections = 0;
+    std::shared_ptr<connection_map> const connections = std::make_shared<connection_map>();
     /// Number of requests whose responses are not completely written.
     std::size_t open_responses = 0;
+    /// Set once each answer announces that its connection is closed.
+    std::shared_ptr<bool> const is_closing = std::make_shared<bool>(false);
 };
 
 /// \ingroup http
@@ -42,6 +58,15 @@
 /// \brief Stops accepting connections; open connections are kept.
 void stop_listening(server& stopped);
 
+/// \ingroup http
+/// \brief Announces with each answer from now on that its connection is closed, so that callers use
+/// no connection again.
+void announce_close(server& closing);
+
+/// \ingroup http
+/// \brief Closes the connections on which no request is being read or answered.
+void close_idle_connections(server& closing);
+
 } // namespace gooseberrywood::http
 
 #endif
--- /dev/null
+++ b/test/process/gateway_kept_connections_test.cpp
@@ -0,0 +1,158 @@
+#include "process/support/job_checks.hpp"
+#include "process/support/kept_connection.hpp"
+#include "process/support/site_service.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <csignal>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace gooseberrywood::test;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace
+{
+
+std::string lookup(std::string const& id)
+{
+    return fmt::format("POST /q/1 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {}\r\n"
+                       "Deadline-Ms: 9000\r\nAuthorization: Bearer key-1\r\n"
+                       "Content-Length: 1\r\n\r\nx",
+                       id);
+}
+
+/// A caller that uses kept connections until the gateway takes none any more.
+struct steady_caller
+{
+    std::string name;
+    /// Requests that got no answer of success, with the status, which is 0 without an answer.
+    std::map<std::string, unsigned> unanswered;
+    int answered = 0;
+    /// Requests that were sent on a connection after an answer that did not announce its close.
+    int unannounced = 0;
+
+    void run(std::uint16_t port, std::atomic<bool> const& stopping)
+    {
+        for (int i = 0;;)
+        {
+            kept_connection connection(port);
+            if (!connection.is_open())
+            {
+                return;
+            }
+            while (true)
+            {
+                auto const id = fmt::format("{}-{}", name, i++);
+                bool const is_late = stopping;
+                auto const answer = connection.exchange(lookup(id));
+                if (answer.status != 200)
+                {
+                    unanswered[id] = answer.status;
+                    break;
+                }
+                ++answered;
+                unannounced += is_late && !answer.announces_close ? 1 : 0;
+                if (answer.announces_close)
+                {
+                    break;
+                }
+            }
+        }
+    }
+};
+
+} // namespace
+
+SCENARIO("callers use kept connections until a gateway that stops is gone")
+{
+    // Guards against requests that end without an answer because the gateway closes their
+    // connections, and against callers that never hear that it leaves.
+    site_service service(1);
+    auto const& gateway = service.gateways[0];
+    std::atomic<bool> stopping = false;
+    std::vector<steady_caller> callers(6);
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < callers.size(); ++i)
+    {
+        callers[i].name = fmt::format("c{}", i);
+        threads.emplace_back([&, i] { callers[i].run(gateway.http_port, stopping); });
+    }
+    std::this_thread::sleep_for(300ms);
+    send_signal(*gateway.program, SIGTERM);
+    (void)wait_event(*gateway.program, "stopping");
+    stopping = true;
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+    CHECK(wait_exit(*gateway.program) == 0);
+    auto const runs = site_state(service).at("runs");
+    for (auto const& caller : callers)
+    {
+        CAPTURE(caller.name);
+        CHECK(caller.answered > 0);
+        CHECK(caller.unannounced == 0);
+        for (auto const& one : caller.unanswered)
+        {
+            CAPTURE(one.first);
+            CAPTURE(one.second);
+            CHECK_FALSE(runs.contains(one.first));
+        }
+    }
+}
+
+SCENARIO("a gateway stops while connections are kept open without a request")
+{
+    // Guards against connections that end only with the process.
+    site_service service(1);
+    auto const& gateway = service.gateways[0];
+    kept_connection idle(gateway.http_port);
+    REQUIRE(idle.exchange(lookup("first")).status == 200);
+    send_signal(*gateway.program, SIGTERM);
+    (void)wait_event(*gateway.program, "stopping");
+    WHEN("the caller sends no request any more")
+    {
+        THEN("the connection is closed in order, and the gateway ends")
+        {
+            CHECK(idle.wait_end(7s) == connection_end::closed);
+            CHECK(wait_exit(*gateway.program) == 0);
+        }
+    }
+    WHEN("the caller sends another one")
+    {
+        auto const answer = idle.exchange(lookup("second"));
+        THEN("the answer announces the close")
+        {
+            CHECK(answer.status == 200);
+            CHECK(answer.announces_close);
+            CHECK(idle.wait_end(1s) == connection_end::closed);
+        }
+    }
+}
+
+SCENARIO("a request is still at an upstream at the end of the grace time")
+{
+    // Guards against a connection that is closed with a request on it and no answer.
+    site_service service(1);
+    auto const& gateway = service.gateways[0];
+    change_route(service, "lookup", {{"timeout_ms", 20000}});
+    for (auto const* desk : {"desk-0", "desk-1"})
+    {
+        set_site(service, "upstream", {{"id", desk}, {"silent", true}});
+    }
+    kept_connection connection(gateway.http_port);
+    connection.send(lookup("slow"));
+    REQUIRE(eventually([&] { return site_state(service).at("runs").contains("slow"); }));
+    send_signal(*gateway.program, SIGTERM);
+    (void)wait_event(*gateway.program, "stopping");
+    auto const answer = connection.read_answer();
+    CHECK(answer.status == 504);
+    CHECK(answer.announces_close);
+    CHECK(wait_exit(*gateway.program) == 0);
+}
--- a/test/process/support/site_service.cpp
+++ b/test/process/support/site_service.cpp
@@ -110,6 +110,26 @@
     post_json(fmt::format("http://127.0.0.1:{}/standin/{}", of.site_port, what), body);
 }
 
+void change_route(site_service const& of, std::string const& name, json const& fields)
+{
+    auto changed = configuration();
+    changed["version"] = changed["version"].get<int>() + 1;
+    for (auto& one : changed["routes"])
+    {
+        if (one.at("name") == name)
+        {
+            one.update(fields);
+        }
+    }
+    set_site(of, "put", {{"key", "op/config"}, {"value", changed}});
+    for (auto const& gateway : of.gateways)
+    {
+        (void)wait_event(*gateway.program, "configuration_applied",
+                         [&](json const& line)
+                         { return line.at("version") == changed.at("version"); });
+    }
+}
+
 http_response call_gateway(gateway_under_test const& at, std::string const& method,
                            std::string const& target, std::string const& host,
                            std::string const& id, std::string const& body, std::string const& key,
--- a/test/process/support/site_service.hpp
+++ b/test/process/support/site_service.hpp
@@ -45,6 +45,10 @@
 /// Changes how a stand-in behaves.
 void set_site(site_service const& of, std::string const& what, nlohmann::json const& body);
 
+/// Writes the next configuration, in which fields of a route differ, and waits until the gateways
+/// have applied it.
+void change_route(site_service const& of, std::string const& name, nlohmann::json const& fields);
+
 /// Sends a request of the team, or with another key.
 [[nodiscard]] http_response
 call_gateway(gateway_under_test const& at, std::string const& method, std::string const& target,
