Make a reward call anew instead of leaving out the upstream it broke off on

A sample whose text was whole waited until the time-out of the reward's route, though the service was back.

Cause: a call leaves out the upstreams that it has tried, and looked for others until its deadline. With one upstream there are none.

--- a/src/gateway/reward_runner.cpp
+++ b/src/gateway/reward_runner.cpp
@@ -103,7 +103,8 @@
     spec.idempotent = true;
     spec.max_runs = 2;
     spec.deadline = now + route->timeout;
-    spec.dispatch_deadline = spec.deadline;
+    // A later call may use the upstreams again on which this one broke off.
+    spec.dispatch_deadline = std::min(spec.deadline, now + route->target_latency);
     spec.hedge_delay = route->target_latency;
     spec.call = {"POST", call.path, "application/octet-stream", call.body, {}, true};
     start_request(self, std::move(spec),
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -72,6 +72,7 @@
         }
         one->refuses = body.value("refuses", one->refuses);
         one->silent = body.value("silent", one->silent);
+        one->breaks_off = body.value("breaks_off", one->breaks_off);
         one->software_version = body.value("software_version", one->software_version);
         if (body.value("drops_runs", false))
         {
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -62,6 +62,8 @@
     bool refuses = false;
     /// Takes requests and stays silent.
     bool silent = false;
+    /// Takes requests and closes their connections without an answer.
+    bool breaks_off = false;
     /// Version of its software.
     std::string software_version = "v1";
     /// Events end with the software version that made them.
--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -158,9 +158,13 @@
     }
     ++self.runs[id];
     self.teams[id] = header(message, "Tenant");
-    if (at.silent)
+    if (at.silent || at.breaks_off)
     {
         soup_server_message_pause(message);
+        if (at.breaks_off)
+        {
+            close_connection(message);
+        }
         return;
     }
     set_header(message, "Server-Stamp", "stamp-" + id);
