Count an owner entry under the lease that it is bound to only

Found by reading; not seen with real gateways. A gateway that lost its lease while it stored, claimed or loaded a job, and had a new one when that ended, took itself for the owner, though the entry had ended with the lease. It showed the results that it had loaded, also after another gateway had stored more, and did not claim the job again until a write failed.

Change: each of these ends is ignored, and logged as job_ownership_lost with a reason, when the lease is another one by then. The next read of the shared entries decides who owns the job.

Open: a notice of an assignment doesn't name its lease.

--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -55,7 +55,10 @@
             }
             if (owner.host == self.settings.host)
             {
-                load_and_start_job(self, record, outcome->revision);
+                if (owner.lease == self.lease.id)
+                {
+                    load_and_start_job(self, record, outcome->revision);
+                }
                 return;
             }
             notify_owner(self, owner, record, outcome->revision);
@@ -96,21 +99,22 @@
 void reclaim_job(gateway& self, owned_job& job)
 {
     job.claiming = true;
-    self.store.commit_transaction(
-        claim_transaction(job.record.id, own_member(self)), base::mono_now() + store_call_timeout,
-        [&self, id = job.record.id](base::result<store::commit> const& outcome)
-        {
-            auto const it = self.jobs.find(id);
-            if (it == self.jobs.end())
-            {
-                return;
-            }
-            it->second.claiming = false;
-            if (outcome && outcome->committed)
-            {
-                reload_job(self, it->second, outcome->revision);
-            }
-        });
+    self.store.commit_transaction(claim_transaction(job.record.id, own_member(self)),
+                                  base::mono_now() + store_call_timeout,
+                                  [&self, id = job.record.id, lease = self.lease.id](
+                                      base::result<store::commit> const& outcome)
+                                  {
+                                      auto const it = self.jobs.find(id);
+                                      if (it == self.jobs.end())
+                                      {
+                                          return;
+                                      }
+                                      it->second.claiming = false;
+                                      if (outcome && outcome->committed && lease == self.lease.id)
+                                      {
+                                          reload_job(self, it->second, outcome->revision);
+                                      }
+                                  });
 }
 
 void reconcile_owned(gateway& self, owned_job& job, store::item const& owner, base::mono_time now)
--- a/src/gateway/job_running.cpp
+++ b/src/gateway/job_running.cpp
@@ -122,6 +122,18 @@
     schedule_sample_dispatch(self);
 }
 
+/// Whether the entry that makes this process the owner of a job ended with its lease.
+bool is_outdated(gateway const& self, std::uint64_t lease, std::string const& job)
+{
+    if (lease == self.lease.id)
+    {
+        return false;
+    }
+    base::log_line(base::log_level::warning, "job_ownership_lost",
+                   {{"job", job}, {"reason", "the lease of the owner entry has ended"}});
+    return true;
+}
+
 /// Whether the job is known to have ended, which may happen while it is being loaded.
 bool is_ended(gateway const& self, std::string const& id)
 {
@@ -148,8 +160,12 @@
 }
 
 void start_submitted_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
-                         std::uint64_t owner_revision)
+                         owner_entry const& entry)
 {
+    if (is_outdated(self, entry.lease, record.id))
+    {
+        return;
+    }
     // A read of the shared entries may have started the job before the outcome of its submission
     // arrived. Its samples are running by then, and their progress must not be reset.
     auto const added = self.jobs.try_emplace(record.id);
@@ -157,7 +173,7 @@
     {
         return;
     }
-    added.first->second = make_owned_job(self, record, std::move(spec), owner_revision);
+    added.first->second = make_owned_job(self, record, std::move(spec), entry.revision);
     schedule_sample_dispatch(self);
 }
 
@@ -169,9 +185,13 @@
         return;
     }
     load_job(self, record.id,
-             [&self, record, owner_revision](base::result<stored_job> stored)
+             [&self, record, owner_revision, lease = self.lease.id](base::result<stored_job> stored)
              {
                  self.loading_jobs.erase(record.id);
+                 if (is_outdated(self, lease, record.id))
+                 {
+                     return;
+                 }
                  if (!stored)
                  {
                      // The next reconciliation finds that this process owns a job that it does
@@ -209,7 +229,8 @@
 {
     job.claiming = true;
     load_job(self, job.record.id,
-             [&self, id = job.record.id, owner_revision](base::result<stored_job> stored)
+             [&self, id = job.record.id, owner_revision,
+              lease = self.lease.id](base::result<stored_job> stored)
              {
                  auto const it = self.jobs.find(id);
                  if (it == self.jobs.end())
@@ -217,7 +238,7 @@
                      return;
                  }
                  it->second.claiming = false;
-                 if (stored)
+                 if (stored && !is_outdated(self, lease, id))
                  {
                      resume_reclaimed_job(self, it->second, std::move(stored->results),
                                           owner_revision);
--- a/src/gateway/job_running.hpp
+++ b/src/gateway/job_running.hpp
@@ -24,9 +24,19 @@
 void note_nothing_unlisted(owned_job& job);
 
 /// \ingroup gateway
-/// \brief Starts a newly submitted job whose owner entry this process has just written.
+/// \brief Entry in the store that makes this process the owner of a job.
+struct owner_entry
+{
+    std::uint64_t revision = 0;
+    /// Lease that the entry is bound to.
+    std::uint64_t lease = 0;
+};
+
+/// \ingroup gateway
+/// \brief Starts a newly submitted job whose owner entry this process has just written. Does
+/// nothing if the entry has ended meanwhile with its lease.
 void start_submitted_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
-                         std::uint64_t owner_revision);
+                         owner_entry const& entry);
 
 /// \ingroup gateway
 /// \brief Loads a job that this process owns from the store and starts it. Does nothing while the
--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -149,7 +149,7 @@
     if (submission->owner.host == self.settings.host)
     {
         start_submitted_job(self, submission->record, std::move(submission->spec),
-                            outcome->revision);
+                            {outcome->revision, submission->owner.lease});
         return;
     }
     notify_owner(self, submission->owner, submission->record, outcome->revision);
