Set the times of a job when its route is read after the job

Found by reading. A gateway that is told of a job before it has read the job's route used the usual times, 60 s until samples are given up, for as long as it ran the job. Without any configuration it also looked for the reward's route in none.

Change: the times are set with the first read of the shared entries after the route is known, and once only, so that a step of the wall clock doesn't move them. Without a configuration no sample is given up, and reward calls wait. The latter has no test.

--- a/src/gateway/job_ownership.cpp
+++ b/src/gateway/job_ownership.cpp
@@ -119,6 +119,7 @@
 
 void reconcile_owned(gateway& self, owned_job& job, store::item const& owner, base::mono_time now)
 {
+    update_times(self, job);
     bool const is_own = owner.value == own_mark(self);
     if (is_own && job.owner_revision == 0 && !job.claiming && has_lease(self, now))
     {
--- a/src/gateway/job_running.cpp
+++ b/src/gateway/job_running.cpp
@@ -29,6 +29,7 @@
     auto const* const route = route_of(self, job.record);
     auto const submitted = to_mono(job.record.submitted_at);
     fleet::route const defaults;
+    job.has_route_times = route != nullptr;
     job.due = submitted + (route != nullptr ? route->run_target : defaults.run_target);
     job.give_up_at = submitted + (route != nullptr ? route->retention : defaults.retention);
 }
@@ -159,6 +160,14 @@
     job.may_be_stored = false;
 }
 
+void update_times(gateway const& self, owned_job& job)
+{
+    if (!job.has_route_times)
+    {
+        set_times(self, job);
+    }
+}
+
 void start_submitted_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
                          owner_entry const& entry)
 {
--- a/src/gateway/job_running.hpp
+++ b/src/gateway/job_running.hpp
@@ -23,6 +23,10 @@
 /// \brief Records that the store holds no other results of a job than the listed ones.
 void note_nothing_unlisted(owned_job& job);
 
+/// \ingroup gateway
+/// \brief Sets the times of a job from its route, if the route was not known before.
+void update_times(gateway const& self, owned_job& job);
+
 /// \ingroup gateway
 /// \brief Entry in the store that makes this process the owner of a job.
 struct owner_entry
--- a/src/gateway/owned_job.hpp
+++ b/src/gateway/owned_job.hpp
@@ -55,6 +55,8 @@
     /// when this process fails.
     base::mono_time next_save_at{};
 
+    /// The times below come from the job's route, which this process may read later than the job.
+    bool has_route_times = false;
     /// Time by which the job should be complete, from the route's run target.
     base::mono_time due{};
     /// Time at which samples without a result are given up.
--- a/src/gateway/reward_runner.cpp
+++ b/src/gateway/reward_runner.cpp
@@ -39,11 +39,18 @@
                       });
 }
 
+/// \returns null when the configuration has no such route.
+fleet::route const* reward_route_of(gateway const& self, rollout::reward_call const& call)
+{
+    return self.configuration ? fleet::find_route(*self.configuration, call.host, call.path)
+                              : nullptr;
+}
+
 std::uint32_t max_failures(gateway const& self, owned_job const& job,
                            rollout::reward_call const& call)
 {
     auto const* const job_route = route_of(self, job.record);
-    auto const* const reward_route = fleet::find_route(*self.configuration, call.host, call.path);
+    auto const* const reward_route = reward_route_of(self, call);
     return std::max(job_route != nullptr ? job_route->attempts : 1,
                     reward_route != nullptr ? reward_route->attempts : 1);
 }
@@ -89,7 +96,7 @@
 void send_reward(gateway& self, owned_job& job, std::size_t index)
 {
     auto const& call = *job.spec.samples[index].reward;
-    auto const* const route = fleet::find_route(*self.configuration, call.host, call.path);
+    auto const* const route = reward_route_of(self, call);
     if (route == nullptr)
     {
         schedule_reward(self, job.record.id, index);
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -215,6 +215,10 @@
 
 void give_up_expired_jobs(gateway& self, base::mono_time now)
 {
+    if (!self.configuration)
+    {
+        return;
+    }
     for (auto& [id, job] : self.jobs)
     {
         if (now < job.give_up_at)
