--- a/src/gateway/job_running.cpp
+++ b/src/gateway/job_running.cpp
@@ -29,6 +29,7 @@
     auto const* const route = route_of(self, job.record);
     auto const submitted = to_mono(job.record.submitted_at);
     fleet::route const defaults;
+    job.has_route_times = route != nullptr;
     job.due = submitted + (route != nullptr ? route->run_target : defaults.run_target);
     job.give_up_at = submitted + (route != nullptr ? route->retention : defaults.retention);
 }
@@ -80,6 +81,7 @@
     job.finished.insert(job.finished.begin(), std::make_move_iterator(job.writing.begin()),
                         std::make_move_iterator(job.writing.end()));
     job.writing.clear();
+    note_nothing_unlisted(job);
     apply_listed_results(self, job, std::move(listed));
     std::erase_if(job.finished,
                   [&](rollout::sample_result const& result) { return is_listed(job, result); });
@@ -121,6 +123,18 @@
     schedule_sample_dispatch(self);
 }
 
+/// Whether the entry that makes this process the owner of a job ended with its lease.
+bool is_outdated(gateway const& self, std::uint64_t lease, std::string const& job)
+{
+    if (lease == self.lease.id)
+    {
+        return false;
+    }
+    base::log_line(base::log_level::warning, "job_ownership_lost",
+                   {{"job", job}, {"reason", "the lease of the owner entry has ended"}});
+    return true;
+}
+
 /// Whether the job is known to have ended, which may happen while it is being loaded.
 bool is_ended(gateway const& self, std::string const& id)
 {
@@ -135,9 +149,32 @@
     return job.owner_revision != 0 && has_lease(self, now);
 }
 
+bool knows_stored_results(gateway const& self, owned_job const& job, base::mono_time now)
+{
+    return owns(self, job, now) && now < job.listed_complete_until;
+}
+
+void note_nothing_unlisted(owned_job& job)
+{
+    job.listed_complete_until = base::mono_time::max();
+    job.may_be_stored = false;
+}
+
+void update_times(gateway const& self, owned_job& job)
+{
+    if (!job.has_route_times)
+    {
+        set_times(self, job);
+    }
+}
+
 void start_submitted_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
-                         std::uint64_t owner_revision)
+                         owner_entry const& entry)
 {
+    if (is_outdated(self, entry.lease, record.id))
+    {
+        return;
+    }
     // A read of the shared entries may have started the job before the outcome of its submission
     // arrived. Its samples are running by then, and their progress must not be reset.
     auto const added = self.jobs.try_emplace(record.id);
@@ -145,7 +182,7 @@
     {
         return;
     }
-    added.first->second = make_owned_job(self, record, std::move(spec), owner_revision);
+    added.first->second = make_owned_job(self, record, std::move(spec), entry.revision);
     schedule_sample_dispatch(self);
 }
 
@@ -157,9 +194,13 @@
         return;
     }
     load_job(self, record.id,
-             [&self, record, owner_revision](base::result<stored_job> stored)
+             [&self, record, owner_revision, lease = self.lease.id](base::result<stored_job> stored)
              {
                  self.loading_jobs.erase(record.id);
+                 if (is_outdated(self, lease, record.id))
+                 {
+                     return;
+                 }
                  if (!stored)
                  {
                      // The next reconciliation finds that this process owns a job that it does
@@ -197,7 +238,8 @@
 {
     job.claiming = true;
     load_job(self, job.record.id,
-             [&self, id = job.record.id, owner_revision](base::result<stored_job> stored)
+             [&self, id = job.record.id, owner_revision,
+              lease = self.lease.id](base::result<stored_job> stored)
              {
                  auto const it = self.jobs.find(id);
                  if (it == self.jobs.end())
@@ -205,7 +247,7 @@
                      return;
                  }
                  it->second.claiming = false;
-                 if (stored)
+                 if (stored && !is_outdated(self, lease, id))
                  {
                      resume_reclaimed_job(self, it->second, std::move(stored->results),
                                           owner_revision);
--- a/src/gateway/job_running.hpp
+++ b/src/gateway/job_running.hpp
@@ -14,9 +14,33 @@
 [[nodiscard]] bool owns(gateway const& self, owned_job const& job, base::mono_time now);
 
 /// \ingroup gateway
-/// \brief Starts a newly submitted job whose owner entry this process has just written.
+/// \brief Whether the listed results of a job are certain to include every result that a caller may
+/// have been shown. If not, callers must be answered from the store.
+[[nodiscard]] bool knows_stored_results(gateway const& self, owned_job const& job,
+                                        base::mono_time now);
+
+/// \ingroup gateway
+/// \brief Records that the store holds no other results of a job than the listed ones.
+void note_nothing_unlisted(owned_job& job);
+
+/// \ingroup gateway
+/// \brief Sets the times of a job from its route, if the route was not known before.
+void update_times(gateway const& self, owned_job& job);
+
+/// \ingroup gateway
+/// \brief Entry in the store that makes this process the owner of a job.
+struct owner_entry
+{
+    std::uint64_t revision = 0;
+    /// Lease that the entry is bound to.
+    std::uint64_t lease = 0;
+};
+
+/// \ingroup gateway
+/// \brief Starts a newly submitted job whose owner entry this process has just written. Does
+/// nothing if the entry has ended meanwhile with its lease.
 void start_submitted_job(gateway& self, rollout::job_record const& record, rollout::batch_job spec,
-                         std::uint64_t owner_revision);
+                         owner_entry const& entry);
 
 /// \ingroup gateway
 /// \brief Loads a job that this process owns from the store and starts it. Does nothing while the
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -59,6 +59,7 @@
     auto const name = body.at("mode").get<std::string>();
     auto const mode = name == "refuses"         ? store_mode::refuses
                       : name == "loses_answers" ? store_mode::loses_answers
+                      : name == "loses_commits" ? store_mode::loses_commits
                       : name == "answers_late"  ? store_mode::answers_late
                                                 : store_mode::serves;
     self.side_door_mode = mode;
@@ -79,6 +80,7 @@
         one->refuses = body.value("refuses", one->refuses);
         one->fails = body.value("fails", one->fails);
         one->silent = body.value("silent", one->silent);
+        one->breaks_off = body.value("breaks_off", one->breaks_off);
         one->software_version = body.value("software_version", one->software_version);
         if (body.value("drops_runs", false))
         {
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -37,6 +37,8 @@
     refuses,
     /// Does what it is asked and closes the connection instead of answering.
     loses_answers,
+    /// As above for transactions, and serves the rest.
+    loses_commits,
     /// Does what it is asked at once and answers transactions late.
     answers_late,
 };
@@ -62,6 +64,8 @@
     std::uint32_t fails = 0;
     /// Takes requests and stays silent.
     bool silent = false;
+    /// Takes requests and closes their connections without an answer.
+    bool breaks_off = false;
     /// Version of its software.
     std::string software_version = "v1";
     /// Events end with the software version that made them.
--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -220,9 +220,13 @@
         close_connection(message);
         return;
     }
-    if (at.silent)
+    if (at.silent || at.breaks_off)
     {
         soup_server_message_pause(message);
+        if (at.breaks_off)
+        {
+            close_connection(message);
+        }
         return;
     }
     set_header(message, "Server-Stamp", "stamp-" + id);
