Fail a call whose response was cut within its head

What callers saw: an upstream stopped in the middle of its answer's head and closed; a lookup was answered with 200 and an empty body framed as whole. A cut 421 or 503 with Not-Executed counted as a promise that nothing ran.

Cause: libsoup takes the end of a connection within a head for the end of the head, and a body without length then ends at once. Its counts of bytes are the same for a cut head and a whole one.

Change: the connections of a session record that their end was read. A head is read up to its blank line and no further, so an end that was read by then means a cut head: a failed call that may have run. GLib lets a program replace a connection's stream only through a proxy, so each host is its own.

--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -1,6 +1,7 @@
 #include "http/call.hpp"
 
 #include "http/chunked_end.hpp"
+#include "http/connection_end.hpp"
 
 #include <array>
 #include <utility>
@@ -160,16 +161,29 @@
     }
 }
 
+/// Fails a call whose head was cut off, which libsoup reports as complete.
+void on_got_headers(SoupMessage* message, gpointer data)
+{
+    auto const keep = static_cast<call*>(data)->shared_from_this();
+    if (!has_connection_ended(message))
+    {
+        return;
+    }
+    g_cancellable_cancel(keep->cancellable.get());
+    fail(*keep, g_error_new_literal(G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT,
+                                    "the connection was closed within the head of the response"));
+}
+
 // libsoup repeats a request on a new connection if the response is 421 or if a kept-alive
 // connection is lost. The owner of the call must decide about that. Besides, the repeated request
 // would have an incomplete body, because the body stream has already been read.
 void on_misdirected(SoupMessage* message, gpointer data)
 {
-    if (soup_message_get_status(message) != SOUP_STATUS_MISDIRECTED_REQUEST)
+    auto const keep = static_cast<call*>(data)->shared_from_this();
+    if (keep->ended || soup_message_get_status(message) != SOUP_STATUS_MISDIRECTED_REQUEST)
     {
         return;
     }
-    auto const keep = static_cast<call*>(data)->shared_from_this();
     g_cancellable_cancel(keep->cancellable.get());
     keep->handlers.on_status(SOUP_STATUS_MISDIRECTED_REQUEST, "application/octet-stream");
     if (keep.use_count() > 1 && !keep->ended)
@@ -215,7 +229,8 @@
 {
     base::object_ptr<SoupSession> session(soup_session_new_with_options(
         "max-conns", max_session_connections, "max-conns-per-host", max_session_connections,
-        "timeout", 0, "idle-timeout", 30, "proxy-resolver", nullptr, nullptr));
+        "timeout", 0, "idle-timeout", 30, nullptr));
+    watch_connections(session.get());
     soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
     return session;
 }
@@ -261,6 +276,8 @@
         g_bytes_unref(body);
     }
     g_signal_connect(made->message.get(), "starting", G_CALLBACK(on_starting), made.get());
+    watch_connection(session, made->message.get());
+    g_signal_connect(made->message.get(), "got-headers", G_CALLBACK(on_got_headers), made.get());
     g_signal_connect(made->message.get(), "got-headers", G_CALLBACK(on_misdirected), made.get());
     g_signal_connect(made->message.get(), "restarted", G_CALLBACK(on_restarted), made.get());
     soup_session_send_async(session, made->message.get(), G_PRIORITY_DEFAULT,
--- /dev/null
+++ b/src/http/connection_end.cpp
@@ -0,0 +1,203 @@
+#include "http/connection_end.hpp"
+
+#include "base/glib_ptr.hpp"
+#include "http/watched_input.hpp"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace gooseberrywood::http
+{
+
+namespace
+{
+
+// libsoup makes its connections itself, and a proxy is the only place where GLib lets a program
+// replace the streams of one. This proxy is the host itself.
+constexpr char const* proxy_scheme = "gooseberrywood-watched";
+constexpr char const* records_name = "gooseberrywood-connection-ends";
+
+/// Records of the open connections of a session, by the number that libsoup gives a connection.
+using end_records = std::map<guint64, std::weak_ptr<bool const>>;
+
+/// Wraps the streams of a connection to a host.
+GIOStream* watch(GIOStream* connection)
+{
+    auto const input = make_watched_input(g_io_stream_get_input_stream(connection));
+    auto* const made =
+        g_simple_io_stream_new(input.get(), g_io_stream_get_output_stream(connection));
+    // Its streams are closed when it is released.
+    g_object_set_data_full(G_OBJECT(made), "connection", g_object_ref(connection), g_object_unref);
+    return made;
+}
+
+GIOStream* connect(GProxy*, GIOStream* connection, GProxyAddress*, GCancellable*, GError**)
+{
+    return watch(connection);
+}
+
+void connect_async(GProxy* proxy, GIOStream* connection, GProxyAddress*, GCancellable* cancellable,
+                   GAsyncReadyCallback done, gpointer data)
+{
+    base::object_ptr<GTask> const task(g_task_new(proxy, cancellable, done, data));
+    g_task_return_pointer(task.get(), watch(connection), g_object_unref);
+}
+
+GIOStream* finish_connect(GProxy*, GAsyncResult* outcome, GError** failure)
+{
+    return static_cast<GIOStream*>(g_task_propagate_pointer(G_TASK(outcome), failure));
+}
+
+gboolean supports_hostname(GProxy*)
+{
+    return TRUE;
+}
+
+void init_proxy(gpointer made, gpointer)
+{
+    auto* const proxy = static_cast<GProxyInterface*>(made);
+    proxy->connect = connect;
+    proxy->connect_async = connect_async;
+    proxy->connect_finish = finish_connect;
+    proxy->supports_hostname = supports_hostname;
+}
+
+/// \returns a list of one proxy: the host of the URI.
+char** list_proxies(char const* uri)
+{
+    std::string_view const text = uri;
+    auto const host = text.substr(std::min(text.find("://"), text.size()));
+    auto const proxy = std::string(proxy_scheme).append(host);
+    char const* const list[] = {proxy.c_str(), nullptr};
+    return g_strdupv(const_cast<char**>(list));
+}
+
+gboolean is_supported(GProxyResolver*)
+{
+    return TRUE;
+}
+
+char** lookup(GProxyResolver*, char const* uri, GCancellable*, GError**)
+{
+    return list_proxies(uri);
+}
+
+void free_list(gpointer list)
+{
+    g_strfreev(static_cast<char**>(list));
+}
+
+void lookup_async(GProxyResolver* resolver, char const* uri, GCancellable* cancellable,
+                  GAsyncReadyCallback done, gpointer data)
+{
+    base::object_ptr<GTask> const task(g_task_new(resolver, cancellable, done, data));
+    g_task_return_pointer(task.get(), list_proxies(uri), free_list);
+}
+
+char** finish_lookup(GProxyResolver*, GAsyncResult* outcome, GError** failure)
+{
+    return static_cast<char**>(g_task_propagate_pointer(G_TASK(outcome), failure));
+}
+
+void init_resolver(gpointer made, gpointer)
+{
+    auto* const resolver = static_cast<GProxyResolverInterface*>(made);
+    resolver->is_supported = is_supported;
+    resolver->lookup = lookup;
+    resolver->lookup_async = lookup_async;
+    resolver->lookup_finish = finish_lookup;
+}
+
+GType register_type(char const* name, GType interface, GInterfaceInitFunc init)
+{
+    auto const type = g_type_register_static_simple(
+        G_TYPE_OBJECT, name, sizeof(GObjectClass), nullptr, sizeof(GObject), nullptr, GTypeFlags{});
+    GInterfaceInfo const info{init, nullptr, nullptr};
+    g_type_add_interface_static(type, interface, &info);
+    return type;
+}
+
+GType register_proxy()
+{
+    // Registers GLib's extension point for proxies.
+    auto* const none = g_proxy_get_default_for_protocol(proxy_scheme);
+    g_assert(none == nullptr);
+    auto const type = register_type("GooseberrywoodWatchedProxy", G_TYPE_PROXY, init_proxy);
+    g_io_extension_point_implement(G_PROXY_EXTENSION_POINT_NAME, type, proxy_scheme, 0);
+    return type;
+}
+
+GType resolver_type()
+{
+    static GType const proxy = register_proxy();
+    static GType const type =
+        register_type("GooseberrywoodWatchedProxyResolver", G_TYPE_PROXY_RESOLVER, init_resolver);
+    return proxy != G_TYPE_INVALID ? type : G_TYPE_INVALID;
+}
+
+void free_records(gpointer records)
+{
+    delete static_cast<std::shared_ptr<end_records>*>(records);
+}
+
+/// Records of a session, or of the session of a message.
+std::shared_ptr<end_records> const& records_of(gpointer owner)
+{
+    auto* const records = g_object_get_data(G_OBJECT(owner), records_name);
+    return *static_cast<std::shared_ptr<end_records>*>(records);
+}
+
+void set_records(gpointer owner, std::shared_ptr<end_records> records)
+{
+    g_object_set_data_full(G_OBJECT(owner), records_name,
+                           new std::shared_ptr<end_records>(std::move(records)), free_records);
+}
+
+/// Assigns a new connection to the number that its message has for it.
+void on_network_event(SoupMessage* message, GSocketClientEvent, GIOStream* connection, gpointer)
+{
+    auto const record =
+        connection != nullptr ? find_end_record(g_io_stream_get_input_stream(connection)) : nullptr;
+    if (!record)
+    {
+        return;
+    }
+    auto& records = *records_of(message);
+    std::erase_if(records, [](auto const& entry) { return entry.second.expired(); });
+    records[soup_message_get_connection_id(message)] = record;
+}
+
+} // namespace
+
+void watch_connections(SoupSession* session)
+{
+    set_records(session, std::make_shared<end_records>());
+    base::object_ptr<GObject> const resolver(G_OBJECT(g_object_new(resolver_type(), nullptr)));
+    g_object_set(session, "proxy-resolver", resolver.get(), nullptr);
+}
+
+void watch_connection(SoupSession* session, SoupMessage* message)
+{
+    set_records(message, records_of(session));
+    g_signal_connect(message, "network-event", G_CALLBACK(on_network_event), nullptr);
+}
+
+bool has_connection_ended(SoupMessage* message)
+{
+    auto const& records = *records_of(message);
+    auto const at = records.find(soup_message_get_connection_id(message));
+    auto const record = at != records.end() ? at->second.lock() : nullptr;
+    return record && *record;
+}
+
+bool ends_with_connection(SoupMessage* message)
+{
+    return soup_message_headers_get_encoding(soup_message_get_response_headers(message)) ==
+           SOUP_ENCODING_EOF;
+}
+
+} // namespace gooseberrywood::http
