Fail a call whose length is unreadable or whose last chunk was cut

What callers saw: nothing was reported. A body of a guessed length, or one whose last chunk was not received, counted as whole.

Cause: libsoup reads a Content-Length that is empty, has a sign or contradicts another one as a number, and takes the end of the connection within the last chunk or its trailers for the end of the answer.

Evidence, on the code before the change: http_response_length_test fails for "", -5, +5, 5 and 3, 3 and 5, 0 and 5, and for a chunked answer cut after "0", "0 CR LF Trai" and "0 CR LF Trailer: x".

Change: such a length fails the call.

Open: chunk sizes that are no number are read as 0 by libsoup, and a whole trailer line ends an answer without the blank line.

--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -1,7 +1,7 @@
 #include "http/call.hpp"
 
-#include "http/chunked_end.hpp"
 #include "http/connection_end.hpp"
+#include "http/response_length.hpp"
 
 #include <array>
 #include <utility>
@@ -45,6 +45,15 @@
     handlers.on_complete();
 }
 
+/// Whether a chunked response that libsoup reports as complete was cut off. libsoup treats the end
+/// of the connection as the end of the response, also within the last chunk and its trailers.
+bool lacks_last_chunk(SoupMessage* message)
+{
+    auto* const headers = soup_message_get_response_headers(message);
+    return soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED &&
+           has_connection_ended(message);
+}
+
 /// \returns whether more data may be read immediately.
 bool read_once(call& c)
 {
@@ -60,7 +69,7 @@
     }
     if (count == 0)
     {
-        if (lacks_last_chunk(c.message.get(), c.response_stream.get()))
+        if (lacks_last_chunk(c.message.get()))
         {
             fail(c, g_error_new_literal(
                         G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT,
@@ -161,17 +170,28 @@
     }
 }
 
-/// Fails a call whose head was cut off, which libsoup reports as complete.
+/// \returns why a head is no head of a response, although libsoup takes it for one, or nullptr.
+char const* find_head_fault(SoupMessage* message)
+{
+    if (has_connection_ended(message))
+    {
+        return "the connection was closed within the head of the response";
+    }
+    if (has_unreadable_length(soup_message_get_response_headers(message)))
+    {
+        return "the length of the response is unreadable or contradictory";
+    }
+    return nullptr;
+}
+
 void on_got_headers(SoupMessage* message, gpointer data)
 {
     auto const keep = static_cast<call*>(data)->shared_from_this();
-    if (!has_connection_ended(message))
+    if (auto const* const fault = find_head_fault(message))
     {
-        return;
+        g_cancellable_cancel(keep->cancellable.get());
+        fail(*keep, g_error_new_literal(G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT, fault));
     }
-    g_cancellable_cancel(keep->cancellable.get());
-    fail(*keep, g_error_new_literal(G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT,
-                                    "the connection was closed within the head of the response"));
 }
 
 // libsoup repeats a request on a new connection if the response is 421 or if a kept-alive
