Keep an upstream's error out of a stream that has begun at an entry

What callers saw: a stream broke off, the next upstream answered 400, and the error's text stood in the stream, which then ended as complete.

Cause: an entry compares counts of tokens only. An answer with an error has "all" the tokens that were passed before, so that the request was complete, and respond() appended the error to the open stream.

Evidence, on the code before: entry_error_in_stream_test, "CHECK( streamed->body.find("error_status is set") == npos ) is NOT correct! values: CHECK( 2159 == ... ), status := 400", and no "event: error".

Change: an error after tokens is a failed attempt, which is retried or ends the stream with our own error; respond() aborts a stream that has begun.

Result: entry_error_in_stream_test passes, 14 of 14 assertions.

--- a/src/entry/agents.cpp
+++ b/src/entry/agents.cpp
@@ -67,6 +67,14 @@
     carry_out(entry, *which, decided);
 }
 
+/// Whether an upstream answered with an error although tokens were passed to the caller. Such an
+/// answer is no continuation.
+bool is_error_within_answer(request const& which, wire::finished const& message)
+{
+    constexpr std::uint16_t http_ok = 200;
+    return which.log.passed_tokens > 0 && message.status != http_ok;
+}
+
 void handle(entry_process& entry, agent_link&, wire::finished& message)
 {
     auto* const which = find_request(entry, message.id);
@@ -74,6 +82,16 @@
     {
         return;
     }
+    if (is_error_within_answer(*which, message))
+    {
+        which->refusal_message = fmt::format(
+            "the upstream answered with {} where an answer was to go on", message.status);
+        carry_out(entry, *which,
+                  routing::on_refused(which->log, message.attempt,
+                                      base::result_code::upstream_error, false, mono_now(),
+                                      mono_now(), retry_means_of(entry)));
+        return;
+    }
     auto const decided = routing::on_finished(which->log, message.attempt, message.total_tokens,
                                               mono_now(), retry_means_of(entry));
     if (decided.kind == routing::decision_kind::complete)
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -86,6 +86,11 @@
     {
         return;
     }
+    if (request.streaming)
+    {
+        abort_stream(request);
+        return;
+    }
     request.answered = true;
     set_headers(request, status, content_type, headers);
     soup_message_body_append(response_body(request), SOUP_MEMORY_COPY, body.data(), body.size());
