Don't take an error or a missing end for the end of a sample's text

What callers saw: a run of a sample broke off, and the text was listed as done without its end, when the answer that was to continue it held an error or ended at once.

Cause: whatever was no event was skipped, an event without an id had the id 0 and could begin a text, and an answer without any event ended the text, also when nothing but the close of the connection told so.

Change: bytes that are no event break the run, and the sample goes on elsewhere after its last event. An event needs an id. A run without an event whose answer has neither length nor chunks makes the text start again.

--- a/src/gateway/sample_run_answers.cpp
+++ b/src/gateway/sample_run_answers.cpp
@@ -5,6 +5,7 @@
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runs.hpp"
+#include "http/connection_end.hpp"
 #include "http/status.hpp"
 #include "platform/upstream_calls.hpp"
 
@@ -168,10 +169,15 @@
     {
         if (!apply_event(self, run, *context, event, now))
         {
-            abort_run(self, run_number, "the event ids are not consecutive");
+            abort_run(self, run_number, "the event ids are missing or not consecutive");
             return;
         }
     }
+    if (run.stream.is_malformed)
+    {
+        abort_run(self, run_number, "the stream holds something that is no event");
+        return;
+    }
     if (platform::is_event_too_large(run.stream))
     {
         abort_run(self, run_number, "an event exceeds the size limit");
@@ -184,6 +190,15 @@
     }
 }
 
+/// Whether a run that was to continue a text ended without an event, and nothing but the close of
+/// its connection tells that the text is whole. An upstream that crashes may close it so, too.
+bool ended_without_proof(sample_run const& run, run_context const& context)
+{
+    return run.is_streaming && context.progress->events > 0 &&
+           run.last_event_at == base::mono_time{} &&
+           http::ends_with_connection(run.call->message.get());
+}
+
 void on_complete(gateway& self, std::uint64_t run_number)
 {
     auto const& run = self.runs.at(run_number);
@@ -193,6 +208,12 @@
         return;
     }
     auto const context = context_of(self, run);
+    if (context && ended_without_proof(run, *context))
+    {
+        rollout::discard_text(*context->progress);
+        abort_run(self, run_number, "the stream ended without an event and without a length");
+        return;
+    }
     if (!context || !run.is_streaming || context->progress->events == 0 ||
         !run.stream.buffer.empty())
     {
--- a/src/rollout/sample_progress.cpp
+++ b/src/rollout/sample_progress.cpp
@@ -6,7 +6,9 @@
 bool append_event(sample_progress& progress, stream_event const& event, std::uint32_t version,
                   text_origin const& origin)
 {
-    if (progress.last_event_id && event.id != *progress.last_event_id + 1)
+    bool const follows =
+        event.id && (!progress.last_event_id || *event.id == *progress.last_event_id + 1);
+    if (!follows)
     {
         return false;
     }
--- a/src/rollout/sample_progress.hpp
+++ b/src/rollout/sample_progress.hpp
@@ -59,7 +59,8 @@
 /// \brief Appends an event to the text of a sample.
 /// \param version version of the weights that generated the event.
 /// \param origin what generated the event.
-/// \returns false, without a change, when the event id does not directly follow the last one.
+/// \returns false, without a change, when the event has no id, or one that does not directly follow
+/// the last one.
 [[nodiscard]] bool append_event(sample_progress& progress, stream_event const& event,
                                 std::uint32_t version, text_origin const& origin);
 
--- a/src/rollout/stream_event.hpp
+++ b/src/rollout/stream_event.hpp
@@ -12,7 +12,8 @@
 /// \brief One event of a token stream.
 struct stream_event
 {
-    std::int64_t id = 0;
+    /// Absent if the event has no id, or an unreadable one.
+    std::optional<std::int64_t> id;
     std::string data;
     /// Version of the weights; set when it changes with this event.
     std::optional<std::uint32_t> version;
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -114,6 +114,10 @@
     {
         set_store(self, body);
     }
+    else if (path == "/standin/raw")
+    {
+        set_raw_answers(self.raw, body);
+    }
     else if (path == "/standin/upstream")
     {
         set_upstream(self, body);
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -4,6 +4,7 @@
 #include "base/event_source.hpp"
 #include "base/time.hpp"
 #include "standin/http.hpp"
+#include "standin/site/raw_answer.hpp"
 
 #include <cstdint>
 #include <map>
@@ -97,6 +98,7 @@
     std::map<std::string, std::string> teams;
     /// Ids whose runs went on after an event.
     std::uint32_t resumed = 0;
+    raw_answers raw;
     nlohmann::json reports = nlohmann::json::array();
 };
 
--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -158,6 +158,10 @@
     }
     ++self.runs[id];
     self.teams[id] = header(message, "Tenant");
+    if (send_raw_answer(self.raw, at.service, message, id))
+    {
+        return;
+    }
     if (at.silent)
     {
         soup_server_message_pause(message);
