--- a/test/http_truncated_head_test.cpp
+++ b/test/http_truncated_head_test.cpp
@@ -91,7 +91,7 @@
 /// How a part of a head is sent.
 struct variant
 {
-    char const* name;
+    std::string name;
     ending how = ending::closed;
     bool is_kept_alive = false;
     bool is_bytewise = false;
