--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -220,6 +220,10 @@
         close_connection(message);
         return;
     }
+    if (send_raw_answer(self.raw, at.service, message, id))
+    {
+        return;
+    }
     if (at.silent || at.breaks_off)
     {
         soup_server_message_pause(message);
