Skip upstream entries whose values are out of range, and log them

What callers saw: an odd entry of another writer was taken for an upstream: slots of 2^32 + 8 as 8, port 0, address 0.0.0.0, an id with line ends. Nothing was logged. Several large ones kept followers from hearing of changes through their reader, so that they read the store each 2.5 s only. Cause: fields were checked for their type only, and cast. The whole values went into the frames between gateways. No process ended there: depth of 1,000,000 and numbers like 1e400 were read and dropped. Change: ranges for each field; skipped entries have a reason and are logged once a change; values of upstream entries are cut above 64 KiB; weights versions and durations of the operator's entries have ranges too; a rejected configuration is logged once. The stand-in's store takes bytes of any kind and has pages of 1 MB.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -85,6 +85,8 @@
 
     std::optional<fleet::configuration> configuration;
     std::uint64_t configuration_revision = 0;
+    /// Revision of the last configuration that could not be read.
+    std::uint64_t rejected_configuration_revision = 0;
     duty::latest_versions named_weights;
     fleet::pool pool;
     /// Hosts that the operator is retiring and whose disks must be emptied.
--- a/src/gateway/list_polling.cpp
+++ b/src/gateway/list_polling.cpp
@@ -42,6 +42,14 @@
     state.failing = failing;
 }
 
+void cut_values(items& read, std::size_t max_bytes)
+{
+    for (auto& item : read)
+    {
+        item.value.resize(std::min(item.value.size(), max_bytes));
+    }
+}
+
 void apply_list(poller& state, poll_plan const& plan, items const& read)
 {
     plan.on_list(read, state.copy.last_read.begin);
@@ -108,9 +116,13 @@
     auto const sent_at = base::mono_now();
     store::list_all(
         self.store, std::string(plan.prefix), "", sent_at + list_timeout,
-        [&self, &state, plan, sent_at](base::result<items> const& read)
+        [&self, &state, plan, sent_at](base::result<items> read)
         {
             log_reachability(state, plan.prefix, !read, read ? "" : read.error().message);
+            if (read)
+            {
+                cut_values(*read, plan.max_value_bytes);
+            }
             if (read && store::apply_read(state.copy, *read, {sent_at, base::mono_now()}))
             {
                 apply_list(state, plan, *read);
--- a/src/gateway/list_polling.hpp
+++ b/src/gateway/list_polling.hpp
@@ -4,7 +4,9 @@
 #include "gateway/gateway.hpp"
 #include "store/item.hpp"
 
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <string_view>
 #include <vector>
 
@@ -25,6 +27,9 @@
     /// Receives the whole list after each accepted read.
     /// \param read_at the list was read at this time or later.
     std::function<void(std::vector<store::item> const&, base::mono_time read_at)> on_list;
+    /// Values are cut at this length. No longer value can be used, and it would take room in the
+    /// frames to other gateways.
+    std::size_t max_value_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// \ingroup gateway
--- a/src/gateway/poller.hpp
+++ b/src/gateway/poller.hpp
@@ -3,6 +3,7 @@
 
 #include "base/event_source.hpp"
 #include "base/time.hpp"
+#include "gateway/unreadable_entries.hpp"
 #include "store/list_copy.hpp"
 
 namespace gooseberrywood::gateway
@@ -22,6 +23,7 @@
     base::mono_time next_store_read_at{};
     /// The last read of the store failed.
     bool failing = false;
+    unreadable_entries unreadable;
 };
 
 } // namespace gooseberrywood::gateway
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -61,8 +61,12 @@
     auto decoded = platform::decode_configuration(*state.configuration);
     if (!decoded)
     {
-        base::log_line(base::log_level::error, "configuration_rejected",
-                       {{"code", decoded.error().code}, {"reason", decoded.error().message}});
+        if (state.configuration_revision != self.rejected_configuration_revision)
+        {
+            base::log_line(base::log_level::error, "configuration_rejected",
+                           {{"code", decoded.error().code}, {"reason", decoded.error().message}});
+        }
+        self.rejected_configuration_revision = state.configuration_revision;
         return;
     }
     base::log_line(base::log_level::info, "configuration_applied",
@@ -77,6 +81,7 @@
 {
     auto const state = platform::decode_operator_state(read);
     apply_configuration(self, state);
+    log_unreadable(self.operator_poller.unreadable, state.unreadable, base::mono_now());
     if (state.domains_out != self.pool.domains_out)
     {
         base::log_line(base::log_level::info, "domains_out_changed",
@@ -113,8 +118,10 @@
     {
         self.pool.keep_missing_until = now + relist_period;
     }
-    auto const change =
-        fleet::apply_list(self.pool, platform::decode_upstreams(read, read_at), now);
+    std::vector<platform::unreadable_entry> skipped;
+    auto const listed = platform::decode_upstreams(read, read_at, &skipped);
+    log_unreadable(self.upstream_poller.unreadable, skipped, now);
+    auto const change = fleet::apply_list(self.pool, listed, now);
     discard_unused_buckets(self);
     abort_runs_on_replaced_upstreams(self);
     log_ids("upstream_added", change.added);
@@ -157,11 +164,11 @@
     auto const in_effect = self.settings.departure_in_effect;
     return {platform::store_keys::upstream_prefix,
             [in_effect] { return fraction_of(in_effect, list_interval_fraction); },
-            fraction_of(in_effect, max_age_fraction), always_false,
+            fraction_of(in_effect, max_age_fraction),
+            always_false,
             [&self](items const& read, base::mono_time read_at)
-            {
-                apply_upstreams(self, read, read_at);
-            }};
+            { apply_upstreams(self, read, read_at); },
+            platform::max_upstream_entry_bytes + 1};
 }
 
 poll_plan shared_plan(gateway& self)
--- a/test/gateway_list_exchange_test.cpp
+++ b/test/gateway_list_exchange_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway/list_exchange.hpp"
 #include "gateway/peer_messages.hpp"
 #include "gateway/refresh.hpp"
+#include "platform/protocol_names.hpp"
 #include "rollout/result_chunk.hpp"
 #include "rollout/store_keys.hpp"
 
@@ -45,6 +46,8 @@
 struct fake_store
 {
     std::vector<store::item> items;
+    /// Entries of upstreams.
+    std::vector<store::item> upstreams;
     bool is_down = false;
 };
 
@@ -62,6 +65,7 @@
                                          base::mono_time, store::done<store::page> const& then)
         {
             reads += prefix == rollout::shared_prefix ? 1 : 0;
+            upstream_reads += prefix == platform::store_keys::upstream_prefix ? 1 : 0;
             // Answers from the loop, as the store client does.
             answers.push_back(base::soon(
                 [&store, prefix, then]
@@ -71,8 +75,11 @@
                         then(base::fail(base::result_code::store_unavailable, "down"));
                         return;
                     }
-                    then(store::page{prefix == rollout::shared_prefix ? store.items
-                                                                      : std::vector<store::item>(),
+                    bool const is_shared = prefix == rollout::shared_prefix;
+                    bool const is_upstreams = prefix == platform::store_keys::upstream_prefix;
+                    then(store::page{is_shared      ? store.items
+                                     : is_upstreams ? store.upstreams
+                                                    : std::vector<store::item>(),
                                      false});
                 }));
         };
@@ -91,6 +98,7 @@
     std::vector<base::event_source> answers;
     gateway::gateway self;
     int reads = 0;
+    int upstream_reads = 0;
 };
 
 } // namespace
@@ -160,6 +168,35 @@
     }
 }
 
+SCENARIO("large entries of another writer don't keep gateways from following a list")
+{
+    // Guards against lists that are seconds old because they don't fit in a frame.
+    fake_store store;
+    test_gateway reader("reader", 0.5, store);
+    test_gateway follower("follower", 0.1, store);
+    store.items = {follower.entry(), reader.entry()};
+    gateway::start_refresh(reader.self);
+    gateway::start_refresh(follower.self);
+    REQUIRE(run_until([&] { return follower.self.shared.members.size() == 2; }));
+    std::string const large(1'200'000, 'x');
+    WHEN("they are among the upstreams")
+    {
+        std::string const upstream =
+            R"({"service":"s","address":"10.0.0.9:80","zone":"d","version":"v1","slots":8,)"
+            R"("state":"ready","cold_remaining_ms":0})";
+        store.upstreams = {
+            {"servers/a", upstream, 1}, {"servers/odd-1", large, 2}, {"servers/odd-2", large, 3}};
+        REQUIRE(run_until([&] { return follower.self.pool.upstreams.size() == 1; }));
+        auto const reads_before = follower.upstream_reads;
+        store.upstreams.push_back({"servers/z", upstream, 4});
+        THEN("the follower hears of changes through the reader")
+        {
+            CHECK(run_until([&] { return follower.self.pool.upstreams.size() == 2; }));
+            CHECK(follower.upstream_reads == reads_before);
+        }
+    }
+}
+
 SCENARIO("a gateway requests the results of a job from its owner")
 {
     // Guards against a read of the store for each call of each trainer.
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -1,3 +1,4 @@
+#include "base/json_fields.hpp"
 #include "standin/site/site.hpp"
 
 namespace gooseberrywood::test
@@ -44,7 +45,11 @@
 
 void put(site& self, json const& body)
 {
-    self.values[body.at("key").get<std::string>()] = {body.at("value").dump(), ++self.revision, 0};
+    // Bytes of any kind are given as base64.
+    auto const value = body.contains("base64")
+                           ? base::from_base64(body.at("base64").get<std::string>()).value()
+                           : body.at("value").dump();
+    self.values[body.at("key").get<std::string>()] = {value, ++self.revision, 0};
 }
 
 void set_store(site& self, json const& body)
--- a/test/standin/site/store.cpp
+++ b/test/standin/site/store.cpp
@@ -13,6 +13,7 @@
 using nlohmann::json;
 
 constexpr std::size_t page_items = 50;
+constexpr std::size_t page_bytes = 1'000'000;
 
 std::string query_text(SoupServerMessage* message, char const* name)
 {
@@ -73,6 +74,7 @@
     auto const prefix = query_text(message, "prefix");
     auto const after = query_text(message, "after");
     auto items = json::array();
+    std::size_t bytes = 0;
     bool has_more = false;
     for (auto const& [key, item] : self.values)
     {
@@ -80,12 +82,13 @@
         {
             continue;
         }
-        if (items.size() == page_items)
+        if (items.size() == page_items || bytes >= page_bytes)
         {
             has_more = true;
             break;
         }
         items.push_back(shown(key, item));
+        bytes += item.value.size();
     }
     answer(message, SOUP_STATUS_OK,
            {{"items", items}, {"has_more", has_more}, {"current_rev", self.revision}});
