--- a/src/gateway/job_store.cpp
+++ b/src/gateway/job_store.cpp
@@ -37,7 +37,7 @@
             }
             std::move(results->begin(), results->end(), std::back_inserter(stored.results));
         }
-        else
+        else if (item.key.starts_with(rollout::spec_prefix(id)))
         {
             spec += item.value;
         }
--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -169,10 +169,12 @@
                 fleet::route const& route, std::string const& team)
 {
     auto spec = platform::decode_batch_job(exchange->body);
-    if (!spec || head.request_id.empty())
+    if (!spec || !rollout::is_valid_job_id(head.request_id))
     {
         answer_error(self, *exchange, http::status::bad_request,
-                     spec ? base::error{result_code::bad_request, "the batch job has no request id"}
+                     spec ? base::error{result_code::bad_request,
+                                        "the batch job has no request id, or one that is too long "
+                                        "or not of visible ASCII characters other than a slash"}
                           : spec.error());
         return;
     }
--- a/src/rollout/store_keys.hpp
+++ b/src/rollout/store_keys.hpp
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -19,12 +20,29 @@
 /// Assignment of models to upstreams; written by the leader.
 inline constexpr std::string_view shares_key = "shared/shares";
 
+// Longest key in the store: 200 bytes. The keys of a job add at most 24 bytes to its id.
+inline constexpr std::size_t max_job_id_bytes = 160;
+
+/// Whether an id, the caller's text, may be part of the keys of a job. A slash would mix the
+/// entries of two jobs, and bytes that are not ASCII may have no form in the store's messages.
+[[nodiscard]] inline bool is_valid_job_id(std::string_view id)
+{
+    return !id.empty() && id.size() <= max_job_id_bytes &&
+           std::all_of(id.begin(), id.end(),
+                       [](unsigned char c) { return c > ' ' && c < 0x7F && c != '/'; });
+}
+
 /// Prefix of the other entries of a job: its specification, its results and its saved progress.
 [[nodiscard]] inline std::string job_prefix(std::string_view id)
 {
     return fmt::format("job/{}/", id);
 }
 
+[[nodiscard]] inline std::string spec_prefix(std::string_view id)
+{
+    return fmt::format("job/{}/spec/", id);
+}
+
 [[nodiscard]] inline std::string spec_key(std::string_view id, std::size_t part)
 {
     return fmt::format("job/{}/spec/{:04}", id, part);
