Bound the depth of values and the numbers of stored entries

What callers saw: nothing yet. Cause: numbers of records, saved texts and members were cast or cut to 32 bits; values of any depth were read. Evidence on the old code: rollout_odd_entries_test failed (values 1,000,000 levels deep were read; no crash). Change: values are nested 100 deep at most; numbers out of range make an entry unreadable. Measured: unit_tests 165 of 165 cases. Not run: sanitizers.

--- a/src/base/json_fields.cpp
+++ b/src/base/json_fields.cpp
@@ -8,6 +8,28 @@
 namespace
 {
 
+/// Whether arrays and objects are nested deeper than `max_json_depth`. The answer has no meaning
+/// for text that is not JSON.
+bool is_too_deep(std::string_view text)
+{
+    std::size_t depth = 0;
+    bool in_string = false;
+    for (std::size_t i = 0; i < text.size() && depth <= max_json_depth; ++i)
+    {
+        auto const c = text[i];
+        if (in_string)
+        {
+            in_string = c != '"';
+            i += c == '\\' ? 1 : 0;
+            continue;
+        }
+        in_string = c == '"';
+        depth += c == '[' || c == '{' ? 1 : 0;
+        depth -= (c == ']' || c == '}') && depth > 0 ? 1 : 0;
+    }
+    return depth > max_json_depth;
+}
+
 nlohmann::json const* field(nlohmann::json const& from, char const* name)
 {
     if (!from.is_object())
@@ -22,6 +44,10 @@
 
 std::optional<nlohmann::json> parse_object(std::string_view text)
 {
+    if (is_too_deep(text))
+    {
+        return std::nullopt;
+    }
     auto parsed = nlohmann::json::parse(text, nullptr, false);
     if (!parsed.is_object())
     {
@@ -37,12 +63,16 @@
                                                   : std::nullopt;
 }
 
-std::optional<std::uint64_t> read_unsigned(nlohmann::json const& from, char const* name)
+std::optional<std::uint64_t> read_unsigned(nlohmann::json const& from, char const* name,
+                                           std::uint64_t max)
 {
     auto const* const found = field(from, name);
-    return found != nullptr && found->is_number_unsigned()
-               ? std::optional(found->get<std::uint64_t>())
-               : std::nullopt;
+    if (found == nullptr || !found->is_number_unsigned())
+    {
+        return std::nullopt;
+    }
+    auto const value = found->get<std::uint64_t>();
+    return value <= max ? std::optional(value) : std::nullopt;
 }
 
 std::optional<double> read_number(nlohmann::json const& from, char const* name)
--- a/src/rollout/job_record.cpp
+++ b/src/rollout/job_record.cpp
@@ -2,11 +2,21 @@
 
 #include "base/json_fields.hpp"
 
+#include <limits>
 #include <utility>
 
 namespace gooseberrywood::rollout
 {
 
+namespace
+{
+
+// The end of the year 2200: points in time that are worked out from it can be represented.
+constexpr std::uint64_t max_submitted_us = 7'289'654'400'000'000;
+constexpr std::uint64_t max_version = std::numeric_limits<std::uint32_t>::max();
+
+} // namespace
+
 std::string encode(job_record const& record)
 {
     nlohmann::json const body = {{"team", record.team},
@@ -31,11 +41,11 @@
     auto team = base::read_text(*body, "team");
     auto host = base::read_text(*body, "host");
     auto path = base::read_text(*body, "path");
-    auto const submitted_us = base::read_unsigned(*body, "submitted_us");
+    auto const submitted_us = base::read_unsigned(*body, "submitted_us", max_submitted_us);
     auto const samples = base::read_unsigned(*body, "samples");
     auto const ended = base::read_flag(*body, "ended");
     auto model = base::read_text(*body, "model");
-    auto const least_version = base::read_unsigned(*body, "least_version");
+    auto const least_version = base::read_unsigned(*body, "least_version", max_version);
     auto const expected_tokens = base::read_unsigned(*body, "tokens");
     if (!team || !host || !path || !submitted_us || !samples || !ended || !model ||
         !least_version || !expected_tokens)
--- a/src/rollout/member.cpp
+++ b/src/rollout/member.cpp
@@ -1,5 +1,6 @@
 #include "rollout/member.hpp"
 
+#include "base/ip_port.hpp"
 #include "base/json_fields.hpp"
 
 #include <fmt/format.h>
@@ -9,6 +10,14 @@
 namespace gooseberrywood::rollout
 {
 
+namespace
+{
+
+// Above any host: a member of untold strength would read and own for all others.
+constexpr double max_processors = 10'000;
+
+} // namespace
+
 std::string encode(member const& member)
 {
     nlohmann::json const body = {{"lease", member.lease},
@@ -29,7 +38,9 @@
     auto address = base::read_text(*body, "peer_address");
     auto const processors = base::read_number(*body, "processors");
     auto domain = base::read_text(*body, "domain");
-    if (!lease || !address || !processors || !domain)
+    bool const is_address = address && (address->empty() || base::ip_port_from(*address));
+    if (!lease || !is_address || !processors || *processors < 0 || *processors > max_processors ||
+        !domain)
     {
         return std::nullopt;
     }
--- a/src/rollout/saved_progress.cpp
+++ b/src/rollout/saved_progress.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json_fields.hpp"
 
+#include <limits>
 #include <utility>
 
 namespace gooseberrywood::rollout
@@ -12,6 +13,9 @@
 
 using nlohmann::json;
 
+constexpr std::uint64_t max_event_id = std::numeric_limits<std::int64_t>::max();
+constexpr std::uint64_t max_count = std::numeric_limits<std::uint32_t>::max();
+
 json to_json(std::string const& id, sample_progress const& progress)
 {
     json object = {{"id", id},
@@ -38,7 +42,7 @@
     }
     for (auto const& version : *list)
     {
-        if (!version.is_number_unsigned())
+        if (!version.is_number_unsigned() || version.get<std::uint64_t>() > max_count)
         {
             return false;
         }
@@ -51,10 +55,10 @@
 {
     auto text = base::read_text(item, "text");
     auto const events = base::read_unsigned(item, "events");
-    auto const last_event_id = base::read_unsigned(item, "last_event_id");
+    auto const last_event_id = base::read_unsigned(item, "last_event_id", max_event_id);
     auto const complete = base::read_flag(item, "complete");
-    auto const failed_runs = base::read_unsigned(item, "failed_runs");
-    auto const failed_rewards = base::read_unsigned(item, "failed_rewards");
+    auto const failed_runs = base::read_unsigned(item, "failed_runs", max_count);
+    auto const failed_rewards = base::read_unsigned(item, "failed_rewards", max_count);
     sample_progress progress;
     if (!text || !events || !last_event_id || !complete || !failed_runs || !failed_rewards ||
         !read_versions(item, progress.versions))
