Send nothing more to an upstream whose answers say that it leaves

Callers' requests went on to upstreams that state in each answer that they leave, as long as their entry in the list said `ready`. The header was not read.

The head of each answer is now decoded (value 1, not in a 421, not in an answer that names another request), and that start of the upstream (id, address, start time) is marked at once. Plain requests, retries, hedges, samples, moves and reward calls choose others; the leader assigns it to no model. The mark outlives the entry and lists that say `ready`; another start under the id is free of it. It rests on memory alone, so a store that is down changes nothing. The answer is passed on with the header unchanged.

--- a/src/duty/weights_plan.cpp
+++ b/src/duty/weights_plan.cpp
@@ -49,7 +49,8 @@
     std::vector<fleet::upstream_record const*> found;
     for (auto const& [id, upstream] : pool.upstreams)
     {
-        if (upstream.record.service == service.name && !upstream.record.draining)
+        if (upstream.record.service == service.name && !upstream.record.draining &&
+            !upstream.leaving)
         {
             found.push_back(&upstream.record);
         }
@@ -65,8 +66,8 @@
     for (auto it = plan.upstreams.begin(); it != plan.upstreams.end();)
     {
         auto const listed = pool.upstreams.find(it->first);
-        bool const is_unavailable =
-            listed == pool.upstreams.end() || listed->second.record.draining;
+        bool const is_unavailable = listed == pool.upstreams.end() ||
+                                    listed->second.record.draining || listed->second.leaving;
         it = is_unavailable ? plan.upstreams.erase(it) : std::next(it);
     }
 }
--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -8,6 +8,7 @@
 
 #include "fleet/choose_upstream.hpp"
 #include "fleet/configuration.hpp"
+#include "fleet/departures.hpp"
 #include "fleet/permit_bucket.hpp"
 #include "fleet/pool.hpp"
 
--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -50,8 +50,8 @@
 /// Whether an upstream serves, though it may be suspended for a moment.
 bool is_serving(pool const& pool, upstream const& upstream, std::string_view service)
 {
-    return upstream.record.service == service && !upstream.record.draining && !upstream.missing &&
-           !pool.domains_out.contains(upstream.record.domain);
+    return upstream.record.service == service && !upstream.record.draining && !upstream.leaving &&
+           !upstream.missing && !pool.domains_out.contains(upstream.record.domain);
 }
 
 bool is_usable(pool const& pool, upstream const& upstream, std::string_view service,
@@ -228,7 +228,8 @@
 
 chosen_upstream make_choice(upstream_record const& record, std::uint32_t expected_version)
 {
-    return {record.id, record.address, record.service, record.software_version, expected_version};
+    return {record.id,        record.address,   record.service, record.software_version,
+            expected_version, record.started_ms};
 }
 
 chosen_upstream make_choice(sample_candidate const& candidate)
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -55,8 +55,17 @@
     /// Version of the weights that the sample requires, sent along so that an upstream without it
     /// refuses the sample; 0 when the upstream is known to have a version that is new enough.
     std::uint32_t expected_version = 0;
+    /// See `upstream_record::started_ms`.
+    std::int64_t started_ms = 0;
 };
 
+/// \ingroup fleet
+/// \brief The incarnation that was chosen.
+[[nodiscard]] inline incarnation incarnation_of(chosen_upstream const& chosen)
+{
+    return {chosen.id, chosen.address, chosen.started_ms};
+}
+
 /// \ingroup fleet
 /// \brief Chooses the upstream on which a plain request is expected to finish first. An upstream
 /// without a recent measurement is rated with the median, so that a new one gets its share of the
--- a/src/fleet/pool.cpp
+++ b/src/fleet/pool.cpp
@@ -105,6 +105,7 @@
         {
             it->second.record = record;
             restore_limit(pool, it->second);
+            it->second.leaving = keep_departure(pool.departures, incarnation_of(record), now);
             change.added.push_back(record.id);
             continue;
         }
@@ -113,10 +114,12 @@
             change.draining.push_back(record.id);
         }
         update(it->second, record);
+        it->second.leaving = keep_departure(pool.departures, incarnation_of(record), now);
     }
     remove_missing(pool, ids, now, change);
     std::erase_if(pool.unlisted_limits,
                   [&](auto const& kept) { return now >= kept.second.forget_at; });
+    drop_old_departures(pool.departures, now);
     return change;
 }
 
@@ -140,6 +143,16 @@
     }
 }
 
+bool note_leaving(pool& pool, incarnation const& leaving, base::mono_time now)
+{
+    auto* const found = find_upstream(pool, leaving.id);
+    if (found != nullptr && incarnation_of(found->record) == leaving)
+    {
+        found->leaving = true;
+    }
+    return mark_departure(pool.departures, leaving, now);
+}
+
 void note_request_sent(pool& pool, std::string_view id, base::mono_time now)
 {
     auto* const found = find_upstream(pool, id);
--- a/src/fleet/pool.hpp
+++ b/src/fleet/pool.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYWOOD_FLEET_POOL_HPP
 
 #include "base/time.hpp"
+#include "fleet/departures.hpp"
 #include "fleet/upstream.hpp"
 
 #include <cstdint>
@@ -44,6 +45,8 @@
     std::uint32_t sharing_processes = 1;
     /// By id.
     std::map<std::string, unlisted_limit> unlisted_limits;
+    /// Outlives the entries in `upstreams`.
+    departure_marks departures;
     /// Until this time, upstreams that are missing from the list are kept: their entries may have
     /// expired while the store was unavailable.
     base::mono_time keep_missing_until{};
@@ -73,6 +76,12 @@
 /// is expected to have finished.
 void note_load_order(pool& pool, std::string_view id, announced_weights const& weights);
 
+/// \ingroup fleet
+/// \brief Records that an upstream has stated in an answer that it leaves. This incarnation gets no
+/// more requests, whether it is listed or not.
+/// \returns whether this was not known.
+bool note_leaving(pool& pool, incarnation const& leaving, base::mono_time now);
+
 /// \ingroup fleet
 /// \brief Counts a request that is sent to an upstream, and charges it to the budget of a cold
 /// upstream.
--- a/src/fleet/upstream.hpp
+++ b/src/fleet/upstream.hpp
@@ -44,6 +44,8 @@
     /// Set when the upstream is missing from the list, possibly because its entry expired while the
     /// store was unavailable. It gets no requests.
     bool missing = false;
+    /// Set when this incarnation has stated in an answer that it leaves. It gets no requests.
+    bool leaving = false;
 };
 
 } // namespace gooseberrywood::fleet
--- a/src/gateway/dump.cpp
+++ b/src/gateway/dump.cpp
@@ -20,6 +20,7 @@
                              {"address", upstream.record.address},
                              {"domain", upstream.record.domain},
                              {"draining", upstream.record.draining},
+                             {"leaving", upstream.leaving},
                              {"cold", now < upstream.record.cold_until},
                              {"suspended", now < upstream.suspended_until},
                              {"loading", now < upstream.loading_until},
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -48,6 +48,7 @@
     for (auto const& [id, upstream] : self.pool.upstreams)
     {
         auto const* const state = upstream.record.draining           ? "draining"
+                                  : upstream.leaving                 ? "leaving"
                                   : now < upstream.record.cold_until ? "cold"
                                   : now < upstream.suspended_until   ? "suspended"
                                   : now < upstream.loading_until     ? "loading"
@@ -59,7 +60,7 @@
     for (auto const& [service, states] : counts)
     {
         for (auto const* state :
-             {"draining", "cold", "suspended", "loading", "rate_limited", "ready"})
+             {"draining", "leaving", "cold", "suspended", "loading", "rate_limited", "ready"})
         {
             auto const it = states.find(state);
             base::gauge_at(self.metrics, {"gateway_upstreams", "upstreams by service and state"},
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "fleet/choose_upstream.hpp"
 #include "fleet/try_outcome.hpp"
+#include "gateway/departures.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/permits.hpp"
 #include "http/status.hpp"
@@ -193,6 +194,7 @@
                              : platform::response_head{};
     auto const outcome = outcome_of(answer, head, request->spec.request_id);
     update_pool(self, ended, outcome, answer, now);
+    record_departure(self, ended.incarnation, head, request->spec.request_id);
     if (head.request_id == request->spec.request_id)
     {
         record_rate_limit(self, ended.upstream, head, answer->status, ended.sent_at);
@@ -253,6 +255,7 @@
     fleet::note_request_sent(self.pool, chosen.id, now);
     auto& started_try = request.running_tries[index];
     started_try.upstream = chosen.id;
+    started_try.incarnation = fleet::incarnation_of(chosen);
     started_try.origin = {chosen.service, chosen.software_version};
     started_try.sent_at = now;
     started_try.started_at = base::wall_now();
--- a/src/gateway/routed_request.hpp
+++ b/src/gateway/routed_request.hpp
@@ -3,6 +3,7 @@
 
 #include "base/event_source.hpp"
 #include "base/time.hpp"
+#include "fleet/departures.hpp"
 #include "http/fetch.hpp"
 #include "platform/upstream_calls.hpp"
 #include "rollout/text_origin.hpp"
@@ -74,6 +75,7 @@
 struct routed_try
 {
     std::string upstream;
+    fleet::incarnation incarnation;
     /// Service and software version of the upstream.
     rollout::text_origin origin;
     base::mono_time sent_at{};
--- a/src/gateway/sample_run.hpp
+++ b/src/gateway/sample_run.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYWOOD_GATEWAY_SAMPLE_RUN_HPP
 
 #include "base/time.hpp"
+#include "fleet/departures.hpp"
 #include "http/call.hpp"
 #include "platform/event_stream.hpp"
 #include "rollout/text_origin.hpp"
@@ -22,6 +23,7 @@
     /// Index of the sample in its job.
     std::size_t index = 0;
     std::string upstream;
+    fleet::incarnation incarnation;
     /// Service and software version of the upstream.
     rollout::text_origin origin;
     std::shared_ptr<http::call> call;
--- a/src/gateway/sample_run_answers.cpp
+++ b/src/gateway/sample_run_answers.cpp
@@ -1,6 +1,7 @@
 #include "gateway/sample_run_answers.hpp"
 
 #include "base/log.hpp"
+#include "gateway/departures.hpp"
 #include "gateway/permits.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
@@ -85,6 +86,7 @@
         abort_run(self, run_number, "the answer belongs to another request");
         return;
     }
+    record_departure(self, run.incarnation, head, context->spec->id);
     if (head.request_id)
     {
         record_rate_limit(self, run.upstream, head, status, run.started_at);
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -123,6 +123,7 @@
     run.job_id = job.record.id;
     run.index = index;
     run.upstream = chosen.id;
+    run.incarnation = fleet::incarnation_of(chosen);
     run.origin = {chosen.service, chosen.software_version};
     run.expected_version = chosen.expected_version;
     run.started_at = now;
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -206,6 +206,20 @@
         CHECK(stated.has_unreadable_limit);
         CHECK_FALSE(stated.rate_limit.has_value());
     }
+    for (std::uint16_t const status : {200, 404, 429, 500, 503})
+    {
+        CAPTURE(status);
+        CHECK(platform::decode_response_head(status, {{"server-leaving", "1"}}).leaving);
+        CHECK_FALSE(platform::decode_response_head(status, {}).leaving);
+        for (auto const* other : {"", "0", "2", "true", "1 1"})
+        {
+            CAPTURE(other);
+            CHECK_FALSE(
+                platform::decode_response_head(status, {{"Server-Leaving", other}}).leaving);
+        }
+    }
+    // Another upstream may have answered a misdirected request.
+    CHECK_FALSE(platform::decode_response_head(421, {{"Server-Leaving", "1"}}).leaving);
     auto const forwardable = platform::forwardable_headers(
         {{"Connection", "close"}, {"Content-Length", "4"}, {"Server-Stamp", "s"}});
     REQUIRE(forwardable.size() == 1);
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -78,6 +78,9 @@
         }
         one->marks_events = body.value("marks_events", one->marks_events);
         one->rate_limit = body.value("rate_limit", one->rate_limit);
+        one->states_leaving = body.value("states_leaving", one->states_leaving);
+        one->state = body.value("state", one->state);
+        one->born = body.value("born", one->born);
         if (body.value("forget_arrivals", false))
         {
             one->arrivals.clear();
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -69,6 +69,11 @@
     std::uint32_t runs_begun = 0;
     /// Rate limit that all answers state, in requests per second; 0 states none.
     double rate_limit = 0;
+    /// All answers state that it leaves.
+    bool states_leaving = false;
+    /// State and start in its entry.
+    std::string state = "ready";
+    std::int64_t born = 1;
     /// Times at which requests arrived.
     std::vector<base::mono_time> arrivals;
     /// Time between two events.
--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -139,6 +139,10 @@
     {
         set_header(message, "Server-Limit", fmt::format("{}", at.rate_limit));
     }
+    if (at.states_leaving)
+    {
+        set_header(message, "Server-Leaving", "1");
+    }
     if (header(message, "Expect-Instance") != at.id)
     {
         refuse(message, SOUP_STATUS_MISDIRECTED_REQUEST);
@@ -187,11 +191,11 @@
                         {"zone", "krapina"},
                         {"version", which.software_version},
                         {"slots", 8},
-                        {"state", "ready"},
+                        {"state", which.state},
                         {"cold_remaining_ms", 0},
                         {"models", models},
                         {"seq", 1},
-                        {"born", 1}};
+                        {"born", which.born}};
     self.values["servers/" + which.id] = {entry.dump(), ++self.revision, 0};
 }
 
