Withdraw requests that were not sent when their upstream begins to leave

Cause: an upstream is chosen at one time, and the first byte is sent when a connection is there and the loop comes to it; nobody looked again in between. Change: just before the first byte the gateway checks that this start of the upstream still serves and its domain is not out; what has not been sent is withdrawn when a list or an answer shows a departure, and goes elsewhere as not run. Evidence: gateway_leaving_upstream_test, "a request that waits for its connection is not sent once its upstream leaves" (connections wait in a full backlog): with the checks switched off (trial), two streams of a caller ended with 502 and requests and samples reached the upstream.

--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -249,6 +249,13 @@
                        });
 }
 
+bool is_serving(pool const& pool, incarnation const& chosen, std::string_view service)
+{
+    auto const it = pool.upstreams.find(chosen.id);
+    return it != pool.upstreams.end() && incarnation_of(it->second.record) == chosen &&
+           is_serving(pool, it->second, service);
+}
+
 bool should_move_sample(pool& pool, configuration const& configuration, std::string_view id,
                         sample_requirements const& requirements, base::mono_time now)
 {
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -99,6 +99,12 @@
 [[nodiscard]] bool has_software_version(pool const& pool, std::string_view service,
                                         std::string_view software_version);
 
+/// \ingroup fleet
+/// \brief Whether an incarnation still is an upstream of a service and takes requests, though it
+/// may be suspended for a moment.
+[[nodiscard]] bool is_serving(pool const& pool, incarnation const& chosen,
+                              std::string_view service);
+
 /// \ingroup fleet
 /// \brief Whether a running sample should move to another upstream: its own is slow, and the best
 /// alternative is more than twice as fast. The new upstream has to process the prompt and the text
--- a/src/gateway/departures.cpp
+++ b/src/gateway/departures.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "gateway/gateway.hpp"
+#include "gateway/unsent_requests.hpp"
 
 namespace gooseberrywood::gateway
 {
@@ -18,6 +19,13 @@
     {
         base::log_line(base::log_level::info, "upstream_leaving",
                        {{"upstream", answered_by.id}, {"request", request_id}});
+        // Deferred, since the caller holds the request that was answered.
+        self.withdraw_soon = base::soon(
+            [&self]
+            {
+                self.withdraw_soon.reset();
+                withdraw_unsent(self);
+            });
     }
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -113,6 +113,7 @@
     /// When the next sample check is due; a later check shows that the process was delayed.
     base::mono_time sample_check_due{};
     base::event_source dispatch_soon;
+    base::event_source withdraw_soon;
 
     duty::candidate candidate;
     duty::weights_plan weights;
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -6,6 +6,7 @@
 #include "gateway/permits.hpp"
 #include "gateway/sample_runs.hpp"
 #include "gateway/shared_entries.hpp"
+#include "gateway/unsent_requests.hpp"
 #include "platform/operator_state.hpp"
 #include "platform/protocol_names.hpp"
 #include "platform/upstream_entry.hpp"
@@ -83,6 +84,7 @@
                        {{"count", static_cast<std::int64_t>(state.domains_out.size())}});
     }
     self.pool.domains_out = state.domains_out;
+    withdraw_unsent(self);
     self.retiring_hosts = state.retiring_hosts;
     for (auto const& [model, version] : state.latest_versions)
     {
@@ -120,6 +122,7 @@
     log_ids("upstream_added", change.added);
     log_ids("upstream_draining", change.draining);
     log_ids("upstream_removed", change.removed);
+    withdraw_unsent(self);
 }
 
 base::duration fraction_of(base::duration limit, double fraction)
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -6,6 +6,7 @@
 #include "gateway/departures.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/permits.hpp"
+#include "gateway/unsent_requests.hpp"
 #include "http/status.hpp"
 
 #include <algorithm>
@@ -111,6 +112,10 @@
         fleet::note_answer_time(self.pool, ended.upstream, now - ended.sent_at, now);
         break;
     case fleet::try_outcome::not_run:
+        if (ended.withdrawn)
+        {
+            break;
+        }
         if (answer && answer->status != http::status::misdirected)
         {
             fleet::note_full(self.pool, ended.upstream, now);
@@ -243,6 +248,18 @@
                                    });
 }
 
+bool may_send_try(gateway& self, std::uint64_t number, std::uint32_t index)
+{
+    auto* const request = find(self, number);
+    if (request == nullptr)
+    {
+        return false;
+    }
+    auto& pending = request->running_tries.at(index);
+    pending.withdrawn = !may_still_send(self, pending.incarnation, pending.origin.service);
+    return !pending.withdrawn;
+}
+
 void send_to(gateway& self, routed_request& request, fleet::chosen_upstream const& chosen,
              base::mono_time now)
 {
@@ -263,7 +280,8 @@
         self.upstream_session.get(), platform::encode_plain(target, request.spec.call, now),
         request.spec.deadline, max_answer_bytes,
         [&self, number = request.number, index](http::fetch_outcome answer)
-        { on_try_ended(self, number, index, std::move(answer)); });
+        { on_try_ended(self, number, index, std::move(answer)); },
+        [&self, number = request.number, index] { return may_send_try(self, number, index); });
     schedule_hedge(self, request);
 }
 
@@ -362,4 +380,27 @@
     return started_at;
 }
 
+void withdraw_unsent_tries(gateway& self)
+{
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> affected;
+    for (auto& [number, request] : self.requests)
+    {
+        for (auto& [index, pending] : request->running_tries)
+        {
+            if (!http::is_sent(*pending.fetch) &&
+                !fleet::is_serving(self.pool, pending.incarnation, pending.origin.service))
+            {
+                pending.withdrawn = true;
+                affected.emplace_back(number, index);
+            }
+        }
+    }
+    for (auto const& [number, index] : affected)
+    {
+        http::failed_call const withdrawn{
+            {result_code::upstream_leaving, "the upstream left before the request was sent"}};
+        on_try_ended(self, number, index, tl::unexpected(withdrawn));
+    }
+}
+
 } // namespace gooseberrywood::gateway
--- a/src/gateway/route_request.hpp
+++ b/src/gateway/route_request.hpp
@@ -23,6 +23,11 @@
 /// \returns when the request started to run, if it may have run.
 std::optional<base::wall_time> cancel_request(gateway& self, std::uint64_t number);
 
+/// \ingroup gateway
+/// \brief Withdraws the tries of which no byte was sent and whose upstream no longer serves. Their
+/// requests go to other upstreams.
+void withdraw_unsent_tries(gateway& self);
+
 } // namespace gooseberrywood::gateway
 
 #endif
--- a/src/gateway/routed_request.hpp
+++ b/src/gateway/routed_request.hpp
@@ -80,6 +80,8 @@
     rollout::text_origin origin;
     base::mono_time sent_at{};
     base::wall_time started_at{};
+    /// The upstream left before a byte was sent.
+    bool withdrawn = false;
     std::shared_ptr<http::fetch> fetch;
 };
 
--- a/src/gateway/sample_run.hpp
+++ b/src/gateway/sample_run.hpp
@@ -35,6 +35,8 @@
     /// The upstream refused to run the sample. The rest of the answer is still read, so that the
     /// connection can be reused.
     bool refused = false;
+    /// The upstream left before a byte was sent.
+    bool withdrawn = false;
     /// The head of the answer was received.
     bool answered = false;
     /// The answer was accepted and its body carries events.
--- a/src/gateway/sample_run_answers.cpp
+++ b/src/gateway/sample_run_answers.cpp
@@ -6,6 +6,7 @@
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runs.hpp"
+#include "gateway/unsent_requests.hpp"
 #include "http/status.hpp"
 #include "platform/upstream_calls.hpp"
 
@@ -209,18 +210,41 @@
     score_sample(self, job, index);
 }
 
+bool may_send_run(gateway& self, std::uint64_t run_number)
+{
+    auto& run = self.runs.at(run_number);
+    run.withdrawn = !may_still_send(self, run.incarnation, run.origin.service);
+    return !run.withdrawn;
+}
+
+void on_failed(gateway& self, std::uint64_t run_number, base::error const& cause)
+{
+    if (self.runs.at(run_number).withdrawn)
+    {
+        withdraw_run(self, run_number);
+        return;
+    }
+    abort_run(self, run_number, cause.message);
+}
+
 } // namespace
 
 http::call_handlers make_run_handlers(gateway& self, std::uint64_t run_number)
 {
-    return {[&self, run_number](std::uint16_t status, std::string_view)
-            { on_head(self, run_number, status); },
-            [&self, run_number](std::string_view bytes) { on_bytes(self, run_number, bytes); },
-            [&self, run_number] { on_complete(self, run_number); },
-            [&self, run_number](base::error const& cause, bool)
-            {
-                abort_run(self, run_number, cause.message);
-            }};
+    http::call_handlers handlers{[&self, run_number](std::uint16_t status, std::string_view)
+                                 { on_head(self, run_number, status); },
+                                 [&self, run_number](std::string_view bytes)
+                                 { on_bytes(self, run_number, bytes); },
+                                 [&self, run_number] { on_complete(self, run_number); },
+                                 [&self, run_number](base::error const& cause, bool)
+                                 {
+                                     on_failed(self, run_number, cause);
+                                 }};
+    handlers.may_send = [&self, run_number]
+    {
+        return may_send_run(self, run_number);
+    };
+    return handlers;
 }
 
 } // namespace gooseberrywood::gateway
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -164,6 +164,34 @@
     end_run(self, run_number, {});
 }
 
+void withdraw_run(gateway& self, std::uint64_t run_number)
+{
+    auto const& run = self.runs.at(run_number);
+    if (auto const context = context_of(self, run))
+    {
+        log_run(self, "run_withdrawn", run, *context,
+                "the upstream left before the sample was sent", 0);
+    }
+    end_run(self, run_number, {});
+}
+
+void withdraw_unsent_runs(gateway& self)
+{
+    std::vector<std::uint64_t> affected;
+    for (auto const& [run_number, run] : self.runs)
+    {
+        if (run.call && !run.call->sent &&
+            !fleet::is_serving(self.pool, run.incarnation, run.origin.service))
+        {
+            affected.push_back(run_number);
+        }
+    }
+    for (auto const run_number : affected)
+    {
+        withdraw_run(self, run_number);
+    }
+}
+
 void abort_runs_on_replaced_upstreams(gateway& self)
 {
     std::vector<std::uint64_t> affected;
--- a/src/gateway/sample_runs.hpp
+++ b/src/gateway/sample_runs.hpp
@@ -58,6 +58,14 @@
 /// received.
 void move_run(gateway& self, std::uint64_t run_number);
 
+/// \ingroup gateway
+/// \brief Ends a run of which no byte was sent. Another upstream runs the sample.
+void withdraw_run(gateway& self, std::uint64_t run_number);
+
+/// \ingroup gateway
+/// \brief Withdraws the runs of which no byte was sent and whose upstream no longer serves.
+void withdraw_unsent_runs(gateway& self);
+
 /// \ingroup gateway
 /// \brief Discards the texts of runs on upstreams that have started again with another software
 /// version, and aborts these runs.
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -30,7 +30,9 @@
     }
     c.ended = true;
     auto const handlers = std::move(c.handlers);
-    handlers.on_failed({base::result_code::connection_lost, failure->message}, c.sent);
+    auto const* const reason =
+        c.withdrawn ? "the request was withdrawn before it was sent" : failure->message;
+    handlers.on_failed({base::result_code::connection_lost, reason}, c.sent);
 }
 
 void complete(call& c)
@@ -189,6 +191,13 @@
 void on_starting(SoupMessage*, gpointer data)
 {
     auto& c = *static_cast<call*>(data);
+    if (c.handlers.may_send && !c.handlers.may_send())
+    {
+        // libsoup checks this before it writes, and reports the failure.
+        c.withdrawn = true;
+        g_cancellable_cancel(c.cancellable.get());
+        return;
+    }
     c.sent = true;
     if (c.handlers.on_sending)
     {
--- a/src/http/call.hpp
+++ b/src/http/call.hpp
@@ -44,6 +44,9 @@
     std::function<void(base::error const&, bool sent)> on_failed;
     /// The first byte is about to be sent. Not called if no connection can be established.
     std::function<void()> on_sending = {};
+    /// Asked when the first byte could be sent, which may be long after the call was started. If it
+    /// returns false, nothing is sent and the call fails.
+    std::function<bool()> may_send = {};
 };
 
 /// \ingroup http
@@ -62,6 +65,8 @@
     /// The stream is polled, because each asynchronous read of GIO allocates a task object.
     base::event_source readable;
     bool sent = false;
+    /// `may_send` has returned false.
+    bool withdrawn = false;
     bool ended = false;
 };
 
--- a/src/http/fetch.cpp
+++ b/src/http/fetch.cpp
@@ -87,7 +87,8 @@
 
 std::shared_ptr<fetch> start_fetch(SoupSession* session, call_request const& request,
                                    base::mono_time deadline, std::size_t max_body_bytes,
-                                   std::function<void(fetch_outcome)> done)
+                                   std::function<void(fetch_outcome)> done,
+                                   std::function<bool()> may_send)
 {
     auto made = std::make_shared<fetch>();
     made->max_body_bytes = max_body_bytes;
@@ -98,15 +99,22 @@
         {
             if (auto const pending = weak.lock())
             {
-                bool const sent = pending->active_call && pending->active_call->sent;
+                bool const sent = is_sent(*pending);
                 on_failure(*pending, {base::result_code::timeout, describe_timeout(*pending)}, sent,
                            true);
             }
         });
-    made->active_call = start_call(session, request, make_handlers(made));
+    auto handlers = make_handlers(made);
+    handlers.may_send = std::move(may_send);
+    made->active_call = start_call(session, request, std::move(handlers));
     return made;
 }
 
+bool is_sent(fetch const& pending)
+{
+    return pending.active_call && pending.active_call->sent;
+}
+
 std::vector<header> response_headers(SoupMessage* message)
 {
     return header_list(soup_message_get_response_headers(message));
--- a/src/http/fetch.hpp
+++ b/src/http/fetch.hpp
@@ -58,10 +58,16 @@
 /// \param deadline time at which the call is canceled.
 /// \param max_body_bytes maximum size of the response body; a longer one is a failure.
 /// \param done receives the outcome.
+/// \param may_send see `call_handlers::may_send`.
 [[nodiscard]] std::shared_ptr<fetch> start_fetch(SoupSession* session, call_request const& request,
                                                  base::mono_time deadline,
                                                  std::size_t max_body_bytes,
-                                                 std::function<void(fetch_outcome)> done);
+                                                 std::function<void(fetch_outcome)> done,
+                                                 std::function<bool()> may_send = {});
+
+/// \ingroup http
+/// \brief Whether a byte of the request may have been sent.
+[[nodiscard]] bool is_sent(fetch const& pending);
 
 /// \ingroup http
 /// \brief All headers of a response. Values of a repeated header are joined by commas.
--- a/test/http_call_test.cpp
+++ b/test/http_call_test.cpp
@@ -90,6 +90,71 @@
     }
 }
 
+SCENARIO("a call that may not be sent any more sends nothing")
+{
+    // Guards against a request that reaches an upstream long after it was chosen.
+    std::atomic<int> requests = 0;
+    raw_server server(
+        [&](int connection, int)
+        {
+            timeval const patience{0, 300'000};
+            setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+            std::string bytes(1, '\0');
+            while (recv(connection, bytes.data(), bytes.size(), MSG_PEEK) > 0)
+            {
+                read_request_headers(connection);
+                ++requests;
+                send_text(connection, empty_response);
+            }
+        });
+    auto const session = http::make_session();
+    http::call_request request;
+    request.url = "http://127.0.0.1:" + std::to_string(server.port) + "/";
+    request.may_repeat = true;
+    auto const fetch_if = [&](bool may_send)
+    {
+        std::optional<http::fetch_outcome> outcome;
+        int asked = 0;
+        auto const pending = http::start_fetch(
+            session.get(), request, base::mono_now() + 5s, 1024,
+            [&](http::fetch_outcome result) { outcome = std::move(result); },
+            [&]
+            {
+                ++asked;
+                return may_send;
+            });
+        CHECK_FALSE(http::is_sent(*pending));
+        while (!outcome)
+        {
+            g_main_context_iteration(nullptr, TRUE);
+        }
+        CHECK(asked == 1);
+        return std::move(*outcome);
+    };
+    GIVEN("a new connection")
+    {
+        auto const withdrawn = fetch_if(false);
+        REQUIRE_FALSE(withdrawn.has_value());
+        CHECK_FALSE(withdrawn.error().sent);
+        CHECK_FALSE(withdrawn.error().timed_out);
+        CHECK(withdrawn.error().why.message == "the request was withdrawn before it was sent");
+    }
+    GIVEN("a connection that is open already")
+    {
+        REQUIRE(fetch_if(true).has_value());
+        auto const withdrawn = fetch_if(false);
+        REQUIRE_FALSE(withdrawn.has_value());
+        CHECK_FALSE(withdrawn.error().sent);
+    }
+    auto const before = requests.load();
+    THEN("the next call is sent")
+    {
+        CHECK(fetch_if(true).has_value());
+        CHECK(requests == before + 1);
+    }
+    CHECK(requests <= 2);
+}
+
 SCENARIO("a large response that arrives in pieces is read completely")
 {
     // Guards against a response that stalls after the first reads.
--- a/test/process/gateway_leaving_upstream_test.cpp
+++ b/test/process/gateway_leaving_upstream_test.cpp
@@ -5,8 +5,17 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <atomic>
 #include <chrono>
+#include <csignal>
+#include <future>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -189,3 +198,180 @@
     CHECK(arrivals_at(service, "engines-0") == 0);
     CHECK(arrivals_at(service, "desk-0") == 0);
 }
+
+namespace
+{
+
+/// An upstream whose connections are not accepted, so that requests to it wait for theirs.
+struct deaf_upstream
+{
+    deaf_upstream() : listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* const generic = reinterpret_cast<sockaddr*>(&address);
+        if (bind(listener, generic, size) != 0 || listen(listener, 0) != 0 ||
+            getsockname(listener, generic, &size) != 0)
+        {
+            throw std::runtime_error("no loopback port");
+        }
+        fill_backlog();
+    }
+    deaf_upstream(deaf_upstream const&) = delete;
+    deaf_upstream& operator=(deaf_upstream const&) = delete;
+    ~deaf_upstream()
+    {
+        is_over = true;
+        shutdown(listener, SHUT_RDWR);
+        if (acceptor.joinable())
+        {
+            acceptor.join();
+        }
+        for (auto const connection : connections)
+        {
+            close(connection);
+        }
+        close(listener);
+    }
+
+    /// Connects until a connection has to wait.
+    void fill_backlog()
+    {
+        for (int i = 0; i < 16; ++i)
+        {
+            connections.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            (void)connect(connections.back(), reinterpret_cast<sockaddr const*>(&address),
+                          sizeof address);
+            pollfd waiting{connections.back(), POLLOUT, 0};
+            if (poll(&waiting, 1, 100) == 0)
+            {
+                return;
+            }
+        }
+        throw std::runtime_error("the backlog does not fill");
+    }
+
+    /// Accepts all connections from now on, and counts those that carry a request.
+    void listen_up()
+    {
+        acceptor = std::thread(
+            [this]
+            {
+                while (!is_over)
+                {
+                    pollfd waiting{listener, POLLIN, 0};
+                    if (poll(&waiting, 1, 20) > 0)
+                    {
+                        connections.push_back(accept(listener, nullptr, nullptr));
+                        ++accepted;
+                    }
+                    count_requests();
+                }
+            });
+    }
+
+    void count_requests()
+    {
+        for (auto& connection : connections)
+        {
+            std::string bytes(4096, '\0');
+            if (connection >= 0 && recv(connection, bytes.data(), bytes.size(), MSG_DONTWAIT) > 0)
+            {
+                ++requests;
+                close(std::exchange(connection, -1));
+            }
+        }
+    }
+
+    /// Writes its entry into the store.
+    void announce(site_service const& to, std::string const& state) const
+    {
+        set_site(to, "put",
+                 {{"key", "servers/a-deaf"},
+                  {"value",
+                   {{"service", "engines"},
+                    {"address", fmt::format("127.0.0.1:{}", ntohs(address.sin_port))},
+                    {"zone", "zabok"},
+                    {"version", "v1"},
+                    {"slots", 1000},
+                    {"state", state},
+                    {"cold_remaining_ms", 0},
+                    {"models", {{{"name", "m"}, {"version", 1}}}},
+                    {"seq", 1},
+                    {"born", 1}}}});
+    }
+
+    int listener;
+    sockaddr_in address{};
+    std::vector<int> connections;
+    std::atomic<bool> is_over = false;
+    std::atomic<int> accepted = 0;
+    std::atomic<int> requests = 0;
+    std::thread acceptor;
+};
+
+} // namespace
+
+SCENARIO("a request that waits for its connection is not sent once its upstream leaves")
+{
+    // Guards against requests that were chosen in time and reach an upstream after its departure.
+    site_service service(1);
+    auto const& gateway = service.gateways[0];
+    deaf_upstream deaf;
+    deaf.announce(service, "ready");
+    (void)wait_event(*gateway.program, "upstream_added",
+                     [](json const& line) { return line.at("upstream") == "a-deaf"; });
+    auto const call = [&]
+    {
+        return call_gateway(gateway, "POST", "/s/1", "chat.example", "c1", "3").status;
+    };
+    auto const check_sent_elsewhere = [&](unsigned status)
+    {
+        CHECK(status == 200);
+        std::this_thread::sleep_for(1500ms);
+        CHECK(deaf.accepted > 0);
+        CHECK(deaf.requests == 0);
+        CHECK(site_state(service).at("runs").at("c1") == 1);
+    };
+    WHEN("a stream of a caller waits, and the upstream drains")
+    {
+        auto answer = std::async(std::launch::async, call);
+        std::this_thread::sleep_for(100ms);
+        deaf.announce(service, "draining");
+        (void)wait_event(*gateway.program, "upstream_draining");
+        deaf.listen_up();
+        THEN("another upstream runs it")
+        {
+            check_sent_elsewhere(answer.get());
+        }
+    }
+    WHEN("a stream of a caller waits, and the upstream's failure domain is taken out")
+    {
+        auto answer = std::async(std::launch::async, call);
+        std::this_thread::sleep_for(100ms);
+        set_site(service, "put", {{"key", "op/evacuate/zabok"}, {"value", json::object()}});
+        (void)wait_event(*gateway.program, "domains_out_changed");
+        deaf.listen_up();
+        THEN("another upstream runs it")
+        {
+            check_sent_elsewhere(answer.get());
+        }
+    }
+    WHEN("samples wait, and the upstream drains")
+    {
+        std::vector<int> const events(8, 5);
+        REQUIRE(submit(gateway, "job", events) == 202);
+        std::this_thread::sleep_for(100ms);
+        deaf.announce(service, "draining");
+        (void)wait_event(*gateway.program, "upstream_draining");
+        deaf.listen_up();
+        THEN("others run them")
+        {
+            check_whole(wait_results(gateway, "job", events.size()), "job", events);
+            CHECK(has_event(*gateway.program, "run_withdrawn"));
+            std::this_thread::sleep_for(1500ms);
+            CHECK(deaf.requests == 0);
+        }
+    }
+}
