--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -50,8 +50,8 @@
 /// Whether an upstream serves, though it may be suspended for a moment.
 bool is_serving(pool const& pool, upstream const& upstream, std::string_view service)
 {
-    return upstream.record.service == service && !upstream.record.draining && !upstream.missing &&
-           !pool.domains_out.contains(upstream.record.domain);
+    return upstream.record.service == service && !upstream.record.draining && !upstream.leaving &&
+           !upstream.missing && !pool.domains_out.contains(upstream.record.domain);
 }
 
 bool is_usable(pool const& pool, upstream const& upstream, std::string_view service,
@@ -228,8 +228,8 @@
 
 chosen_upstream make_choice(upstream_record const& record, std::uint32_t expected_version)
 {
-    return {record.id,         record.address,  record.service, record.software_version,
-            record.started_ms, expected_version};
+    return {record.id,        record.address,   record.service, record.software_version,
+            expected_version, record.started_ms};
 }
 
 chosen_upstream make_choice(sample_candidate const& candidate)
@@ -249,6 +249,13 @@
                        });
 }
 
+bool is_serving(pool const& pool, incarnation const& chosen, std::string_view service)
+{
+    auto const it = pool.upstreams.find(chosen.id);
+    return it != pool.upstreams.end() && incarnation_of(it->second.record) == chosen &&
+           is_serving(pool, it->second, service);
+}
+
 bool should_move_sample(pool& pool, configuration const& configuration, std::string_view id,
                         sample_requirements const& requirements, base::mono_time now)
 {
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -52,13 +52,20 @@
     std::string address;
     std::string service;
     std::string software_version;
-    /// Incarnation; see `upstream_record::started_ms`.
-    std::int64_t started_ms = 0;
     /// Version of the weights that the sample requires, sent along so that an upstream without it
     /// refuses the sample; 0 when the upstream is known to have a version that is new enough.
     std::uint32_t expected_version = 0;
+    /// See `upstream_record::started_ms`.
+    std::int64_t started_ms = 0;
 };
 
+/// \ingroup fleet
+/// \brief The incarnation that was chosen.
+[[nodiscard]] inline incarnation incarnation_of(chosen_upstream const& chosen)
+{
+    return {chosen.id, chosen.address, chosen.started_ms};
+}
+
 /// \ingroup fleet
 /// \brief Chooses the upstream on which a plain request is expected to finish first. An upstream
 /// without a recent measurement is rated with the median, so that a new one gets its share of the
@@ -92,6 +99,12 @@
 [[nodiscard]] bool has_software_version(pool const& pool, std::string_view service,
                                         std::string_view software_version);
 
+/// \ingroup fleet
+/// \brief Whether an incarnation still is an upstream of a service and takes requests, though it
+/// may be suspended for a moment.
+[[nodiscard]] bool is_serving(pool const& pool, incarnation const& chosen,
+                              std::string_view service);
+
 /// \ingroup fleet
 /// \brief Whether a running sample should move to another upstream: its own is slow, and the best
 /// alternative is more than twice as fast. The new upstream has to process the prompt and the text
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -65,7 +65,7 @@
                    {{"request", spec.request_id},
                     {"fingerprint", to_text(fingerprint)},
                     {"upstream", broken.upstream},
-                    {"started_ms", broken.upstream_started_ms},
+                    {"started_ms", broken.incarnation.started_ms},
                     {"crashes", known_crashes(self, fingerprint, now)}});
 }
 
@@ -178,8 +178,8 @@
     {
         return fleet::incarnation_state::missing;
     }
-    return found->second.record.draining ? fleet::incarnation_state::leaving
-                                         : fleet::incarnation_state::listed;
+    bool const is_leaving = found->second.record.draining || found->second.leaving;
+    return is_leaving ? fleet::incarnation_state::leaving : fleet::incarnation_state::listed;
 }
 
 bool has_marks(gateway const& self)
@@ -227,7 +227,7 @@
     auto const now = base::mono_now();
     auto const fingerprint = fingerprint_of(spec);
     fleet::note_broken_run(self.crashes.marks, fingerprint, broken.upstream,
-                           broken.upstream_started_ms, now);
+                           broken.incarnation.started_ms, now);
     count_crash_sighting(self, "broken");
     log_broken_try(self, spec, fingerprint, broken, now);
     schedule_sharing(self);
@@ -238,7 +238,7 @@
     if (spec.may_crash_upstreams)
     {
         fleet::note_unanswered_run(self.crashes.marks, fingerprint_of(spec), abandoned.upstream,
-                                   abandoned.upstream_started_ms, base::mono_now());
+                                   abandoned.incarnation.started_ms, base::mono_now());
     }
 }
 
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -4,8 +4,10 @@
 #include "fleet/choose_upstream.hpp"
 #include "fleet/try_outcome.hpp"
 #include "gateway/crash_watch.hpp"
+#include "gateway/departures.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/permits.hpp"
+#include "gateway/unsent_requests.hpp"
 #include "http/status.hpp"
 
 #include <algorithm>
@@ -112,6 +114,10 @@
         fleet::note_answer_time(self.pool, ended.upstream, now - ended.sent_at, now);
         break;
     case fleet::try_outcome::not_run:
+        if (ended.withdrawn)
+        {
+            break;
+        }
         if (answer && answer->status != http::status::misdirected)
         {
             fleet::note_full(self.pool, ended.upstream, now);
@@ -220,6 +226,7 @@
                              : platform::response_head{};
     auto const outcome = outcome_of(answer, head, request->spec.request_id);
     update_pool(self, ended, outcome, answer, now);
+    record_departure(self, ended.incarnation, head, request->spec.request_id);
     if (head.request_id == request->spec.request_id)
     {
         record_rate_limit(self, ended.upstream, head, answer->status, ended.sent_at);
@@ -275,6 +282,18 @@
                                    });
 }
 
+bool may_send_try(gateway& self, std::uint64_t number, std::uint32_t index)
+{
+    auto* const request = find(self, number);
+    if (request == nullptr)
+    {
+        return false;
+    }
+    auto& pending = request->running_tries.at(index);
+    pending.withdrawn = !may_still_send(self, pending.incarnation, pending.origin.service);
+    return !pending.withdrawn;
+}
+
 void send_to(gateway& self, routed_request& request, fleet::chosen_upstream const& chosen,
              base::mono_time now)
 {
@@ -287,15 +306,16 @@
     fleet::note_request_sent(self.pool, chosen.id, now);
     auto& started_try = request.running_tries[index];
     started_try.upstream = chosen.id;
+    started_try.incarnation = fleet::incarnation_of(chosen);
     started_try.origin = {chosen.service, chosen.software_version};
-    started_try.upstream_started_ms = chosen.started_ms;
     started_try.sent_at = now;
     started_try.started_at = base::wall_now();
     started_try.fetch = http::start_fetch(
         self.upstream_session.get(), platform::encode_plain(target, request.spec.call, now),
         request.spec.deadline, max_answer_bytes,
         [&self, number = request.number, index](http::fetch_outcome answer)
-        { on_try_ended(self, number, index, std::move(answer)); });
+        { on_try_ended(self, number, index, std::move(answer)); },
+        [&self, number = request.number, index] { return may_send_try(self, number, index); });
     schedule_hedge(self, request);
 }
 
@@ -353,7 +373,10 @@
 {
     for (auto const& [index, running] : request.running_tries)
     {
-        note_abandoned_try(self, request.spec, running);
+        if (http::is_sent(*running.fetch))
+        {
+            note_abandoned_try(self, request.spec, running);
+        }
     }
 }
 
@@ -444,4 +467,27 @@
     return started_at;
 }
 
+void withdraw_unsent_tries(gateway& self)
+{
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> affected;
+    for (auto& [number, request] : self.requests)
+    {
+        for (auto& [index, pending] : request->running_tries)
+        {
+            if (!http::is_sent(*pending.fetch) &&
+                !fleet::is_serving(self.pool, pending.incarnation, pending.origin.service))
+            {
+                pending.withdrawn = true;
+                affected.emplace_back(number, index);
+            }
+        }
+    }
+    for (auto const& [number, index] : affected)
+    {
+        http::failed_call const withdrawn{
+            {result_code::upstream_leaving, "the upstream left before the request was sent"}};
+        on_try_ended(self, number, index, tl::unexpected(withdrawn));
+    }
+}
+
 } // namespace gooseberrywood::gateway
--- a/src/gateway/routed_request.hpp
+++ b/src/gateway/routed_request.hpp
@@ -3,6 +3,7 @@
 
 #include "base/event_source.hpp"
 #include "base/time.hpp"
+#include "fleet/departures.hpp"
 #include "http/fetch.hpp"
 #include "platform/upstream_calls.hpp"
 #include "rollout/text_origin.hpp"
@@ -81,12 +82,13 @@
 struct routed_try
 {
     std::string upstream;
+    fleet::incarnation incarnation;
     /// Service and software version of the upstream.
     rollout::text_origin origin;
-    /// Incarnation of the upstream; see `upstream_record::started_ms`.
-    std::int64_t upstream_started_ms = 0;
     base::mono_time sent_at{};
     base::wall_time started_at{};
+    /// The upstream left before a byte was sent.
+    bool withdrawn = false;
     std::shared_ptr<http::fetch> fetch;
 };
 
--- a/src/gateway/sample_run.hpp
+++ b/src/gateway/sample_run.hpp
@@ -2,6 +2,7 @@
 #define GOOSEBERRYWOOD_GATEWAY_SAMPLE_RUN_HPP
 
 #include "base/time.hpp"
+#include "fleet/departures.hpp"
 #include "http/call.hpp"
 #include "platform/event_stream.hpp"
 #include "rollout/text_origin.hpp"
@@ -22,6 +23,7 @@
     /// Index of the sample in its job.
     std::size_t index = 0;
     std::string upstream;
+    fleet::incarnation incarnation;
     /// Service and software version of the upstream.
     rollout::text_origin origin;
     std::shared_ptr<http::call> call;
@@ -33,6 +35,8 @@
     /// The upstream refused to run the sample. The rest of the answer is still read, so that the
     /// connection can be reused.
     bool refused = false;
+    /// The upstream left before a byte was sent.
+    bool withdrawn = false;
     /// The head of the answer was received.
     bool answered = false;
     /// The answer was accepted and its body carries events.
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -33,9 +33,11 @@
     auto const handlers = std::move(c.handlers);
     bool const is_malformed =
         g_error_matches(failure, SOUP_SESSION_ERROR, SOUP_SESSION_ERROR_PARSING) != 0;
+    auto const* const reason =
+        c.withdrawn ? "the request was withdrawn before it was sent" : failure->message;
     handlers.on_failed(
         {is_malformed ? base::result_code::upstream_error : base::result_code::connection_lost,
-         failure->message},
+         reason},
         c.sent);
 }
 
@@ -228,6 +230,13 @@
 void on_starting(SoupMessage*, gpointer data)
 {
     auto& c = *static_cast<call*>(data);
+    if (c.handlers.may_send && !c.handlers.may_send())
+    {
+        // libsoup checks this before it writes, and reports the failure.
+        c.withdrawn = true;
+        g_cancellable_cancel(c.cancellable.get());
+        return;
+    }
     c.sent = true;
     if (c.handlers.on_sending)
     {
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -96,6 +96,9 @@
         one->renames = body.value("renames", one->renames);
         one->answer_time =
             std::chrono::milliseconds(body.value("answer_ms", one->answer_time.count() / 1000));
+        one->states_leaving = body.value("states_leaving", one->states_leaving);
+        one->state = body.value("state", one->state);
+        one->born = body.value("born", one->born);
         if (body.value("forget_arrivals", false))
         {
             one->arrivals.clear();
