--- a/src/gateway/sample_run_answers.cpp
+++ b/src/gateway/sample_run_answers.cpp
@@ -6,8 +6,8 @@
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runs.hpp"
-#include "http/connection_end.hpp"
 #include "gateway/unsent_requests.hpp"
+#include "http/connection_end.hpp"
 #include "http/status.hpp"
 #include "platform/upstream_calls.hpp"
 
