Make the test of odd entries clean under clang-tidy, and its odd bytes whole

A string literal with a zero byte ended there, so the case tested two of its four bytes; it now holds all four.

--- a/test/platform_odd_entries_test.cpp
+++ b/test/platform_odd_entries_test.cpp
@@ -49,7 +49,7 @@
         "[]",
         "{}",
         "17",
-        "\xFF\xFE\x00\x80",
+        {'\xFF', '\xFE', '\0', '\x80'},
         std::string(good_entry.substr(0, good_entry.size() / 2)),
         with("\"s\"", "\"\xFF\""),
         std::string(70'000, ' ') + std::string(good_entry),
@@ -180,7 +180,7 @@
                                               at_ms(100));
         };
         using replacement = std::pair<std::string_view, std::string_view>;
-        for (auto const& [piece, instead] : std::vector<replacement>{
+        for (auto const& replaced : std::vector<replacement>{
                  {"10.0.0.9:80", "[2001:db8::1]:65535"},
                  {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":-1e300"},
                  {"\"seq\":4", "\"seq\":1e300"},
@@ -192,8 +192,8 @@
                  {"\"v1\"", "\"\\u0000\""},
              })
         {
-            CAPTURE(instead);
-            CHECK(decode(with(piece, instead)).size() == 1);
+            CAPTURE(replaced.second);
+            CHECK(decode(with(replaced.first, replaced.second)).size() == 1);
         }
         THEN("a start time that is written as a fraction of zero is whole")
         {
@@ -263,7 +263,7 @@
                 value += close;
             }
             std::string text(good_entry);
-            text.replace(text.find("4"), 1, value);
+            text.replace(text.find('4'), 1, value);
             auto const decoded = platform::decode_upstreams(
                 std::vector{good_item("a"), store::item{"servers/odd", text, 2}, good_item("z")},
                 at_ms(100));
@@ -315,8 +315,10 @@
     }
     WHEN("there are very many of them")
     {
+        constexpr int count = 5000;
         std::vector<platform::unreadable_entry> many;
-        for (int i = 0; i < 5000; ++i)
+        many.reserve(count);
+        for (int i = 0; i < count; ++i)
         {
             many.push_back({fmt::format("servers/{}", i), 9, "odd"});
         }
