--- a/test/platform_odd_entries_test.cpp
+++ b/test/platform_odd_entries_test.cpp
@@ -49,7 +49,7 @@
         "[]",
         "{}",
         "17",
-        "\xFF\xFE\x00\x80",
+        std::string("\xFF\xFE\x00\x80", 4),
         std::string(good_entry.substr(0, good_entry.size() / 2)),
         with("\"s\"", "\"\xFF\""),
         std::string(70'000, ' ') + std::string(good_entry),
@@ -192,8 +192,9 @@
                  {"\"v1\"", "\"\\u0000\""},
              })
         {
-            CAPTURE(instead);
-            CHECK(decode(with(piece, instead)).size() == 1);
+            auto const content = with(piece, instead);
+            CAPTURE(content);
+            CHECK(decode(content).size() == 1);
         }
         THEN("a start time that is written as a fraction of zero is whole")
         {
@@ -263,7 +264,7 @@
                 value += close;
             }
             std::string text(good_entry);
-            text.replace(text.find("4"), 1, value);
+            text.replace(text.find('4'), 1, value);
             auto const decoded = platform::decode_upstreams(
                 std::vector{good_item("a"), store::item{"servers/odd", text, 2}, good_item("z")},
                 at_ms(100));
@@ -316,6 +317,7 @@
     WHEN("there are very many of them")
     {
         std::vector<platform::unreadable_entry> many;
+        many.reserve(5000);
         for (int i = 0; i < 5000; ++i)
         {
             many.push_back({fmt::format("servers/{}", i), 9, "odd"});
