--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -447,6 +447,9 @@
     std::atomic<std::uint64_t> calls = 0;
     /// Time of an answer, as the sheets of both sites say.
     std::chrono::milliseconds latency = 4ms;
+    /// How long the last complete reading of a list that starts with `timed_prefix` took.
+    std::string timed_prefix;
+    std::atomic<double> list_read_s = 0;
     server http;
 
     void put(std::string const& key, std::string const& value)
@@ -480,6 +483,8 @@
     }
 
   private:
+    double list_begin = 0;
+
     static json shown(std::string const& key, item const& i)
     {
         return {{"key", key},
@@ -584,6 +589,11 @@
             ++count;
             bytes += at->second.value.size();
         }
+        if (!timed_prefix.empty() && prefix == timed_prefix)
+        {
+            list_begin = after.empty() ? now_s() : list_begin;
+            list_read_s = has_more ? list_read_s.load() : now_s() - list_begin;
+        }
         return body + "],\"has_more\":" + (has_more ? "true" : "false") +
                ",\"current_rev\":" + std::to_string(revision) + "}";
     }
