--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,95 +1,87 @@
-// A reward call is sent to a worker long after its batch job was ended.
+// A worker spoils the chunk sizes of a few answers; consumers and trainers get the rest as whole.
 #include "fleet.hpp"
 
+#include <set>
+
 using namespace review;
 
 namespace
 {
 
-constexpr double cancel_s = 3.0;
-constexpr int reward_timeout_ms = 6000;
+/// Of one worker of three (share 0.35), each 50th answer is spoiled (x 0.02), for 5.5 s.
+constexpr int spoiled_each = 50;
+constexpr double trouble_s = 5.5;
+constexpr int piece_count = 8;
 
-/// A reward call that a worker began to run.
-struct run
-{
-    std::string id;
-    double at = 0;
-};
+std::atomic<double> spoils_until = 0;
 
-std::mutex runs_mutex;
-std::vector<run> runs;
-std::atomic<bool> first_is_dark = false;
-std::atomic<bool> second_is_full = false;
+std::mutex answers_mutex;
+/// The whole body of each answer, by attempt id.
+std::map<std::string, std::string> whole;
+std::set<std::string> spoiled;
 
-void note_run(worker const& w, std::string const& id)
+std::string chunk(std::string const& bytes)
 {
-    std::lock_guard const lock(runs_mutex);
-    runs.push_back({id, now_s()});
-    record("worker %s began to run the reward call %s", w.id.c_str(), id.c_str());
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx", bytes.size());
+    return std::string(size) + "\r\n" + bytes + "\r\n";
 }
 
-bool serve_engine(worker const& w, connection& c, message const& m)
+bool is_due(std::atomic<int>& answers)
 {
-    if (auto const answered = answer_aside(w, c, m))
-    {
-        return *answered;
-    }
-    auto const id = m.header("Attempt-Id");
-    record("worker %s ran the item %s", w.id.c_str(), id.c_str());
-    std::string events;
-    for (int n = 1; n <= 3; ++n)
-    {
-        events += "id: " + std::to_string(n) + "\ndata: " + id + "-" + std::to_string(n) + "\n\n";
-    }
-    std::this_thread::sleep_for(60ms);
-    return c.send(response(200,
-                           {{"Attempt-Id", id},
-                            {"Server-Stamp", stamp(w.id, id)},
-                            {"Weight-Versions", "1"},
-                            {"Content-Type", "text/event-stream"}},
-                           events));
+    // The first answer of the time is spoiled, and each 50th after it.
+    return now_s() < spoils_until && answers++ % spoiled_each == 0;
 }
 
-/// Takes the call and, with the trouble, goes dark with it until it is started again.
-bool serve_first(worker const& w, connection& c, message const& m)
+/// Sends the pieces of an answer in chunks. With `spoils`, the size of the fifth chunk is garbled.
+bool send_pieces(connection& c, std::string const& head, std::vector<std::string> const& pieces, bool spoils,
+                 std::chrono::milliseconds pause)
 {
-    if (auto const answered = answer_aside(w, c, m))
+    bool is_open = c.send(head + "Transfer-Encoding: chunked\r\n\r\n");
+    for (std::size_t i = 0; i < pieces.size() && is_open; ++i)
     {
-        return *answered;
+        std::this_thread::sleep_for(pause);
+        is_open = c.send(spoils && i == 4 ? "x\r\n" + pieces[i] + "\r\n" : chunk(pieces[i]));
     }
-    auto const id = m.header("Attempt-Id");
-    note_run(w, id);
-    if (first_is_dark)
-    {
-        while (first_is_dark)
-        {
-            std::this_thread::sleep_for(10ms);
-        }
-        // The worker is back and knows nothing of the connection.
-        linger const reset{1, 0};
-        setsockopt(c.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-        record("worker %s is back; the connection of %s is reset", w.id.c_str(), id.c_str());
-        return false;
-    }
-    std::this_thread::sleep_for(80ms);
-    return c.send(response(200, {{"Attempt-Id", id}, {"Server-Stamp", stamp(w.id, id)}}, "1"));
+    return is_open && c.send("0\r\n\r\n");
 }
 
-bool serve_second(worker const& w, connection& c, message const& m)
+bool serve(worker const& w, connection& c, message const& m, std::atomic<int>* answers)
 {
     if (auto const answered = answer_aside(w, c, m))
     {
         return *answered;
     }
     auto const id = m.header("Attempt-Id");
-    if (second_is_full)
+    bool const is_engine = w.service == "planner";
+    auto const after = m.header("Last-Event-Id");
+    bool const spoils = answers != nullptr && is_due(*answers);
+    std::vector<std::string> pieces;
+    std::string text;
+    for (int n = after.empty() ? 1 : std::atoi(after.c_str()) + 1; n <= piece_count; ++n)
     {
-        record("worker %s is full: %s answered 503, Not-Executed", w.id.c_str(), id.c_str());
-        return c.send(response(503, {{"Attempt-Id", id}, {"Not-Executed", "1"}}, ""));
+        auto const data = id + "-" + std::to_string(n);
+        pieces.push_back(is_engine ? "id: " + std::to_string(n) + "\ndata: " + data + "\n\n"
+                                   : "line " + data + "\n");
+        text += is_engine ? (n > 1 ? "\n" : "") + data : pieces.back();
     }
-    note_run(w, id);
-    std::this_thread::sleep_for(80ms);
-    return c.send(response(200, {{"Attempt-Id", id}, {"Server-Stamp", stamp(w.id, id)}}, "1"));
+    {
+        std::lock_guard const lock(answers_mutex);
+        if (after.empty())
+        {
+            whole[id] = text;
+        }
+        if (spoils)
+        {
+            spoiled.insert(id);
+            record("worker %s spoils the size of a chunk of its answer to %s", w.id.c_str(), id.c_str());
+        }
+    }
+    std::string const head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: " + stamp(w.id, id) +
+                             "\r\n" +
+                             (is_engine ? "Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+                                        : "Content-Type: text/plain\r\n");
+    return send_pieces(c, head, pieces, spoils, is_engine ? 20ms : 3ms);
 }
 
 } // namespace
@@ -99,27 +91,29 @@
     record_file = std::fopen(std::getenv("REVIEW_RECORD"), "w");
     store s;
     s.start();
-    worker engine;
-    engine.id = "i-02d9e6b4";
-    engine.service = "planner";
-    engine.models = {{{"name", "m0"}, {"version", 1}, {"adapters", json::array()}}};
-    engine.http.start([&](connection& c, message const& m) { return serve_engine(engine, c, m); });
-    engine.announce(s);
-    worker first;
-    first.id = "i-7f3a91c2";
-    first.service = "bindery";
-    first.slots = 6;
-    first.http.start([&](connection& c, message const& m) { return serve_first(first, c, m); });
-    first.announce(s);
-    worker second;
-    second.id = "i-80ab4410";
-    second.service = "bindery";
-    second.slots = 6;
-    second.http.start([&](connection& c, message const& m) { return serve_second(second, c, m); });
-    second.announce(s);
+    std::atomic<int> plain_answers = 0;
+    std::atomic<int> engine_answers = 0;
+    std::vector<std::unique_ptr<worker>> workers;
+    for (int i = 0; i < 6; ++i)
+    {
+        auto w = std::make_unique<worker>();
+        bool const is_engine = i >= 3;
+        w->id = "i-7f3a91c" + std::to_string(i);
+        w->service = is_engine ? "planner" : "bindery";
+        w->slots = is_engine ? 8 : 6;
+        if (is_engine)
+        {
+            w->models = {{{"name", "m0"}, {"version", 1}, {"adapters", json::array()}}};
+        }
+        auto* const counter = i == 0 ? &plain_answers : i == 3 ? &engine_answers : nullptr;
+        w->http.start([at = w.get(), counter](connection& c, message const& m)
+                      { return serve(*at, c, m, counter); });
+        w->announce(s);
+        workers.push_back(std::move(w));
+    }
     s.put("op/config",
-          desired_state(7, {route("r-pule252", "/pule252/", "rollout", "planner", 10000, false),
-                            route("r-uxsr7i4", "/pufi791/", "idempotent", "bindery", reward_timeout_ms, true)}));
+          desired_state(7, {route("r-35ieisp", "/lohu930/", "idempotent", "bindery", 800, false),
+                            route("r-pule252", "/pule252/", "rollout", "planner", 10000, false)}));
     gateway_process g;
     g.place.store_port = s.http.port;
     start(g);
@@ -129,80 +123,88 @@
         stop(g);
         return 2;
     }
-    std::this_thread::sleep_for(4s); // All is calm for contact_ms.
-
-    bool const trouble = has_trouble();
-    first_is_dark = trouble;
-    second_is_full = true;
-    record("worker %s is %s; worker %s is full", first.id.c_str(), trouble ? "dark" : "sound",
-           second.id.c_str());
+    std::this_thread::sleep_for(1s);
+    spoils_until = has_trouble() ? now_s() + trouble_s : 0;
     json items = json::array();
-    for (int i = 0; i < 4; ++i)
+    for (int i = 0; i < 96; ++i)
     {
         char id[32];
-        char reward[32];
-        std::snprintf(id, sizeof id, "e5b2907c14da6f3%x", i);
-        std::snprintf(reward, sizeof reward, "40c8f1a7b3e9265%x", i);
+        std::snprintf(id, sizeof id, "e5b2907c14da%04x", i);
         items.push_back({{"id", id},
                          {"path", "/pule252/3/91c4"},
-                         {"headers", {{"Model", "m0"}, {"Token-Counts", "540,400"}}},
+                         {"headers", {{"Model", "m0"}, {"Token-Counts", "16,8"}}},
                          {"body", "q83vEjRWeJA="},
-                         {"tokens", 940},
-                         {"group", "g1002a"},
-                         {"scorer",
-                          {{"id", reward},
-                           {"host", "ficu95.example"},
-                           {"path", "/pufi791/5e07"},
-                           {"body", "3q2+7w=="}}}});
+                         {"tokens", 24},
+                         {"group", "g" + std::to_string(i / 4)}});
     }
-    json const job = {{"step", 0},          {"model", "m0"},      {"min_version", 1},
-                      {"desired_count", 1}, {"items", items}};
+    json const job = {{"step", 0},           {"model", "m0"},      {"min_version", 1},
+                      {"desired_count", 24}, {"items", items}};
     auto const accepted = call(g.front, "POST", "/pule252/7c41e0",
                                consumer_headers("7c41e09b52d6a3f8", 12000), job.dump(), 5000);
     record("trainer sent the batch job; answer %d", accepted.status);
-    std::this_thread::sleep_for(600ms);
-    auto const ended = call(g.front, "DELETE", "/-/lots/7c41e09b52d6a3f8",
-                            consumer_headers("51c07a3f9b2e64d8", 4000), "", 5000);
-    auto const ended_at = now_s();
-    record("trainer ended the batch job; answer %d", ended.status);
-    if (accepted.status != 202 || ended.status != 200)
-    {
-        stop(g);
-        return 2;
-    }
-    // The second worker has room again. The first one is dark for 4.5 s in all.
-    std::this_thread::sleep_for(std::chrono::milliseconds(static_cast<int>(cancel_s * 1000)));
-    if (trouble)
+
+    std::atomic<int> wrong = 0;
+    std::atomic<int> served = 0;
+    std::atomic<int> sent = 0;
+    std::vector<std::thread> consumers;
+    for (int k = 0; k < 4; ++k)
     {
-        s.remove("servers/" + first.id); // Three heartbeats of silence.
+        consumers.emplace_back(
+            [&, k]
+            {
+                for (int n = 0; n < 110; ++n)
+                {
+                    char id[32];
+                    std::snprintf(id, sizeof id, "9c41d07b%04x%04x", k, n);
+                    ++sent;
+                    auto const answer = call(g.front, "POST", "/lohu930/2f", consumer_headers(id, 800), "b", 2000);
+                    std::lock_guard const lock(answers_mutex);
+                    served += answer.status == 200 ? 1 : 0;
+                    if (answer.status == 200 && answer.body != whole[id])
+                    {
+                        ++wrong;
+                        record("MIXED: %s got 200, Server-Stamp %s and %zu of the %zu bytes of the worker's body",
+                               id, answer.header("Server-Stamp").c_str(), answer.body.size(), whole[id].size());
+                    }
+                }
+            });
     }
-    std::this_thread::sleep_for(400ms);
-    second_is_full = false;
-    record("worker %s has room again", second.id.c_str());
-    std::this_thread::sleep_for(400ms);
-    if (trouble)
+    for (auto& one : consumers)
     {
-        first.born += 9000;
-        first.announce(s);
+        one.join();
     }
-    first_is_dark = false;
-    std::this_thread::sleep_for(3s);
-    stop(g);
-
-    std::lock_guard const lock(runs_mutex);
-    int late = 0;
-    for (auto const& one : runs)
+    int cut = 0;
+    std::size_t listed = 0;
+    for (int t = 0; t < 20 && listed < items.size(); ++t)
     {
-        if (one.at > ended_at + cancel_s)
+        std::this_thread::sleep_for(500ms);
+        auto const page = call(g.front, "GET", "/-/lots/7c41e09b52d6a3f8?after=" + std::to_string(listed),
+                               consumer_headers("51c07a3f9b2e64d8", 2000), "", 3000);
+        if (page.status != 200)
+        {
+            continue;
+        }
+        auto const body = json::parse(page.body);
+        std::lock_guard const lock(answers_mutex);
+        for (auto const& result : body.at("results"))
         {
-            ++late;
-            record("UNASKED: the reward call %s began to run %.2f s after the confirmed end of its batch job",
-                   one.id.c_str(), one.at - ended_at);
+            auto const id = result.at("id").get<std::string>();
+            auto const text = result.at("text").get<std::string>();
+            if (result.at("state") == "done" && text != whole[id])
+            {
+                ++cut;
+                record("MIXED: the result of the item %s is done with %zu of the %zu bytes of its output",
+                       id.c_str(), text.size(), whole[id].size());
+            }
         }
+        listed = body.at("next").get<std::size_t>();
     }
-    std::printf("%zu reward calls run, %d of them later than %.0f s after the end\n", runs.size(), late,
-                cancel_s);
-    record("%zu reward calls run, %d of them later than %.0f s after the end", runs.size(), late, cancel_s);
+    stop(g);
+    std::lock_guard const lock(answers_mutex);
+    std::printf("%d requests sent, %d served, %d of them with a cut body; %zu results, %d cut; %zu answers spoiled\n",
+                sent.load(), served.load(), wrong.load(), listed, cut, spoiled.size());
+    record("%d requests sent, %d served, %d of them with a cut body; %zu results, %d cut; %zu answers spoiled",
+           sent.load(), served.load(), wrong.load(), listed, cut, spoiled.size());
     std::fflush(stdout);
-    std::_Exit(runs.empty() ? 2 : late > 0 ? 1 : 0);
+    std::_Exit(served == 0 ? 2 : wrong + cut > 0 ? 1 : 0);
 }
