--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -29,8 +29,7 @@
 
 bool is_due(std::atomic<int>& answers)
 {
-    // The first answer of the time is spoiled, and each 50th after it.
-    return now_s() < spoils_until && answers++ % spoiled_each == 0;
+    return now_s() < spoils_until && answers++ % spoiled_each == spoiled_each / 2;
 }
 
 /// Sends the pieces of an answer in chunks. With `spoils`, the size of the fifth chunk is garbled.
@@ -126,7 +125,7 @@
     std::this_thread::sleep_for(1s);
     spoils_until = has_trouble() ? now_s() + trouble_s : 0;
     json items = json::array();
-    for (int i = 0; i < 96; ++i)
+    for (int i = 0; i < 192; ++i)
     {
         char id[32];
         std::snprintf(id, sizeof id, "e5b2907c14da%04x", i);
@@ -138,7 +137,7 @@
                          {"group", "g" + std::to_string(i / 4)}});
     }
     json const job = {{"step", 0},           {"model", "m0"},      {"min_version", 1},
-                      {"desired_count", 24}, {"items", items}};
+                      {"desired_count", 48}, {"items", items}};
     auto const accepted = call(g.front, "POST", "/pule252/7c41e0",
                                consumer_headers("7c41e09b52d6a3f8", 12000), job.dump(), 5000);
     record("trainer sent the batch job; answer %d", accepted.status);
