--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -6,9 +6,9 @@
 namespace
 {
 
-std::string const own_key = "2b9wu3fexd9dnn2ctnfz";
-std::string const own_team = "huka270";
-std::string const other_team = "puhu251";
+std::string const own_key = "key-of-team-a-1";
+std::string const own_team = "team-a";
+std::string const other_team = "team-b";
 
 /// What a worker ran.
 struct run
@@ -59,16 +59,16 @@
     for (int i = 0; i < 2; ++i)
     {
         auto w = std::make_unique<worker>();
-        w->id = "i-02d9e6b" + std::to_string(i);
+        w->id = "i-e0" + std::to_string(i);
         w->service = "planner";
         w->models = {{{"name", "m0"}, {"version", 1}, {"adapters", json::array()}}};
         w->http.start([at = w.get()](connection& c, message const& m) { return serve_engine(*at, c, m); });
         w->announce(s);
         workers.push_back(std::move(w));
     }
-    auto desired = desired_state(7, {route("r-pule252", "/pule252/", "rollout", "planner", 10000, false)});
+    auto desired = desired_state(7, {route("r-plans", "/plans/", "rollout", "planner", 10000, false)});
     desired["tenants"].push_back(
-        {{"name", other_team}, {"api_keys", {"s989anu6wsjnbanfqasn"}}, {"priority", 1}});
+        {{"name", other_team}, {"api_keys", {"key-of-team-b-1"}}, {"priority", 1}});
     s.put("op/config", desired);
     gateway_process g;
     g.place.store_port = s.http.port;
@@ -84,7 +84,7 @@
     for (int i = 0; i < 8; ++i)
     {
         char id[32];
-        std::snprintf(id, sizeof id, "e5b2907c14da6f3%x", i);
+        std::snprintf(id, sizeof id, "b00c00000000001%x", i);
         json headers = {{"Model", "m0"}, {"Token-Counts", "540,400"}};
         if (trouble && i < 4)
         {
@@ -95,20 +95,20 @@
             headers["Authorization"] = "Bearer " + own_key;
         }
         items.push_back({{"id", id},
-                         {"path", "/pule252/3/91c4"},
+                         {"path", "/plans/3/1"},
                          {"headers", headers},
-                         {"body", "q83vEjRWeJA="},
+                         {"body", "cHJvbXB0"},
                          {"tokens", 940},
-                         {"group", "g1002a"}});
+                         {"group", "g1"}});
     }
     json const job = {{"step", 0},          {"model", "m0"},      {"min_version", 1},
                       {"desired_count", 1}, {"items", items}};
-    auto const accepted = call(g.front, "POST", "/pule252/7c41e0",
-                               consumer_headers("7c41e09b52d6a3f8", 12000), job.dump(), 5000);
+    auto const accepted = call(g.front, "POST", "/plans/1",
+                               consumer_headers("10b0000000000001", 12000), job.dump(), 5000);
     record("%s sent the batch job with its key; answer %d", own_team.c_str(), accepted.status);
     std::this_thread::sleep_for(3s);
-    auto const page = call(g.front, "GET", "/-/lots/7c41e09b52d6a3f8?after=0",
-                           consumer_headers("51c07a3f9b2e64d8", 2000), "", 3000);
+    auto const page = call(g.front, "GET", "/-/lots/10b0000000000001?after=0",
+                           consumer_headers("4ead000000000001", 2000), "", 3000);
     record("results: %d %s", page.status, page.body.c_str());
     stop(g);
     if (accepted.status / 100 == 4)
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -97,7 +97,7 @@
     {
         auto w = std::make_unique<worker>();
         bool const is_engine = i >= 3;
-        w->id = "i-7f3a91c" + std::to_string(i);
+        w->id = "i-b0" + std::to_string(i);
         w->service = is_engine ? "planner" : "bindery";
         w->slots = is_engine ? 8 : 6;
         if (is_engine)
@@ -111,8 +111,8 @@
         workers.push_back(std::move(w));
     }
     s.put("op/config",
-          desired_state(7, {route("r-35ieisp", "/lohu930/", "idempotent", "bindery", 800, false),
-                            route("r-pule252", "/pule252/", "rollout", "planner", 10000, false)}));
+          desired_state(7, {route("r-lookup", "/lookup/", "idempotent", "bindery", 800, false),
+                            route("r-plans", "/plans/", "rollout", "planner", 10000, false)}));
     gateway_process g;
     g.place.store_port = s.http.port;
     start(g);
@@ -128,18 +128,18 @@
     for (int i = 0; i < 192; ++i)
     {
         char id[32];
-        std::snprintf(id, sizeof id, "e5b2907c14da%04x", i);
+        std::snprintf(id, sizeof id, "b00c00000000%04x", i);
         items.push_back({{"id", id},
-                         {"path", "/pule252/3/91c4"},
+                         {"path", "/plans/3/1"},
                          {"headers", {{"Model", "m0"}, {"Token-Counts", "16,8"}}},
-                         {"body", "q83vEjRWeJA="},
+                         {"body", "cHJvbXB0"},
                          {"tokens", 24},
                          {"group", "g" + std::to_string(i / 4)}});
     }
     json const job = {{"step", 0},           {"model", "m0"},      {"min_version", 1},
                       {"desired_count", 48}, {"items", items}};
-    auto const accepted = call(g.front, "POST", "/pule252/7c41e0",
-                               consumer_headers("7c41e09b52d6a3f8", 12000), job.dump(), 5000);
+    auto const accepted = call(g.front, "POST", "/plans/1",
+                               consumer_headers("10b0000000000001", 12000), job.dump(), 5000);
     record("trainer sent the batch job; answer %d", accepted.status);
 
     std::atomic<int> wrong = 0;
@@ -154,9 +154,9 @@
                 for (int n = 0; n < 110; ++n)
                 {
                     char id[32];
-                    std::snprintf(id, sizeof id, "9c41d07b%04x%04x", k, n);
+                    std::snprintf(id, sizeof id, "c0ffee00%04x%04x", k, n);
                     ++sent;
-                    auto const answer = call(g.front, "POST", "/lohu930/2f", consumer_headers(id, 800), "b", 2000);
+                    auto const answer = call(g.front, "POST", "/lookup/2", consumer_headers(id, 800), "b", 2000);
                     std::lock_guard const lock(answers_mutex);
                     served += answer.status == 200 ? 1 : 0;
                     if (answer.status == 200 && answer.body != whole[id])
@@ -177,8 +177,8 @@
     for (int t = 0; t < 20 && listed < items.size(); ++t)
     {
         std::this_thread::sleep_for(500ms);
-        auto const page = call(g.front, "GET", "/-/lots/7c41e09b52d6a3f8?after=" + std::to_string(listed),
-                               consumer_headers("51c07a3f9b2e64d8", 2000), "", 3000);
+        auto const page = call(g.front, "GET", "/-/lots/10b0000000000001?after=" + std::to_string(listed),
+                               consumer_headers("4ead000000000001", 2000), "", 3000);
         if (page.status != 200)
         {
             continue;
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -100,26 +100,26 @@
     store s;
     s.start();
     worker engine;
-    engine.id = "i-02d9e6b4";
+    engine.id = "i-e04";
     engine.service = "planner";
     engine.models = {{{"name", "m0"}, {"version", 1}, {"adapters", json::array()}}};
     engine.http.start([&](connection& c, message const& m) { return serve_engine(engine, c, m); });
     engine.announce(s);
     worker first;
-    first.id = "i-7f3a91c2";
+    first.id = "i-b02";
     first.service = "bindery";
     first.slots = 6;
     first.http.start([&](connection& c, message const& m) { return serve_first(first, c, m); });
     first.announce(s);
     worker second;
-    second.id = "i-80ab4410";
+    second.id = "i-b09";
     second.service = "bindery";
     second.slots = 6;
     second.http.start([&](connection& c, message const& m) { return serve_second(second, c, m); });
     second.announce(s);
     s.put("op/config",
-          desired_state(7, {route("r-pule252", "/pule252/", "rollout", "planner", 10000, false),
-                            route("r-uxsr7i4", "/pufi791/", "idempotent", "bindery", reward_timeout_ms, true)}));
+          desired_state(7, {route("r-plans", "/plans/", "rollout", "planner", 10000, false),
+                            route("r-floor", "/floor/", "idempotent", "bindery", reward_timeout_ms, true)}));
     gateway_process g;
     g.place.store_port = s.http.port;
     start(g);
@@ -141,28 +141,28 @@
     {
         char id[32];
         char reward[32];
-        std::snprintf(id, sizeof id, "e5b2907c14da6f3%x", i);
-        std::snprintf(reward, sizeof reward, "40c8f1a7b3e9265%x", i);
+        std::snprintf(id, sizeof id, "b00c00000000001%x", i);
+        std::snprintf(reward, sizeof reward, "5c0e00000000001%x", i);
         items.push_back({{"id", id},
-                         {"path", "/pule252/3/91c4"},
+                         {"path", "/plans/3/1"},
                          {"headers", {{"Model", "m0"}, {"Token-Counts", "540,400"}}},
-                         {"body", "q83vEjRWeJA="},
+                         {"body", "cHJvbXB0"},
                          {"tokens", 940},
-                         {"group", "g1002a"},
+                         {"group", "g1"},
                          {"scorer",
                           {{"id", reward},
-                           {"host", "ficu95.example"},
-                           {"path", "/pufi791/5e07"},
-                           {"body", "3q2+7w=="}}}});
+                           {"host", "desk.review.example"},
+                           {"path", "/floor/score"},
+                           {"body", "c2NvcmU="}}}});
     }
     json const job = {{"step", 0},          {"model", "m0"},      {"min_version", 1},
                       {"desired_count", 1}, {"items", items}};
-    auto const accepted = call(g.front, "POST", "/pule252/7c41e0",
-                               consumer_headers("7c41e09b52d6a3f8", 12000), job.dump(), 5000);
+    auto const accepted = call(g.front, "POST", "/plans/1",
+                               consumer_headers("10b0000000000001", 12000), job.dump(), 5000);
     record("trainer sent the batch job; answer %d", accepted.status);
     std::this_thread::sleep_for(600ms);
-    auto const ended = call(g.front, "DELETE", "/-/lots/7c41e09b52d6a3f8",
-                            consumer_headers("51c07a3f9b2e64d8", 4000), "", 5000);
+    auto const ended = call(g.front, "DELETE", "/-/lots/10b0000000000001",
+                            consumer_headers("4ead000000000001", 4000), "", 5000);
     auto const ended_at = now_s();
     record("trainer ended the batch job; answer %d", ended.status);
     if (accepted.status != 202 || ended.status != 200)
