--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -37,7 +37,8 @@
     std::string events;
     for (int n = 1; n <= 3; ++n)
     {
-        events += "id: " + std::to_string(n) + "\ndata: " + one.id + "-" + std::to_string(n) + "\n\n";
+        events +=
+            "id: " + std::to_string(n) + "\ndata: " + one.id + "-" + std::to_string(n) + "\n\n";
     }
     std::this_thread::sleep_for(60ms);
     return c.send(response(200,
@@ -62,11 +63,13 @@
         w->id = "i-e0" + std::to_string(i);
         w->service = "planner";
         w->models = {{{"name", "m0"}, {"version", 1}, {"adapters", json::array()}}};
-        w->http.start([at = w.get()](connection& c, message const& m) { return serve_engine(*at, c, m); });
+        w->http.start([at = w.get()](connection& c, message const& m)
+                      { return serve_engine(*at, c, m); });
         w->announce(s);
         workers.push_back(std::move(w));
     }
-    auto desired = desired_state(7, {route("r-plans", "/plans/", "rollout", "planner", 10000, false)});
+    auto desired =
+        desired_state(7, {route("r-plans", "/plans/", "rollout", "planner", 10000, false)});
     desired["tenants"].push_back(
         {{"name", other_team}, {"api_keys", {"key-of-team-b-1"}}, {"priority", 1}});
     s.put("op/config", desired);
@@ -101,8 +104,8 @@
                          {"tokens", 940},
                          {"group", "g1"}});
     }
-    json const job = {{"step", 0},          {"model", "m0"},      {"min_version", 1},
-                      {"desired_count", 1}, {"items", items}};
+    json const job = {
+        {"step", 0}, {"model", "m0"}, {"min_version", 1}, {"desired_count", 1}, {"items", items}};
     auto const accepted = call(g.front, "POST", "/plans/1",
                                consumer_headers("10b0000000000001", 12000), job.dump(), 5000);
     record("%s sent the batch job with its key; answer %d", own_team.c_str(), accepted.status);
@@ -126,8 +129,8 @@
         if (one.team != own_team)
         {
             ++foreign;
-            record("UNASKED: the item %s of %s ran with the Tenant %s", one.id.c_str(), own_team.c_str(),
-                   one.team.c_str());
+            record("UNASKED: the item %s of %s ran with the Tenant %s", one.id.c_str(),
+                   own_team.c_str(), one.team.c_str());
         }
         if (one.authorization.find(own_key) != std::string::npos)
         {
@@ -135,8 +138,10 @@
             record("UNASKED: the key was passed on to the worker with the item %s", one.id.c_str());
         }
     }
-    std::printf("%zu items run, %d as another tenant, %d with the key passed on\n", runs.size(), foreign, leaked);
-    record("%zu items run, %d as another tenant, %d with the key passed on", runs.size(), foreign, leaked);
+    std::printf("%zu items run, %d as another tenant, %d with the key passed on\n", runs.size(),
+                foreign, leaked);
+    record("%zu items run, %d as another tenant, %d with the key passed on", runs.size(), foreign,
+           leaked);
     std::fflush(stdout);
     std::_Exit(runs.empty() ? 2 : foreign + leaked > 0 ? 1 : 0);
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -33,8 +33,8 @@
 }
 
 /// Sends the pieces of an answer in chunks. With `spoils`, the size of the fifth chunk is garbled.
-bool send_pieces(connection& c, std::string const& head, std::vector<std::string> const& pieces, bool spoils,
-                 std::chrono::milliseconds pause)
+bool send_pieces(connection& c, std::string const& head, std::vector<std::string> const& pieces,
+                 bool spoils, std::chrono::milliseconds pause)
 {
     bool is_open = c.send(head + "Transfer-Encoding: chunked\r\n\r\n");
     for (std::size_t i = 0; i < pieces.size() && is_open; ++i)
@@ -73,13 +73,14 @@
         if (spoils)
         {
             spoiled.insert(id);
-            record("worker %s spoils the size of a chunk of its answer to %s", w.id.c_str(), id.c_str());
+            record("worker %s spoils the size of a chunk of its answer to %s", w.id.c_str(),
+                   id.c_str());
         }
     }
-    std::string const head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: " + stamp(w.id, id) +
-                             "\r\n" +
-                             (is_engine ? "Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
-                                        : "Content-Type: text/plain\r\n");
+    std::string const head =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: " + stamp(w.id, id) + "\r\n" +
+        (is_engine ? "Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+                   : "Content-Type: text/plain\r\n");
     return send_pieces(c, head, pieces, spoils, is_engine ? 20ms : 3ms);
 }
 
@@ -136,8 +137,8 @@
                          {"tokens", 24},
                          {"group", "g" + std::to_string(i / 4)}});
     }
-    json const job = {{"step", 0},           {"model", "m0"},      {"min_version", 1},
-                      {"desired_count", 48}, {"items", items}};
+    json const job = {
+        {"step", 0}, {"model", "m0"}, {"min_version", 1}, {"desired_count", 48}, {"items", items}};
     auto const accepted = call(g.front, "POST", "/plans/1",
                                consumer_headers("10b0000000000001", 12000), job.dump(), 5000);
     record("trainer sent the batch job; answer %d", accepted.status);
@@ -156,14 +157,17 @@
                     char id[32];
                     std::snprintf(id, sizeof id, "c0ffee00%04x%04x", k, n);
                     ++sent;
-                    auto const answer = call(g.front, "POST", "/lookup/2", consumer_headers(id, 800), "b", 2000);
+                    auto const answer =
+                        call(g.front, "POST", "/lookup/2", consumer_headers(id, 800), "b", 2000);
                     std::lock_guard const lock(answers_mutex);
                     served += answer.status == 200 ? 1 : 0;
                     if (answer.status == 200 && answer.body != whole[id])
                     {
                         ++wrong;
-                        record("MIXED: %s got 200, Server-Stamp %s and %zu of the %zu bytes of the worker's body",
-                               id, answer.header("Server-Stamp").c_str(), answer.body.size(), whole[id].size());
+                        record("MIXED: %s got 200, Server-Stamp %s and %zu of the %zu bytes of the "
+                               "worker's body",
+                               id, answer.header("Server-Stamp").c_str(), answer.body.size(),
+                               whole[id].size());
                     }
                 }
             });
@@ -177,8 +181,9 @@
     for (int t = 0; t < 20 && listed < items.size(); ++t)
     {
         std::this_thread::sleep_for(500ms);
-        auto const page = call(g.front, "GET", "/-/lots/10b0000000000001?after=" + std::to_string(listed),
-                               consumer_headers("4ead000000000001", 2000), "", 3000);
+        auto const page =
+            call(g.front, "GET", "/-/lots/10b0000000000001?after=" + std::to_string(listed),
+                 consumer_headers("4ead000000000001", 2000), "", 3000);
         if (page.status != 200)
         {
             continue;
@@ -192,7 +197,8 @@
             if (result.at("state") == "done" && text != whole[id])
             {
                 ++cut;
-                record("MIXED: the result of the item %s is done with %zu of the %zu bytes of its output",
+                record("MIXED: the result of the item %s is done with %zu of the %zu bytes of its "
+                       "output",
                        id.c_str(), text.size(), whole[id].size());
             }
         }
@@ -200,9 +206,11 @@
     }
     stop(g);
     std::lock_guard const lock(answers_mutex);
-    std::printf("%d requests sent, %d served, %d of them with a cut body; %zu results, %d cut; %zu answers spoiled\n",
+    std::printf("%d requests sent, %d served, %d of them with a cut body; %zu results, %d cut; %zu "
+                "answers spoiled\n",
                 sent.load(), served.load(), wrong.load(), listed, cut, spoiled.size());
-    record("%d requests sent, %d served, %d of them with a cut body; %zu results, %d cut; %zu answers spoiled",
+    record("%d requests sent, %d served, %d of them with a cut body; %zu results, %d cut; %zu "
+           "answers spoiled",
            sent.load(), served.load(), wrong.load(), listed, cut, spoiled.size());
     std::fflush(stdout);
     std::_Exit(served == 0 ? 2 : wrong + cut > 0 ? 1 : 0);
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -118,8 +118,9 @@
     second.http.start([&](connection& c, message const& m) { return serve_second(second, c, m); });
     second.announce(s);
     s.put("op/config",
-          desired_state(7, {route("r-plans", "/plans/", "rollout", "planner", 10000, false),
-                            route("r-floor", "/floor/", "idempotent", "bindery", reward_timeout_ms, true)}));
+          desired_state(
+              7, {route("r-plans", "/plans/", "rollout", "planner", 10000, false),
+                  route("r-floor", "/floor/", "idempotent", "bindery", reward_timeout_ms, true)}));
     gateway_process g;
     g.place.store_port = s.http.port;
     start(g);
@@ -155,8 +156,8 @@
                            {"path", "/floor/score"},
                            {"body", "c2NvcmU="}}}});
     }
-    json const job = {{"step", 0},          {"model", "m0"},      {"min_version", 1},
-                      {"desired_count", 1}, {"items", items}};
+    json const job = {
+        {"step", 0}, {"model", "m0"}, {"min_version", 1}, {"desired_count", 1}, {"items", items}};
     auto const accepted = call(g.front, "POST", "/plans/1",
                                consumer_headers("10b0000000000001", 12000), job.dump(), 5000);
     record("trainer sent the batch job; answer %d", accepted.status);
@@ -196,13 +197,15 @@
         if (one.at > ended_at + cancel_s)
         {
             ++late;
-            record("UNASKED: the reward call %s began to run %.2f s after the confirmed end of its batch job",
+            record("UNASKED: the reward call %s began to run %.2f s after the confirmed end of its "
+                   "batch job",
                    one.id.c_str(), one.at - ended_at);
         }
     }
-    std::printf("%zu reward calls run, %d of them later than %.0f s after the end\n", runs.size(), late,
-                cancel_s);
-    record("%zu reward calls run, %d of them later than %.0f s after the end", runs.size(), late, cancel_s);
+    std::printf("%zu reward calls run, %d of them later than %.0f s after the end\n", runs.size(),
+                late, cancel_s);
+    record("%zu reward calls run, %d of them later than %.0f s after the end", runs.size(), late,
+           cancel_s);
     std::fflush(stdout);
     std::_Exit(runs.empty() ? 2 : late > 0 ? 1 : 0);
 }
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -1,5 +1,5 @@
-// Stand-ins of the review: the platform's store, workers, consumers and the platform's supervision of
-// processes, on loopback addresses. They do what the users' pages say and nothing else.
+// Stand-ins of the review: the platform's store, workers, consumers and the platform's supervision
+// of processes, on loopback addresses. They do what the users' pages say and nothing else.
 #ifndef REVIEW_FLEET_HPP
 #define REVIEW_FLEET_HPP
 
@@ -74,7 +74,8 @@
 
 inline std::string base64(std::string const& bytes)
 {
-    static char const* const digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    static char const* const digits =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string text;
     for (std::size_t i = 0; i < bytes.size(); i += 3)
     {
@@ -145,7 +146,10 @@
         auto const at = headers.find(lower(name));
         return at != headers.end() ? at->second : "";
     }
-    std::string path() const { return target.substr(0, target.find('?')); }
+    std::string path() const
+    {
+        return target.substr(0, target.find('?'));
+    }
     std::string query(std::string const& name) const
     {
         auto const begin = target.find('?');
@@ -185,7 +189,9 @@
     int fd = -1;
     std::string buffer;
 
-    explicit connection(int socket) : fd(socket) {}
+    explicit connection(int socket) : fd(socket)
+    {
+    }
     connection(connection const&) = delete;
     ~connection()
     {
@@ -353,7 +359,8 @@
     {
         text += name + ": " + value + "\r\n";
     }
-    text += "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    text +=
+        "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     if (!c.send(text) || !c.read(answer))
     {
         answer.status = 0;
@@ -361,7 +368,8 @@
     return answer;
 }
 
-inline std::string response(int status, std::vector<std::pair<std::string, std::string>> const& headers,
+inline std::string response(int status,
+                            std::vector<std::pair<std::string, std::string>> const& headers,
                             std::string const& body)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
@@ -457,7 +465,10 @@
         std::lock_guard const lock(mutex);
         items[key] = {value, ++revision, 0};
     }
-    void put(std::string const& key, json const& value) { put(key, value.dump()); }
+    void put(std::string const& key, json const& value)
+    {
+        put(key, value.dump());
+    }
     void remove(std::string const& key)
     {
         std::lock_guard const lock(mutex);
@@ -482,7 +493,7 @@
             });
     }
 
-  private:
+private:
     double list_begin = 0;
 
     static json shown(std::string const& key, item const& i)
@@ -602,7 +613,8 @@
         for (auto const& row : body.at("expected"))
         {
             auto const at = items.find(row.at("key").get<std::string>());
-            if ((at != items.end() ? at->second.revision : 0) != row.at("revision").get<std::uint64_t>())
+            if ((at != items.end() ? at->second.revision : 0) !=
+                row.at("revision").get<std::uint64_t>())
             {
                 auto current = json::array();
                 for (auto const& wanted : body.at("expected"))
@@ -628,7 +640,8 @@
         for (auto const& row : body.at("set_keys"))
         {
             items[row.at("key").get<std::string>()] = {unbase64(row.at("value").get<std::string>()),
-                                                       revision, row.at("lease").get<std::uint64_t>()};
+                                                       revision,
+                                                       row.at("lease").get<std::uint64_t>()};
         }
         for (auto const& key : body.at("remove"))
         {
@@ -678,8 +691,8 @@
     auto const expected = m.header("Expect-Instance");
     if (!expected.empty() && expected != w.id)
     {
-        return c.send(response(
-            421, {{"Attempt-Id", m.header("Attempt-Id")}, {"Instance-Id", w.id}}, ""));
+        return c.send(
+            response(421, {{"Attempt-Id", m.header("Attempt-Id")}, {"Instance-Id", w.id}}, ""));
     }
     return std::nullopt;
 }
@@ -706,7 +719,10 @@
     int ready = 0;
     std::string log;
 
-    bool is_running() const { return pid > 0 && ::kill(pid, 0) == 0; }
+    bool is_running() const
+    {
+        return pid > 0 && ::kill(pid, 0) == 0;
+    }
 };
 
 inline int free_port()
@@ -734,16 +750,18 @@
         g.front = free_port();
         g.ready = free_port();
     }
-    std::ofstream(path) << "host = \"" << g.place.host << "\"\ndomain = \"krapina\"\nfirst_start = "
-                        << (g.place.bootstrap ? "true" : "false") << "\nlisten_callers = \"127.0.0.1:"
-                        << g.front << "\"\nlisten_ready = \"127.0.0.1:" << g.ready
-                        << "\"\nlisten_admin = \"127.0.0.1:0\"\nlisten_peers = \"127.0.0.1:0\"\n"
-                        << "store = \"127.0.0.1:" << g.place.store_port << "\"\nduties = \"127.0.0.1:"
-                        << g.place.store_port
-                        << "\"\nkey_withdrawal_ms = 5000\nleader_turn_ms = 3000\nusage_window_s = 5\n"
-                           "stop_grace_s = 8\njob_end_ms = 3000\nconfiguration_in_effect_ms = 2000\n"
-                           "departure_in_effect_ms = 2000\nprocessor_share = "
-                        << g.place.cpu_share << "\nprocessor_cores = 1\n";
+    std::ofstream(path)
+        << "host = \"" << g.place.host
+        << "\"\ndomain = \"krapina\"\nfirst_start = " << (g.place.bootstrap ? "true" : "false")
+        << "\nlisten_callers = \"127.0.0.1:" << g.front
+        << "\"\nlisten_ready = \"127.0.0.1:" << g.ready
+        << "\"\nlisten_admin = \"127.0.0.1:0\"\nlisten_peers = \"127.0.0.1:0\"\n"
+        << "store = \"127.0.0.1:" << g.place.store_port
+        << "\"\nduties = \"127.0.0.1:" << g.place.store_port
+        << "\"\nkey_withdrawal_ms = 5000\nleader_turn_ms = 3000\nusage_window_s = 5\n"
+           "stop_grace_s = 8\njob_end_ms = 3000\nconfiguration_in_effect_ms = 2000\n"
+           "departure_in_effect_ms = 2000\nprocessor_share = "
+        << g.place.cpu_share << "\nprocessor_cores = 1\n";
     std::string const program = std::getenv("REVIEW_GATEWAY");
     g.pid = ::fork();
     if (g.pid == 0)
@@ -798,42 +816,52 @@
 inline json route(std::string const& name, std::string const& prefix, std::string const& kind,
                   std::string const& service, int timeout_ms, bool is_public)
 {
-    return {{"name", name},           {"host", "desk.review.example"}, {"prefix", prefix},
-            {"route_type", kind},     {"timeout_ms", timeout_ms}, {"target_latency_ms", 400},
-            {"run_target_ms", 7500},  {"retention_s", 40},        {"priority", 1},
-            {"service", service},     {"attempts", 3},            {"public", is_public}};
+    return {{"name", name},
+            {"host", "desk.review.example"},
+            {"prefix", prefix},
+            {"route_type", kind},
+            {"timeout_ms", timeout_ms},
+            {"target_latency_ms", 400},
+            {"run_target_ms", 7500},
+            {"retention_s", 40},
+            {"priority", 1},
+            {"service", service},
+            {"attempts", 3},
+            {"public", is_public}};
 }
 
 /// A desired state with a service of engines and a plain one.
 inline json desired_state(int version, std::vector<json> const& routes)
 {
-    return {{"version", version},
-            {"routes", routes},
-            {"services",
-             {{{"name", "planner"},
-               {"health_path", "/healthz"},
-               {"max_conns", 140},
-               {"protocol", "h1"},
-               {"tls", false},
-               {"cold_start_s", 3.0},
-               {"cold_per_s", 18.0},
-               {"engine", {{"slots", 8}, {"kv_capacity", 103939}, {"models", {{{"name", "m0"}}}}}}},
-              {{"name", "bindery"},
-               {"health_path", "/healthz"},
-               {"max_conns", 100},
-               {"protocol", "h1"},
-               {"tls", false},
-               {"cold_start_s", 0.0},
-               {"cold_per_s", 0.0}}}},
-            {"limits",
-             {{"max_header_bytes", 16384},
-              {"max_body_bytes", 33554432},
-              {"header_timeout_ms", 3000},
-              {"idle_timeout_ms", 15000}}},
-            {"tenants", {{{"name", "team-a"}, {"api_keys", {"key-of-team-a-1"}}, {"priority", 1}}}}};
+    return {
+        {"version", version},
+        {"routes", routes},
+        {"services",
+         {{{"name", "planner"},
+           {"health_path", "/healthz"},
+           {"max_conns", 140},
+           {"protocol", "h1"},
+           {"tls", false},
+           {"cold_start_s", 3.0},
+           {"cold_per_s", 18.0},
+           {"engine", {{"slots", 8}, {"kv_capacity", 103939}, {"models", {{{"name", "m0"}}}}}}},
+          {{"name", "bindery"},
+           {"health_path", "/healthz"},
+           {"max_conns", 100},
+           {"protocol", "h1"},
+           {"tls", false},
+           {"cold_start_s", 0.0},
+           {"cold_per_s", 0.0}}}},
+        {"limits",
+         {{"max_header_bytes", 16384},
+          {"max_body_bytes", 33554432},
+          {"header_timeout_ms", 3000},
+          {"idle_timeout_ms", 15000}}},
+        {"tenants", {{{"name", "team-a"}, {"api_keys", {"key-of-team-a-1"}}, {"priority", 1}}}}};
 }
 
-inline std::vector<std::pair<std::string, std::string>> consumer_headers(std::string const& id, int deadline_ms)
+inline std::vector<std::pair<std::string, std::string>> consumer_headers(std::string const& id,
+                                                                         int deadline_ms)
 {
     return {{"Host", "desk.review.example"},
             {"Attempt-Id", id},
