--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -43,6 +43,7 @@
            {{"upstreams", upstreams},
             {"runs", self.runs},
             {"teams", self.teams},
+            {"headers", self.headers},
             {"resumed", self.resumed},
             {"reports", self.reports},
             {"calls", self.calls},
@@ -74,6 +75,15 @@
     }
 }
 
+/// Closes the connections of the requests that an upstream took while it was silent.
+void drop_held(site_upstream& at)
+{
+    for (auto const& message : std::exchange(at.held, {}))
+    {
+        close_connection(message.get());
+    }
+}
+
 void set_upstream(site& self, json const& body)
 {
     for (auto const& one : self.upstreams)
@@ -85,6 +95,10 @@
         one->refuses = body.value("refuses", one->refuses);
         one->fails = body.value("fails", one->fails);
         one->silent = body.value("silent", one->silent);
+        if (body.value("drops_held", false))
+        {
+            drop_held(*one);
+        }
         one->breaks_off = body.value("breaks_off", one->breaks_off);
         one->software_version = body.value("software_version", one->software_version);
         if (body.value("drops_runs", false))
--- a/test/standin/site/raw_answer.cpp
+++ b/test/standin/site/raw_answer.cpp
@@ -34,7 +34,8 @@
     queue.clear();
     for (auto const& one : body.at("answers"))
     {
-        queue.push_back({one.at("bytes").get<std::string>(), one.value("resets", false)});
+        queue.push_back({one.at("bytes").get<std::string>(), one.value("resets", false),
+                         one.value("stays_open", false)});
     }
 }
 
@@ -51,6 +52,11 @@
     auto const bytes = with_id(answer.bytes, request_id);
     (void)send(g_socket_get_fd(soup_server_message_get_socket(message)), bytes.data(), bytes.size(),
                MSG_NOSIGNAL);
+    if (answer.stays_open)
+    {
+        soup_server_message_pause(message);
+        return true;
+    }
     if (answer.resets)
     {
         reset_connection(message);
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -65,6 +65,8 @@
     std::uint32_t fails = 0;
     /// Takes requests and stays silent.
     bool silent = false;
+    /// Requests that it took while it was silent.
+    std::vector<base::object_ptr<SoupServerMessage>> held;
     /// Takes requests and closes their connections without an answer.
     bool breaks_off = false;
     /// Version of its software.
@@ -118,6 +120,8 @@
     /// How often each request id was run, and with which team.
     std::map<std::string, std::uint32_t> runs;
     std::map<std::string, std::string> teams;
+    /// Headers of the last run of each request id, by their names in lower case.
+    std::map<std::string, std::map<std::string, std::string>> headers;
     /// Ids whose runs went on after an event.
     std::uint32_t resumed = 0;
     raw_answers raw;
--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -32,6 +32,18 @@
     answer(message, status, json::object());
 }
 
+/// Records the headers of a request, so that tests see what arrived.
+void record_headers(site& self, std::string const& id, SoupServerMessage* message)
+{
+    auto& recorded = self.headers[id];
+    recorded.clear();
+    for (auto const& [name, value] : headers_of(message))
+    {
+        std::unique_ptr<char, base::glib_free> const lower(g_ascii_strdown(name.c_str(), -1));
+        recorded[lower.get()] = value;
+    }
+}
+
 /// A running stream; owns itself through its timer.
 struct event_run
 {
@@ -218,6 +230,7 @@
     }
     ++self.runs[id];
     self.teams[id] = header(message, "Tenant");
+    record_headers(self, id, message);
     if (body_of(message) == crashing_body)
     {
         crash(self, at);
@@ -234,7 +247,9 @@
         if (at.breaks_off)
         {
             close_connection(message);
+            return;
         }
+        at.held.push_back(base::share(message));
         return;
     }
     set_header(message, "Server-Stamp", "stamp-" + id);
