Judge the end of an answer by the bytes received, by the grammar of HTTP/1.1

Cause: libsoup reads a size that is no number as 0, the last chunk, and its end of the body was taken for the end of the answer.

Each connection to an upstream is now read by response_framing below libsoup. It follows RFC 9112 byte by byte, so that reading fails at the first wrong one, and an answer is whole only when its framing ended. All calls go through http::start_call, so plain requests, streams, samples, reward calls and calls of the store share the check. It replaces connection_end and response_length. Extensions, trailers and zeros that libsoup reads wrongly are removed on the way.

--- a/src/gateway/sample_run_answers.cpp
+++ b/src/gateway/sample_run_answers.cpp
@@ -7,7 +7,7 @@
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runs.hpp"
 #include "gateway/unsent_requests.hpp"
-#include "http/connection_end.hpp"
+#include "http/response_watch.hpp"
 #include "http/status.hpp"
 #include "platform/upstream_calls.hpp"
 
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -1,7 +1,6 @@
 #include "http/call.hpp"
 
-#include "http/connection_end.hpp"
-#include "http/response_length.hpp"
+#include "http/response_watch.hpp"
 
 #include <array>
 #include <utility>
@@ -32,7 +31,8 @@
     c.ended = true;
     auto const handlers = std::move(c.handlers);
     bool const is_malformed =
-        g_error_matches(failure, SOUP_SESSION_ERROR, SOUP_SESSION_ERROR_PARSING) != 0;
+        g_error_matches(failure, SOUP_SESSION_ERROR, SOUP_SESSION_ERROR_PARSING) != 0 ||
+        g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_INVALID_DATA) != 0;
     auto const* const reason =
         c.withdrawn ? "the request was withdrawn before it was sent" : failure->message;
     handlers.on_failed(
@@ -52,15 +52,6 @@
     handlers.on_complete();
 }
 
-/// Whether a chunked response that libsoup reports as complete was cut off. libsoup treats the end
-/// of the connection as the end of the response, also within the last chunk and its trailers.
-bool lacks_last_chunk(SoupMessage* message)
-{
-    auto* const headers = soup_message_get_response_headers(message);
-    return soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED &&
-           has_connection_ended(message);
-}
-
 /// \returns whether more data may be read immediately.
 bool read_once(call& c)
 {
@@ -76,11 +67,10 @@
     }
     if (count == 0)
     {
-        if (lacks_last_chunk(c.message.get()))
+        if (!is_response_whole(c.message.get()))
         {
-            fail(c, g_error_new_literal(
-                        G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT,
-                        "the connection was closed before the last chunk of the response"));
+            fail(c, g_error_new_literal(G_IO_ERROR, G_IO_ERROR_INVALID_DATA,
+                                        "the response has another end than its framing tells"));
             return false;
         }
         complete(c);
@@ -177,27 +167,13 @@
     }
 }
 
-/// \returns why a head is no head of a response, although libsoup takes it for one, or nullptr.
-char const* find_head_fault(SoupMessage* message)
-{
-    if (has_connection_ended(message))
-    {
-        return "the connection was closed within the head of the response";
-    }
-    if (has_unreadable_length(soup_message_get_response_headers(message)))
-    {
-        return "the length of the response is unreadable or contradictory";
-    }
-    return nullptr;
-}
-
 void on_got_headers(SoupMessage* message, gpointer data)
 {
     auto const keep = static_cast<call*>(data)->shared_from_this();
-    if (auto const* const fault = find_head_fault(message))
+    if (auto const* const reason = find_ambiguity(message))
     {
         g_cancellable_cancel(keep->cancellable.get());
-        fail(*keep, g_error_new_literal(G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT, fault));
+        fail(*keep, g_error_new_literal(G_IO_ERROR, G_IO_ERROR_INVALID_DATA, reason));
     }
 }
 
@@ -310,7 +286,7 @@
         g_bytes_unref(body);
     }
     g_signal_connect(made->message.get(), "starting", G_CALLBACK(on_starting), made.get());
-    watch_connection(session, made->message.get());
+    watch_response(session, made->message.get());
     g_signal_connect(made->message.get(), "got-headers", G_CALLBACK(on_got_headers), made.get());
     g_signal_connect(made->message.get(), "got-headers", G_CALLBACK(on_misdirected), made.get());
     g_signal_connect(made->message.get(), "restarted", G_CALLBACK(on_restarted), made.get());
--- a/src/http/connection_end.cpp
+++ b/src/http/response_watch.cpp
@@ -1,4 +1,4 @@
-#include "http/connection_end.hpp"
+#include "http/response_watch.hpp"
 
 #include "base/glib_ptr.hpp"
 #include "http/watched_input.hpp"
@@ -19,10 +19,11 @@
 // libsoup makes its connections itself, and a proxy is the only place where GLib lets a program
 // replace the streams of one. This proxy is the host itself.
 constexpr char const* proxy_scheme = "gooseberrywood-watched";
-constexpr char const* records_name = "gooseberrywood-connection-ends";
+constexpr char const* framings_name = "gooseberrywood-response-framings";
+constexpr char const* framing_name = "gooseberrywood-response-framing";
 
-/// Records of the open connections of a session, by the number that libsoup gives a connection.
-using end_records = std::map<guint64, std::weak_ptr<bool const>>;
+/// Framing of the open connections of a session, by the number that libsoup gives a connection.
+using framing_map = std::map<guint64, std::weak_ptr<response_framing>>;
 
 /// Wraps the streams of a connection to a host.
 GIOStream* watch(GIOStream* connection)
@@ -139,59 +140,133 @@
     return proxy != G_TYPE_INVALID ? type : G_TYPE_INVALID;
 }
 
-void free_records(gpointer records)
+void free_framings(gpointer framings)
 {
-    delete static_cast<std::shared_ptr<end_records>*>(records);
+    delete static_cast<std::shared_ptr<framing_map>*>(framings);
 }
 
-/// Records of a session, or of the session of a message.
-std::shared_ptr<end_records> const& records_of(gpointer owner)
+/// Framings of a session, or of the session of a message.
+std::shared_ptr<framing_map> const& framings_of(gpointer owner)
 {
-    auto* const records = g_object_get_data(G_OBJECT(owner), records_name);
-    return *static_cast<std::shared_ptr<end_records>*>(records);
+    auto* const framings = g_object_get_data(G_OBJECT(owner), framings_name);
+    return *static_cast<std::shared_ptr<framing_map>*>(framings);
 }
 
-void set_records(gpointer owner, std::shared_ptr<end_records> records)
+void set_framings(gpointer owner, std::shared_ptr<framing_map> framings)
 {
-    g_object_set_data_full(G_OBJECT(owner), records_name,
-                           new std::shared_ptr<end_records>(std::move(records)), free_records);
+    g_object_set_data_full(G_OBJECT(owner), framings_name,
+                           new std::shared_ptr<framing_map>(std::move(framings)), free_framings);
+}
+
+/// \returns nullptr if the message has no connection.
+std::shared_ptr<response_framing> find_connection_framing(SoupMessage* message)
+{
+    auto const& framings = *framings_of(message);
+    auto const at = framings.find(soup_message_get_connection_id(message));
+    return at != framings.end() ? at->second.lock() : nullptr;
+}
+
+void free_framing(gpointer framing)
+{
+    delete static_cast<std::shared_ptr<response_framing>*>(framing);
+}
+
+/// Framing of the connection on which a message is sent; nullptr before.
+response_framing* framing_of(SoupMessage* message)
+{
+    auto* const framing = g_object_get_data(G_OBJECT(message), framing_name);
+    return framing != nullptr ? static_cast<std::shared_ptr<response_framing>*>(framing)->get()
+                              : nullptr;
 }
 
 /// Assigns a new connection to the number that its message has for it.
 void on_network_event(SoupMessage* message, GSocketClientEvent, GIOStream* connection, gpointer)
 {
-    auto const record =
-        connection != nullptr ? find_end_record(g_io_stream_get_input_stream(connection)) : nullptr;
-    if (!record)
+    auto const framing =
+        connection != nullptr ? find_framing(g_io_stream_get_input_stream(connection)) : nullptr;
+    if (!framing)
+    {
+        return;
+    }
+    auto& framings = *framings_of(message);
+    std::erase_if(framings, [](auto const& entry) { return entry.second.expired(); });
+    framings[soup_message_get_connection_id(message)] = framing;
+}
+
+void on_starting(SoupMessage* message, gpointer)
+{
+    auto framing = find_connection_framing(message);
+    if (!framing)
     {
         return;
     }
-    auto& records = *records_of(message);
-    std::erase_if(records, [](auto const& entry) { return entry.second.expired(); });
-    records[soup_message_get_connection_id(message)] = record;
+    expect_response(*framing, std::string_view(soup_message_get_method(message)) == "HEAD");
+    g_object_set_data_full(G_OBJECT(message), framing_name,
+                           new std::shared_ptr<response_framing>(std::move(framing)), free_framing);
+}
+
+SoupEncoding to_encoding(body_end end)
+{
+    switch (end)
+    {
+    case body_end::length:
+        return SOUP_ENCODING_CONTENT_LENGTH;
+    case body_end::chunks:
+        return SOUP_ENCODING_CHUNKED;
+    case body_end::connection:
+        return SOUP_ENCODING_EOF;
+    case body_end::no_body:
+        break;
+    }
+    return SOUP_ENCODING_NONE;
+}
+
+bool is_read_alike(response_framing const& framing, SoupMessageHeaders* headers)
+{
+    if (framing.end == body_end::no_body)
+    {
+        return true;
+    }
+    bool const has_length = framing.end == body_end::length;
+    return soup_message_headers_get_encoding(headers) == to_encoding(framing.end) &&
+           (!has_length || static_cast<std::uint64_t>(soup_message_headers_get_content_length(
+                               headers)) == framing.content_length);
 }
 
 } // namespace
 
 void watch_connections(SoupSession* session)
 {
-    set_records(session, std::make_shared<end_records>());
+    set_framings(session, std::make_shared<framing_map>());
     base::object_ptr<GObject> const resolver(G_OBJECT(g_object_new(resolver_type(), nullptr)));
     g_object_set(session, "proxy-resolver", resolver.get(), nullptr);
 }
 
-void watch_connection(SoupSession* session, SoupMessage* message)
+void watch_response(SoupSession* session, SoupMessage* message)
 {
-    set_records(message, records_of(session));
+    set_framings(message, framings_of(session));
     g_signal_connect(message, "network-event", G_CALLBACK(on_network_event), nullptr);
+    g_signal_connect(message, "starting", G_CALLBACK(on_starting), nullptr);
+}
+
+char const* find_ambiguity(SoupMessage* message)
+{
+    auto const* const framing = framing_of(message);
+    bool const has_head = framing != nullptr && (framing->part == response_part::body ||
+                                                 framing->part == response_part::complete);
+    if (!has_head)
+    {
+        return "the connection of the response was lost";
+    }
+    return is_read_alike(*framing, soup_message_get_response_headers(message))
+               ? nullptr
+               : "the length of the response is unreadable or contradictory";
 }
 
-bool has_connection_ended(SoupMessage* message)
+bool is_response_whole(SoupMessage* message)
 {
-    auto const& records = *records_of(message);
-    auto const at = records.find(soup_message_get_connection_id(message));
-    auto const record = at != records.end() ? at->second.lock() : nullptr;
-    return record && *record;
+    auto const* const framing = framing_of(message);
+    return framing != nullptr && framing->part == response_part::complete;
 }
 
 bool ends_with_connection(SoupMessage* message)
--- a/src/http/status.hpp
+++ b/src/http/status.hpp
@@ -8,8 +8,11 @@
 namespace gooseberrywood::http::status
 {
 
+inline constexpr std::uint16_t switching_protocols = 101;
 inline constexpr std::uint16_t ok = 200;
 inline constexpr std::uint16_t accepted = 202;
+inline constexpr std::uint16_t no_content = 204;
+inline constexpr std::uint16_t not_modified = 304;
 inline constexpr std::uint16_t bad_request = 400;
 inline constexpr std::uint16_t unauthorized = 401;
 inline constexpr std::uint16_t not_found = 404;
--- a/src/http/watched_input.cpp
+++ b/src/http/watched_input.cpp
@@ -1,5 +1,8 @@
 #include "http/watched_input.hpp"
 
+#include <cstddef>
+#include <optional>
+
 namespace gooseberrywood::http
 {
 
@@ -10,7 +13,7 @@
 {
     GFilterInputStream parent;
     /// Owned; GObject instances have no constructors.
-    std::shared_ptr<bool>* is_ended;
+    std::shared_ptr<response_framing>* framing;
 };
 
 struct watched_input_class
@@ -34,27 +37,66 @@
     return g_filter_input_stream_get_base_stream(G_FILTER_INPUT_STREAM(stream));
 }
 
-gssize record_end(gpointer stream, gssize count)
+/// \returns a failure if what was received can't be used.
+bool is_usable(response_framing const& framing, GError** failure)
 {
+    if (framing.fault.reason == nullptr)
+    {
+        return true;
+    }
+    g_set_error_literal(failure, G_IO_ERROR,
+                        framing.fault.is_cut ? G_IO_ERROR_PARTIAL_INPUT : G_IO_ERROR_INVALID_DATA,
+                        framing.fault.reason);
+    return false;
+}
+
+/// Checks the outcome of a read.
+/// \returns the number of bytes to pass on, or nothing if the read has to be repeated.
+std::optional<gssize> check_read(gpointer stream, void* buffer, gssize count, GError** failure)
+{
+    if (count < 0)
+    {
+        return count;
+    }
+    auto& framing = **as_watched(stream)->framing;
     if (count == 0)
     {
-        **as_watched(stream)->is_ended = true;
+        check_end(framing);
+        return is_usable(framing, failure) ? 0 : -1;
+    }
+    auto const kept =
+        check_received(framing, {static_cast<char*>(buffer), static_cast<std::size_t>(count)});
+    if (!is_usable(framing, failure))
+    {
+        return -1;
     }
-    return count;
+    return kept > 0 ? std::optional(static_cast<gssize>(kept)) : std::nullopt;
 }
 
 gssize read_watched(GInputStream* stream, void* buffer, gsize size, GCancellable* cancellable,
                     GError** failure)
 {
-    return record_end(stream,
-                      g_input_stream_read(base_of(stream), buffer, size, cancellable, failure));
+    for (;;)
+    {
+        auto const count = g_input_stream_read(base_of(stream), buffer, size, cancellable, failure);
+        if (auto const checked = check_read(stream, buffer, count, failure))
+        {
+            return *checked;
+        }
+    }
 }
 
 gssize read_nonblocking(GPollableInputStream* stream, void* buffer, gsize size, GError** failure)
 {
-    return record_end(
-        stream, g_pollable_input_stream_read_nonblocking(G_POLLABLE_INPUT_STREAM(base_of(stream)),
-                                                         buffer, size, nullptr, failure));
+    for (;;)
+    {
+        auto const count = g_pollable_input_stream_read_nonblocking(
+            G_POLLABLE_INPUT_STREAM(base_of(stream)), buffer, size, nullptr, failure);
+        if (auto const checked = check_read(stream, buffer, count, failure))
+        {
+            return *checked;
+        }
+    }
 }
 
 gboolean is_readable(GPollableInputStream* stream)
@@ -73,7 +115,7 @@
 
 void finalize(GObject* object)
 {
-    delete as_watched(object)->is_ended;
+    delete as_watched(object)->framing;
     G_OBJECT_CLASS(parent_class)->finalize(object);
 }
 
@@ -86,8 +128,8 @@
 
 void init_instance(GTypeInstance* made, gpointer)
 {
-    reinterpret_cast<watched_input*>(made)->is_ended =
-        new std::shared_ptr<bool>(std::make_shared<bool>(false));
+    reinterpret_cast<watched_input*>(made)->framing =
+        new std::shared_ptr<response_framing>(std::make_shared<response_framing>());
 }
 
 void init_pollable(gpointer made, gpointer)
@@ -122,13 +164,13 @@
         G_INPUT_STREAM(g_object_new(watched_input_type(), "base-stream", socket_input, nullptr)));
 }
 
-std::shared_ptr<bool const> find_end_record(GInputStream* stream)
+std::shared_ptr<response_framing> find_framing(GInputStream* stream)
 {
     while (stream != nullptr)
     {
         if (auto const* const watched = as_watched(stream))
         {
-            return *watched->is_ended;
+            return *watched->framing;
         }
         stream = G_IS_FILTER_INPUT_STREAM(stream) ? base_of(stream) : nullptr;
     }
--- a/test/process/gateway_broken_answers_test.cpp
+++ b/test/process/gateway_broken_answers_test.cpp
@@ -58,6 +58,7 @@
 {
     std::string bytes;
     bool resets = false;
+    bool stays_open = false;
 };
 
 void answer_raw(site_service const& service, std::string const& name,
@@ -66,7 +67,8 @@
     auto list = json::array();
     for (auto const& one : answers)
     {
-        list.push_back({{"bytes", one.bytes}, {"resets", one.resets}});
+        list.push_back(
+            {{"bytes", one.bytes}, {"resets", one.resets}, {"stays_open", one.stays_open}});
     }
     set_site(service, "raw", {{"service", name}, {"answers", list}});
 }
@@ -198,12 +200,13 @@
 namespace
 {
 
-/// A job's id of one character, so that the ids of its samples are as long as their mark.
+/// A job's id of one character, so that the ids of its samples are as long as their mark. No
+/// scenario makes more jobs than there are letters.
 std::string next_job_id()
 {
     constexpr std::string_view letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
     static std::size_t number = 0;
-    return std::string(1, letters.at(number++));
+    return std::string(1, letters.at(number++ % letters.size()));
 }
 
 /// Runs a job of one sample whose runs are answered so first, and checks its text.
@@ -293,3 +296,101 @@
     site_service const service(1);
     check_sample(service, {{chunked_head + chunk(make_events(1, events))}});
 }
+
+namespace
+{
+
+/// What stands where the size of a chunk is due, before its data "world\r\n" and the last chunk.
+std::vector<std::string> const garbled_sizes = {"x\r\n",
+                                                "-1\r\n",
+                                                "\r\n",
+                                                "",
+                                                "0x5\r\n",
+                                                "5 \r\n",
+                                                "5;\r\n",
+                                                "5;a=\r\n",
+                                                "5;a=\"\r\n",
+                                                "5;a\r;b\r\n",
+                                                "5\n",
+                                                "5\r",
+                                                "6\r\n",
+                                                "4\r\n",
+                                                "+5\r\n",
+                                                " 5\r\n",
+                                                "5,5\r\n",
+                                                "5\r\n\r\n",
+                                                "fffffffffffffffff\r\n"};
+
+/// An answer with a garbled chunk in its middle, on a connection that stays open.
+raw_answer garbled_answer(std::string const& answer_head, std::string const& begin,
+                          std::string const& size, std::string const& data)
+{
+    return {answer_head + chunk(begin) + size + data + "\r\n0\r\n\r\n", false, true};
+}
+
+std::string const plain_head = head(ok, "Transfer-Encoding: chunked\r\n") + "\r\n";
+
+} // namespace
+
+SCENARIO("the size of a chunk of an answer is garbled, and its connection stays open")
+{
+    // Guards against a part of a body that is passed on as whole.
+    site_service const service(1);
+    WHEN("the answer is one to a lookup")
+    {
+        for (auto const& size : garbled_sizes)
+        {
+            CAPTURE(size);
+            answer_raw(service, "desk", {garbled_answer(plain_head, "hello ", size, "world")});
+            auto const answer = look_up(service, next_id());
+            bool const is_whole = answer.status == 200 && answer.body == R"({"echo":"question"})";
+            CHECK((is_whole || answer.status >= 502));
+            wait_recovered();
+        }
+    }
+    WHEN("the answer is a stream")
+    {
+        for (auto const& size : garbled_sizes)
+        {
+            CAPTURE(size);
+            auto const id = next_id();
+            answer_raw(service, "engines", {garbled_answer(chunked_head, "hello ", size, "world")});
+            CHECK(begin_stream(service, id).status >= 502);
+            CHECK(site_state(service).at("runs").value(id, 0) <= 1);
+            wait_recovered();
+        }
+    }
+    WHEN("the answer is the stream of a sample")
+    {
+        for (auto const& size : garbled_sizes)
+        {
+            CAPTURE(size);
+            check_sample(service, {garbled_answer(chunked_head, make_events(1, 3), size,
+                                                  make_events(4, 4))});
+        }
+    }
+    WHEN("the answer is that to a reward call")
+    {
+        for (auto const& size : garbled_sizes)
+        {
+            CAPTURE(size);
+            auto const id = next_job_id();
+            answer_raw(service, "desk", {garbled_answer(plain_head, "hello ", size, "world")});
+            REQUIRE(submit(service.gateways[0], id, {events}) == 202);
+            check_whole(wait_results(service.gateways[0], id, 1), id, {events});
+            CHECK(site_state(service).at("runs").at(id + "-s0-score") == 2);
+        }
+    }
+}
+
+SCENARIO("the chunks of an answer have extensions and trailers")
+{
+    // Guards against a whole answer that is refused for what HTTP allows in it.
+    site_service const service(1);
+    std::string const extended =
+        "005;a;b=c ; d = \"e;f\"\r\nhello\r\n0;last\r\nX: y\r\nZ: w\r\n\r\n";
+    answer_raw(service, "desk", {{plain_head + extended, false, true}});
+    auto const answer = look_up(service, next_id());
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "hello");
+}
