One rule of the headers that others may set, for samples as for plain requests

Cause: the headers of an item were added after those of the gateway and replaced them; the rule for plain requests stood where only these pass.

--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -178,6 +178,11 @@
                           : spec.error());
         return;
     }
+    if (auto const checked = platform::check_headers(*spec); !checked)
+    {
+        answer_error(self, *exchange, http::status::bad_request, checked.error());
+        return;
+    }
     auto const known = self.shared.records.find(head.request_id);
     if (known != self.shared.records.end() && known->second.record.team == team)
     {
