Withdraw the reward calls of a job with its runs, wherever the job ends

Cause: a reward call was started without a handle, and the end of a job cancelled its runs only.

A request names the sample that it is made for. job_work withdraws runs and requests of a job or a sample alike, and all places where this process ends to run a job use it: its end, its loss, its hand-over, its retention time, a result that another owner listed. Without a list of the jobs as recent as for samples no reward call is sent, also not on a connection that took long.

--- a/src/gateway/hand_over.cpp
+++ b/src/gateway/hand_over.cpp
@@ -1,7 +1,7 @@
 #include "gateway/hand_over.hpp"
 
 #include "base/log.hpp"
-#include "gateway/sample_runs.hpp"
+#include "gateway/job_work.hpp"
 #include "rollout/result_chunk.hpp"
 #include "rollout/saved_progress.hpp"
 #include "rollout/store_keys.hpp"
@@ -74,7 +74,7 @@
     auto const deadline = base::mono_now() + store_call_timeout;
     for (auto& [id, job] : self.jobs)
     {
-        cancel_runs(self, id);
+        withdraw_job_work(self, id);
         if (job.owner_revision == 0)
         {
             // The state in memory may be older than what another owner has listed.
--- a/src/gateway/job_running.cpp
+++ b/src/gateway/job_running.cpp
@@ -2,11 +2,11 @@
 
 #include "base/log.hpp"
 #include "gateway/job_store.hpp"
+#include "gateway/job_work.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runner.hpp"
-#include "gateway/sample_runs.hpp"
 #include "rollout/store_keys.hpp"
 
 #include <iterator>
@@ -50,7 +50,7 @@
     return job;
 }
 
-/// Replaces the listed results. Cancels the runs of their samples, which need none any more,
+/// Replaces the listed results. Withdraws the work of their samples, which need none any more,
 /// whichever process generated the results.
 void apply_listed_results(gateway& self, owned_job& job, std::vector<rollout::sample_result> listed)
 {
@@ -59,7 +59,7 @@
         auto const it = job.index_by_id.find(result.id);
         if (it != job.index_by_id.end())
         {
-            cancel_run(self, job.record.id, it->second);
+            withdraw_sample_work(self, job.record.id, it->second);
             job.samples[it->second].phase = rollout::sample_phase::listed;
         }
     }
@@ -257,7 +257,7 @@
 
 void stop_job(gateway& self, std::string const& id)
 {
-    cancel_runs(self, id);
+    withdraw_job_work(self, id);
     self.jobs.erase(id);
 }
 
--- a/src/gateway/reward_runner.cpp
+++ b/src/gateway/reward_runner.cpp
@@ -107,6 +107,7 @@
     spec.service = fleet::service_for_request(*route, call.id);
     spec.host = call.host;
     spec.request_id = call.id;
+    spec.sample = sample_ref{job.record.id, index};
     spec.idempotent = true;
     spec.max_runs = 2;
     spec.deadline = now + route->timeout;
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -5,6 +5,7 @@
 #include "fleet/try_outcome.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/departures.hpp"
+#include "gateway/job_work.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/permits.hpp"
 #include "gateway/unsent_requests.hpp"
@@ -282,6 +283,12 @@
                                    });
 }
 
+/// Whether the owner of a request still wants it to be sent.
+bool is_wanted(gateway const& self, routed_spec const& spec, base::mono_time now)
+{
+    return !spec.sample || may_send_job_work(self, now);
+}
+
 bool may_send_try(gateway& self, std::uint64_t number, std::uint32_t index)
 {
     auto* const request = find(self, number);
@@ -290,7 +297,8 @@
         return false;
     }
     auto& pending = request->running_tries.at(index);
-    pending.withdrawn = !may_still_send(self, pending.incarnation, pending.origin.service);
+    pending.withdrawn = !may_still_send(self, pending.incarnation, pending.origin.service) ||
+                        !is_wanted(self, request->spec, base::mono_now());
     return !pending.withdrawn;
 }
 
@@ -348,7 +356,9 @@
     }
     fleet::plain_requirements const need{request.spec.service, self.settings.domain,
                                          request.tried_upstreams, request.spec.software_version};
-    auto const chosen = fleet::choose_plain(self.pool, *self.configuration, need, now);
+    auto const chosen = is_wanted(self, request.spec, now)
+                            ? fleet::choose_plain(self.pool, *self.configuration, need, now)
+                            : std::nullopt;
     request_wanted_permits(self);
     if (chosen)
     {
@@ -467,6 +477,22 @@
     return started_at;
 }
 
+void cancel_requests_if(gateway& self, std::function<bool(routed_spec const&)> const& condition)
+{
+    std::vector<std::uint64_t> numbers;
+    for (auto const& [number, request] : self.requests)
+    {
+        if (condition(request->spec))
+        {
+            numbers.push_back(number);
+        }
+    }
+    for (auto const number : numbers)
+    {
+        (void)cancel_request(self, number);
+    }
+}
+
 void withdraw_unsent_tries(gateway& self)
 {
     std::vector<std::pair<std::uint64_t, std::uint32_t>> affected;
--- a/src/gateway/route_request.hpp
+++ b/src/gateway/route_request.hpp
@@ -28,6 +28,10 @@
 /// \returns when the request started to run, if it may have run.
 std::optional<base::wall_time> cancel_request(gateway& self, std::uint64_t number);
 
+/// \ingroup gateway
+/// \brief Cancels the requests whose specification satisfies a condition, as above.
+void cancel_requests_if(gateway& self, std::function<bool(routed_spec const&)> const& condition);
+
 /// \ingroup gateway
 /// \brief Withdraws the tries of which no byte was sent and whose upstream no longer serves. Their
 /// requests go to other upstreams.
--- a/src/gateway/routed_request.hpp
+++ b/src/gateway/routed_request.hpp
@@ -8,6 +8,7 @@
 #include "platform/upstream_calls.hpp"
 #include "rollout/text_origin.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -19,6 +20,17 @@
 namespace gooseberrywood::gateway
 {
 
+/// \ingroup gateway
+/// \brief A sample of a job.
+struct sample_ref
+{
+    std::string job_id;
+    /// Index in the job.
+    std::size_t index = 0;
+
+    friend bool operator==(sample_ref const&, sample_ref const&) = default;
+};
+
 /// \ingroup gateway
 /// \brief A request to route to an upstream of a service.
 struct routed_spec
@@ -28,6 +40,8 @@
     /// Team of the caller; empty on open routes.
     std::string team;
     std::string request_id;
+    /// Sample for which the request is made; none if a caller waits for it.
+    std::optional<sample_ref> sample;
     platform::plain_call call;
     /// Software version that must serve the request; empty for any.
     std::string software_version;
--- a/src/gateway/sample_run_answers.cpp
+++ b/src/gateway/sample_run_answers.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "gateway/departures.hpp"
+#include "gateway/job_work.hpp"
 #include "gateway/permits.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
@@ -234,7 +235,8 @@
 bool may_send_run(gateway& self, std::uint64_t run_number)
 {
     auto& run = self.runs.at(run_number);
-    run.withdrawn = !may_still_send(self, run.incarnation, run.origin.service);
+    run.withdrawn = !may_still_send(self, run.incarnation, run.origin.service) ||
+                    !may_send_job_work(self, base::mono_now());
     return !run.withdrawn;
 }
 
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -1,8 +1,8 @@
 #include "gateway/sample_runner.hpp"
 
 #include "fleet/choose_upstream.hpp"
+#include "gateway/job_work.hpp"
 #include "gateway/permits.hpp"
-#include "gateway/refresh.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/sample_runs.hpp"
 #include "process/main_loop.hpp"
@@ -146,7 +146,7 @@
 
 void dispatch_waiting_samples(gateway& self)
 {
-    if (!self.configuration || self.stopping || !has_current_job_ends(self, base::mono_now()))
+    if (!self.configuration || !may_send_job_work(self, base::mono_now()))
     {
         return;
     }
@@ -225,7 +225,7 @@
         {
             continue;
         }
-        cancel_runs(self, id);
+        withdraw_job_work(self, id);
         for (std::size_t i = 0; i < job.samples.size(); ++i)
         {
             if (job.samples[i].phase < sample_phase::finished)
