Answer all callers at the end of the grace time, and take no request after it

Calls of batch jobs were not answered at all.

From then on requests are refused with 503, all that wait are answered, connections without a whole request are closed, and the process ends when the answers are written. With a short grace time it stops listening before it is killed.

--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -5,6 +5,7 @@
 #include "gateway/end_job.hpp"
 #include "gateway/read_job.hpp"
 #include "gateway/refresh.hpp"
+#include "gateway/route_request.hpp"
 #include "gateway/serve_plain.hpp"
 #include "gateway/submit_job.hpp"
 #include "http/status.hpp"
@@ -24,6 +25,9 @@
 
 // Another gateway may have a newer configuration already, and this one may have it by then.
 constexpr base::duration retry_after_stale = std::chrono::milliseconds(200);
+// The load balancer sends new connections to other gateways by then.
+constexpr base::duration retry_after_stop = std::chrono::milliseconds(50);
+
 /// Rejects a request that the configuration does not allow. While a newer configuration may allow
 /// it, the request is refused with a retry delay instead.
 void deny(gateway& self, http::exchange& exchange, std::uint16_t status, base::error const& error,
@@ -117,6 +121,14 @@
 
 void handle_caller(gateway& self, std::shared_ptr<http::exchange> const& exchange)
 {
+    if (self.refuses_callers)
+    {
+        refuse(self, *exchange,
+               {result_code::shutting_down, "this gateway stops and takes no request any more"},
+               retry_after_stop);
+        return;
+    }
+    self.open_exchanges.push_back(exchange);
     auto const now = base::mono_now();
     if (!self.configuration)
     {
@@ -138,6 +150,22 @@
     }
 }
 
+void end_callers(gateway& self)
+{
+    self.refuses_callers = true;
+    end_requests(self);
+    for (auto const& weak : std::exchange(self.open_exchanges, {}))
+    {
+        auto const exchange = weak.lock();
+        if (exchange && !exchange->answered)
+        {
+            answer_error(
+                self, *exchange, http::status::timeout,
+                {result_code::outcome_unknown, "the gateway stopped before the outcome was known"});
+        }
+    }
+}
+
 void check_callers(gateway& self)
 {
     // Moved out first because a handler may add to the list.
--- a/src/gateway/callers.hpp
+++ b/src/gateway/callers.hpp
@@ -12,6 +12,11 @@
 /// \brief Handles a request from a caller.
 void handle_caller(gateway& self, std::shared_ptr<http::exchange> const& exchange);
 
+/// \ingroup gateway
+/// \brief Answers all callers that still wait and refuses new requests from now on. For the end of
+/// the time in which the process must stop.
+void end_callers(gateway& self);
+
 /// \ingroup gateway
 /// \brief Cancels the requests whose callers have closed their connections.
 void check_callers(gateway& self);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,12 +9,12 @@
 #include "gateway/measure.hpp"
 #include "gateway/peer_messages.hpp"
 #include "gateway/refresh.hpp"
-#include "gateway/route_request.hpp"
 #include "gateway/sample_runner.hpp"
 #include "http/call.hpp"
 #include "platform/store_client.hpp"
 #include "process/admin.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -34,6 +34,8 @@
 constexpr base::duration stop_margin = std::chrono::milliseconds(1000);
 // Time for the answers that are sent at the end.
 constexpr base::duration last_answers_duration = std::chrono::milliseconds(400);
+// Time for writing the answers that are due when the last connections are closed.
+constexpr base::duration last_write_duration = std::chrono::milliseconds(200);
 
 // Without the store a gateway accepts no jobs, and soon no keys. The load balancer needs two
 // seconds to send callers elsewhere, so the gateway reports not ready before its keys become too
@@ -108,9 +110,14 @@
     http::close_idle_connections(*self.callers);
     if (now >= latest)
     {
-        end_requests(self);
+        end_callers(self);
     }
-    if (has_work(self) && now < latest + last_answers_duration)
+    auto const close_at = latest + last_answers_duration;
+    if (now >= close_at)
+    {
+        http::close_unanswered_connections(*self.callers);
+    }
+    if (has_work(self) && now < close_at + last_write_duration)
     {
         return;
     }
@@ -137,9 +144,10 @@
     resign(self);
     hand_over_jobs(self, [&self] { revoke_lease(self); });
     auto const now = base::mono_now();
+    auto const latest = now + self.settings.stop_grace - stop_margin;
     self.stop_timer =
-        base::every(stop_check_interval, [&self, listen_until = now + listen_time_after_stop,
-                                          latest = now + self.settings.stop_grace - stop_margin]
+        base::every(stop_check_interval,
+                    [&self, listen_until = std::min(now + listen_time_after_stop, latest), latest]
                     { stop_when_idle(self, listen_until, latest); });
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -81,7 +81,10 @@
     std::unique_ptr<http::server> callers;
     std::unique_ptr<http::server> ready;
     std::unique_ptr<http::server> admin;
+    /// Requests of callers that are not answered yet.
     std::vector<std::weak_ptr<http::exchange>> open_exchanges;
+    /// Set at the end of the time to stop: new requests are refused.
+    bool refuses_callers = false;
     base::event_source caller_check;
 
     std::optional<fleet::configuration> configuration;
--- a/src/gateway/serve_plain.cpp
+++ b/src/gateway/serve_plain.cpp
@@ -180,7 +180,6 @@
             duty::count_request(self.usage, team, *started_at);
         }
     };
-    self.open_exchanges.push_back(request.exchange);
 }
 
 void refuse_take_up(gateway& self, plain_request const& request, std::string reason)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -54,6 +54,14 @@
     }
 }
 
+void mark_being_answered(server& owner, SoupServerMessage* message, bool is_being_answered)
+{
+    if (auto* const connection = connection_of(owner, message))
+    {
+        connection->is_being_answered = is_being_answered;
+    }
+}
+
 void on_got_headers(SoupServerMessage* message, gpointer data)
 {
     mark_in_use(*static_cast<server*>(data), message, true);
@@ -81,7 +89,9 @@
 
 void on_request_ended(SoupServerMessage* message, gpointer data)
 {
-    mark_in_use(*static_cast<server*>(data), message, false);
+    auto& owner = *static_cast<server*>(data);
+    mark_in_use(owner, message, false);
+    mark_being_answered(owner, message, false);
 }
 
 void on_request_started(SoupServer*, SoupServerMessage* message, gpointer data)
@@ -145,6 +155,7 @@
     g_signal_connect(message, "finished", G_CALLBACK(on_finished), made.get());
     g_signal_connect(message, "finished", G_CALLBACK(count_finished_response), &owner);
     ++owner.open_responses;
+    mark_being_answered(owner, message, true);
     soup_server_message_pause(message);
     owner.handle(made);
 }
@@ -277,4 +288,15 @@
     }
 }
 
+void close_unanswered_connections(server& closing)
+{
+    for (auto const& [key, connection] : *closing.connections)
+    {
+        if (!connection.is_being_answered)
+        {
+            g_socket_shutdown(key, TRUE, TRUE, nullptr);
+        }
+    }
+}
+
 } // namespace gooseberrywood::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -23,6 +23,8 @@
     base::object_ptr<GSocket> socket;
     /// A request is being read or answered.
     bool is_in_use = false;
+    /// A request was read to its end and is being answered.
+    bool is_being_answered = false;
 };
 
 /// \ingroup http
@@ -67,6 +69,11 @@
 /// \brief Closes the connections on which no request is being read or answered.
 void close_idle_connections(server& closing);
 
+/// \ingroup http
+/// \brief Closes the connections on which no request is being answered, also those on which one is
+/// being read. Nothing of such a request was passed on.
+void close_unanswered_connections(server& closing);
+
 } // namespace gooseberrywood::http
 
 #endif
--- a/test/process/gateway_kept_connections_test.cpp
+++ b/test/process/gateway_kept_connections_test.cpp
@@ -156,3 +156,67 @@
     CHECK(answer.announces_close);
     CHECK(wait_exit(*gateway.program) == 0);
 }
+
+namespace
+{
+
+/// A caller whose request is complete only late in the grace time of a gateway that stops.
+struct late_caller
+{
+    std::string id;
+    std::chrono::milliseconds delay{};
+    kept_answer answer;
+
+    /// \param stopped_at when the gateway began to stop.
+    void run(std::uint16_t port, std::chrono::steady_clock::time_point stopped_at)
+    {
+        kept_connection connection(port);
+        auto const request = lookup(id);
+        connection.send(std::string_view(request).substr(0, request.size() - 1));
+        std::this_thread::sleep_until(stopped_at + delay);
+        answer = connection.exchange(std::string_view(request).substr(request.size() - 1));
+    }
+};
+
+} // namespace
+
+SCENARIO("requests are complete only at the end of the grace time")
+{
+    // Guards against requests that are passed on and then cut without an answer.
+    site_service service(1);
+    auto const& gateway = service.gateways[0];
+    change_route(service, "lookup", {{"timeout_ms", 20000}});
+    for (auto const* desk : {"desk-0", "desk-1"})
+    {
+        set_site(service, "upstream", {{"id", desk}, {"silent", true}});
+    }
+    auto const stopped_at = std::chrono::steady_clock::now() + 300ms;
+    // The grace time is 8 s, and the process uses 7 s of it for requests.
+    std::vector<late_caller> callers(120);
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < callers.size(); ++i)
+    {
+        callers[i].id = fmt::format("late-{}", i);
+        callers[i].delay = 6500ms + i * 10ms;
+        threads.emplace_back([&, i] { callers[i].run(gateway.http_port, stopped_at); });
+    }
+    std::this_thread::sleep_until(stopped_at);
+    send_signal(*gateway.program, SIGTERM);
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+    CHECK(wait_exit(*gateway.program) == 0);
+    auto const runs = site_state(service).at("runs");
+    int answered = 0;
+    for (auto const& caller : callers)
+    {
+        CAPTURE(caller.id);
+        CAPTURE(caller.answer.status);
+        bool const ran = runs.contains(caller.id);
+        CHECK((!ran || caller.answer.status == 504));
+        CHECK((ran || caller.answer.status == 503 || caller.answer.status == 0));
+        answered += caller.answer.status != 0 ? 1 : 0;
+    }
+    CHECK(answered > 60);
+}
