Continue what one software version began only by a recent list of upstreams

Cause: the list was used however old it was.

has_current_upstreams asks whether the list was read within the time in which a departure must be in effect. Otherwise take-ups are refused at once, samples with a text wait, and no version is recorded. Asked when the upstream is chosen and before the first byte.

--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -239,6 +239,12 @@
                      self.shared_poller.confirmed_at});
 }
 
+bool has_current_upstreams(gateway const& self, base::mono_time now)
+{
+    auto const confirmed = self.upstream_poller.confirmed_at;
+    return confirmed != base::mono_time{} && now < confirmed + self.settings.departure_in_effect;
+}
+
 bool has_current_job_ends(gateway const& self, base::mono_time now)
 {
     return now < self.shared.read_at + self.settings.job_end - job_end_margin;
--- a/src/gateway/refresh.hpp
+++ b/src/gateway/refresh.hpp
@@ -36,6 +36,11 @@
 /// another gateway.
 [[nodiscard]] base::mono_time last_store_read_at(gateway const& self);
 
+/// \ingroup gateway
+/// \brief Whether the list of upstreams is recent enough to tell which software version an upstream
+/// runs. It is not after this process stood still, or while nobody reads the store for it.
+[[nodiscard]] bool has_current_upstreams(gateway const& self, base::mono_time now);
+
 /// \ingroup gateway
 /// \brief Whether the shared entries are recent enough to show each job that must have stopped by
 /// now. Otherwise no sample may be started.
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -8,6 +8,7 @@
 #include "gateway/job_work.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/permits.hpp"
+#include "gateway/refresh.hpp"
 #include "gateway/unsent_requests.hpp"
 #include "http/status.hpp"
 
@@ -181,6 +182,7 @@
     outcome.answer = std::move(*answer);
     outcome.upstream = ended.upstream;
     outcome.origin = ended.origin;
+    outcome.is_origin_certain = ended.is_origin_certain;
     return outcome;
 }
 
@@ -283,10 +285,12 @@
                                    });
 }
 
-/// Whether the owner of a request still wants it to be sent.
-bool is_wanted(gateway const& self, routed_spec const& spec, base::mono_time now)
+/// Whether what this process knows is recent enough to send a request: of its job, if it is made
+/// for one, and of the versions of the upstreams, if one version must serve it.
+bool may_be_sent(gateway const& self, routed_spec const& spec, base::mono_time now)
 {
-    return !spec.sample || may_send_job_work(self, now);
+    return (!spec.sample || may_send_job_work(self, now)) &&
+           (spec.software_version.empty() || has_current_upstreams(self, now));
 }
 
 bool may_send_try(gateway& self, std::uint64_t number, std::uint32_t index)
@@ -297,8 +301,10 @@
         return false;
     }
     auto& pending = request->running_tries.at(index);
+    auto const now = base::mono_now();
     pending.withdrawn = !may_still_send(self, pending.incarnation, pending.origin.service) ||
-                        !is_wanted(self, request->spec, base::mono_now());
+                        !may_be_sent(self, request->spec, now);
+    pending.is_origin_certain = has_current_upstreams(self, now);
     return !pending.withdrawn;
 }
 
@@ -356,7 +362,7 @@
     }
     fleet::plain_requirements const need{request.spec.service, self.settings.domain,
                                          request.tried_upstreams, request.spec.software_version};
-    auto const chosen = is_wanted(self, request.spec, now)
+    auto const chosen = may_be_sent(self, request.spec, now)
                             ? fleet::choose_plain(self.pool, *self.configuration, need, now)
                             : std::nullopt;
     request_wanted_permits(self);
--- a/src/gateway/routed_request.hpp
+++ b/src/gateway/routed_request.hpp
@@ -82,6 +82,8 @@
     std::string upstream;
     /// Service and software version of that upstream when the request was sent.
     rollout::text_origin origin;
+    /// The list that told that version was recent when the request was sent.
+    bool is_origin_certain = false;
     /// When the request started to run, if it may have run.
     std::optional<base::wall_time> started_at;
     /// Set when there is no answer.
@@ -101,6 +103,8 @@
     rollout::text_origin origin;
     base::mono_time sent_at{};
     base::wall_time started_at{};
+    /// The list that told that version was recent when the first byte was sent.
+    bool is_origin_certain = false;
     /// The upstream left before a byte was sent.
     bool withdrawn = false;
     std::shared_ptr<http::fetch> fetch;
--- a/src/gateway/sample_run_answers.cpp
+++ b/src/gateway/sample_run_answers.cpp
@@ -4,6 +4,7 @@
 #include "gateway/departures.hpp"
 #include "gateway/job_work.hpp"
 #include "gateway/permits.hpp"
+#include "gateway/refresh.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runs.hpp"
@@ -235,8 +236,12 @@
 bool may_send_run(gateway& self, std::uint64_t run_number)
 {
     auto& run = self.runs.at(run_number);
+    auto const now = base::mono_now();
+    auto const context = context_of(self, run);
+    bool const continues_text = context && context->progress->origin;
     run.withdrawn = !may_still_send(self, run.incarnation, run.origin.service) ||
-                    !may_send_job_work(self, base::mono_now());
+                    !may_send_job_work(self, now) ||
+                    (continues_text && !has_current_upstreams(self, now));
     return !run.withdrawn;
 }
 
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -3,6 +3,7 @@
 #include "fleet/choose_upstream.hpp"
 #include "gateway/job_work.hpp"
 #include "gateway/permits.hpp"
+#include "gateway/refresh.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/sample_runs.hpp"
 #include "process/main_loop.hpp"
@@ -130,6 +131,10 @@
 {
     auto& job = self.jobs.at(waiting.job_id);
     auto& progress = job.samples[waiting.index];
+    if (progress.origin && !has_current_upstreams(self, now))
+    {
+        return;
+    }
     auto const& spec = job.spec.samples[waiting.index];
     auto const& service = fleet::service_for_request(*route_of(self, job.record), spec.id);
     auto const version = progress.origin ? progress.origin->software_version : std::string();
--- a/src/gateway/serve_plain.cpp
+++ b/src/gateway/serve_plain.cpp
@@ -5,6 +5,7 @@
 #include "gateway/answer_caller.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/refresh.hpp"
 #include "gateway/route_request.hpp"
 #include "gateway/stream_origins.hpp"
 #include "http/status.hpp"
@@ -120,11 +121,11 @@
     }
 }
 
-/// Whether the outcome begins a stream that the caller may take up at another gateway.
+/// Whether the outcome begins a stream that the caller may take up again.
 bool begins_stream(plain_request const& request, routed_outcome const& outcome)
 {
     return request.route.kind == fleet::route_kind::streaming && !request.head.takes_up_stream &&
-           outcome.kind == outcome_kind::answered &&
+           outcome.kind == outcome_kind::answered && outcome.is_origin_certain &&
            http::status::is_success(outcome.answer.status);
 }
 
@@ -202,6 +203,11 @@
         refuse_take_up(self, request, "no gateway knows what began the stream");
         return;
     }
+    if (!has_current_upstreams(self, base::mono_now()))
+    {
+        refuse_take_up(self, request, "the known list of upstreams is too old");
+        return;
+    }
     auto const& began_by = **origin;
     bool const is_routed =
         std::any_of(request.route.services.begin(), request.route.services.end(),
--- a/test/process/gateway_stream_take_up_test.cpp
+++ b/test/process/gateway_stream_take_up_test.cpp
@@ -155,3 +155,85 @@
         CHECK_FALSE(site_state(service).at("runs").contains("b"));
     }
 }
+
+namespace
+{
+
+/// Lets a gateway stand still while all engines start again, under their ids, with another version.
+void change_versions_unseen(site_service const& service, gateway_under_test const& unseen_by,
+                            std::string const& version)
+{
+    send_signal(*unseen_by.program, SIGSTOP);
+    // Longer than the time in which a change of the list must be known.
+    std::this_thread::sleep_for(2300ms);
+    for (auto const* id : {"engines-0", "engines-1"})
+    {
+        set_version(service, id, version);
+    }
+}
+
+} // namespace
+
+SCENARIO("a gateway that stood still takes up a stream by the list that it knew before")
+{
+    // Guards against a stream that goes on at an upstream that has another version by now.
+    site_service service(1);
+    // An open route, since keys are not trusted by an old list either.
+    change_route(service, "chat", {{"public", true}});
+    set_version(service, "engines-0", "v1");
+    set_version(service, "engines-1", "v1");
+    std::this_thread::sleep_for(1500ms);
+    auto const& gateway = service.gateways[0];
+    auto const begun = begin_stream(gateway, "a");
+    REQUIRE(version_of(begun.body) == "v1");
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const id = fmt::format("b{}", i);
+        http_response rest;
+        std::thread caller;
+        change_versions_unseen(service, gateway, "v2");
+        caller = std::thread([&] { rest = take_up(gateway, id, "a"); });
+        std::this_thread::sleep_for(100ms);
+        send_signal(*gateway.program, SIGCONT);
+        caller.join();
+        CHECK(rest.status == 503);
+        CHECK_FALSE(site_state(service).at("runs").contains(id));
+        for (auto const* engine : {"engines-0", "engines-1"})
+        {
+            set_version(service, engine, "v1");
+        }
+        std::this_thread::sleep_for(1500ms);
+    }
+}
+
+SCENARIO("a gateway that is cut off begins a stream and takes up another by an old list")
+{
+    // Guards against versions that a gateway tells from a list that nobody reads for it any more.
+    site_service service(1);
+    // An open route, since keys are not trusted by an old list either.
+    change_route(service, "chat", {{"public", true}});
+    set_version(service, "engines-0", "v1");
+    set_version(service, "engines-1", "v1");
+    std::this_thread::sleep_for(1500ms);
+    auto const& gateway = service.gateways[0];
+    REQUIRE(version_of(begin_stream(gateway, "a").body) == "v1");
+    set_site(service, "store", {{"mode", "refuses"}});
+    std::this_thread::sleep_for(2300ms);
+    for (auto const* id : {"engines-0", "engines-1"})
+    {
+        set_version(service, id, "v2");
+    }
+    CHECK(take_up(gateway, "b", "a").status == 503);
+    CHECK_FALSE(site_state(service).at("runs").contains("b"));
+    // It is served, but nothing tells for sure which version began it.
+    CHECK(begin_stream(gateway, "c").status == 200);
+    set_site(service, "store", {{"mode", "serves"}});
+    for (auto const* id : {"engines-0", "engines-1"})
+    {
+        set_version(service, id, "v1");
+    }
+    std::this_thread::sleep_for(1500ms);
+    CHECK(take_up(gateway, "d", "c").status == 503);
+    CHECK_FALSE(site_state(service).at("runs").contains("d"));
+    CHECK(take_up(gateway, "e", "a").status == 200);
+}
