Check the framing of requests as that of answers, and serve an answer that another one follows

Cause: libsoup's server reads chunks with the same lenient reader.

response_framing becomes message_framing, which reads requests too; the connections that a server accepts are read through it. A malformed request gets 400 and its connection is closed. Closing such a stream closes the connection explicitly: without that a kept connection stayed open after an announced close (seen in gateway_kept_connections_test while this was written). An answer that is followed by the begin of another one is whole and served; its connection is not used again. Other bytes after an answer make it fail, as they may belong to a body whose length is wrong.

--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -73,6 +73,7 @@
                                         "the response has another end than its framing tells"));
             return false;
         }
+        close_if_surplus(c.message.get());
         complete(c);
         return false;
     }
--- a/src/http/response_watch.cpp
+++ b/src/http/response_watch.cpp
@@ -23,17 +23,12 @@
 constexpr char const* framing_name = "gooseberrywood-response-framing";
 
 /// Framing of the open connections of a session, by the number that libsoup gives a connection.
-using framing_map = std::map<guint64, std::weak_ptr<response_framing>>;
+using framing_map = std::map<guint64, std::weak_ptr<message_framing>>;
 
 /// Wraps the streams of a connection to a host.
 GIOStream* watch(GIOStream* connection)
 {
-    auto const input = make_watched_input(g_io_stream_get_input_stream(connection));
-    auto* const made =
-        g_simple_io_stream_new(input.get(), g_io_stream_get_output_stream(connection));
-    // Its streams are closed when it is released.
-    g_object_set_data_full(G_OBJECT(made), "connection", g_object_ref(connection), g_object_unref);
-    return made;
+    return make_watched_connection(connection, message_kind::responses).release();
 }
 
 GIOStream* connect(GProxy*, GIOStream* connection, GProxyAddress*, GCancellable*, GError**)
@@ -159,7 +154,7 @@
 }
 
 /// \returns nullptr if the message has no connection.
-std::shared_ptr<response_framing> find_connection_framing(SoupMessage* message)
+std::shared_ptr<message_framing> find_connection_framing(SoupMessage* message)
 {
     auto const& framings = *framings_of(message);
     auto const at = framings.find(soup_message_get_connection_id(message));
@@ -168,14 +163,14 @@
 
 void free_framing(gpointer framing)
 {
-    delete static_cast<std::shared_ptr<response_framing>*>(framing);
+    delete static_cast<std::shared_ptr<message_framing>*>(framing);
 }
 
 /// Framing of the connection on which a message is sent; nullptr before.
-response_framing* framing_of(SoupMessage* message)
+message_framing* framing_of(SoupMessage* message)
 {
     auto* const framing = g_object_get_data(G_OBJECT(message), framing_name);
-    return framing != nullptr ? static_cast<std::shared_ptr<response_framing>*>(framing)->get()
+    return framing != nullptr ? static_cast<std::shared_ptr<message_framing>*>(framing)->get()
                               : nullptr;
 }
 
@@ -202,7 +197,7 @@
     }
     expect_response(*framing, std::string_view(soup_message_get_method(message)) == "HEAD");
     g_object_set_data_full(G_OBJECT(message), framing_name,
-                           new std::shared_ptr<response_framing>(std::move(framing)), free_framing);
+                           new std::shared_ptr<message_framing>(std::move(framing)), free_framing);
 }
 
 SoupEncoding to_encoding(body_end end)
@@ -221,7 +216,7 @@
     return SOUP_ENCODING_NONE;
 }
 
-bool is_read_alike(response_framing const& framing, SoupMessageHeaders* headers)
+bool is_read_alike(message_framing const& framing, SoupMessageHeaders* headers)
 {
     if (framing.end == body_end::no_body)
     {
@@ -252,21 +247,32 @@
 char const* find_ambiguity(SoupMessage* message)
 {
     auto const* const framing = framing_of(message);
-    bool const has_head = framing != nullptr && (framing->part == response_part::body ||
-                                                 framing->part == response_part::complete);
+    bool const has_head = framing != nullptr && (framing->part == message_part::body ||
+                                                 framing->part == message_part::complete);
     if (!has_head)
     {
         return "the connection of the response was lost";
     }
     return is_read_alike(*framing, soup_message_get_response_headers(message))
                ? nullptr
-               : "the length of the response is unreadable or contradictory";
+               : "the length is unreadable or contradictory";
 }
 
 bool is_response_whole(SoupMessage* message)
 {
     auto const* const framing = framing_of(message);
-    return framing != nullptr && framing->part == response_part::complete;
+    return framing != nullptr && framing->part == message_part::complete;
+}
+
+void close_if_surplus(SoupMessage* message)
+{
+    auto const* const framing = framing_of(message);
+    if (framing != nullptr && framing->has_surplus)
+    {
+        // libsoup keeps a connection unless the headers of the response say otherwise.
+        soup_message_headers_replace(soup_message_get_response_headers(message), "Connection",
+                                     "close");
+    }
 }
 
 bool ends_with_connection(SoupMessage* message)
--- a/src/http/response_watch.hpp
+++ b/src/http/response_watch.hpp
@@ -10,7 +10,7 @@
 /// \brief Makes the connections of a session check the framing of all responses on the bytes that
 /// are received. libsoup takes much that is no HTTP/1.1 for the end of a response: the end of the
 /// connection within a head, or a chunk whose size is no number.
-/// \sa response_framing
+/// \sa message_framing
 void watch_connections(SoupSession* session);
 
 /// \ingroup http
@@ -25,9 +25,14 @@
 [[nodiscard]] char const* find_ambiguity(SoupMessage* message);
 
 /// \ingroup http
-/// \brief Whether the response to a message was received to its end, and nothing after it.
+/// \brief Whether the response to a message was received to its end.
 [[nodiscard]] bool is_response_whole(SoupMessage* message);
 
+/// \ingroup http
+/// \brief Prevents that the connection of a message is used again if more than its response arrived
+/// there. To be called when the response was read to its end, before its stream is closed.
+void close_if_surplus(SoupMessage* message);
+
 /// \ingroup http
 /// \brief Whether only the close of the connection tells the end of a response: it has neither a
 /// length nor chunks.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "http/error_response.hpp"
 #include "http/limits.hpp"
+#include "http/watched_input.hpp"
 
 #include <fmt/format.h>
 
@@ -182,6 +183,20 @@
     return recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/// Answers a request that is not HTTP/1.1 before its connection is closed. libsoup closes it
+/// without an answer.
+void reject_malformed_request(GSocket* socket, char const* reason)
+{
+    base::log_line(base::log_level::info, "malformed_request", {{"reason", reason}});
+    auto const body = error_json({base::result_code::bad_request, reason});
+    auto const response =
+        fmt::format("HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\n"
+                    "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+                    body.size(), body);
+    (void)send(g_socket_get_fd(socket), response.data(), response.size(),
+               MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 void accept_connection(server& owner, base::object_ptr<GSocket> socket)
 {
     if (owner.connections->size() >= max_connections)
@@ -211,8 +226,11 @@
     (*owner.connections)[key].socket = std::move(socket);
     auto ended = std::make_unique<connection_end>(connection_end{owner.connections, key});
     g_object_weak_ref(G_OBJECT(stream.get()), forget_connection, ended.release());
-    soup_server_accept_iostream(owner.soup.get(), G_IO_STREAM(stream.get()), local.get(),
-                                remote.get(), nullptr);
+    auto const watched = make_watched_connection(G_IO_STREAM(stream.get()), message_kind::requests,
+                                                 [key](char const* reason)
+                                                 { reject_malformed_request(key, reason); });
+    soup_server_accept_iostream(owner.soup.get(), watched.get(), local.get(), remote.get(),
+                                nullptr);
 }
 
 // Opens a listener on the loopback interface to make libsoup keep connections alive. libsoup
--- a/src/http/watched_input.cpp
+++ b/src/http/watched_input.cpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <utility>
 
 namespace gooseberrywood::http
 {
@@ -13,7 +14,10 @@
 {
     GFilterInputStream parent;
     /// Owned; GObject instances have no constructors.
-    std::shared_ptr<response_framing>* framing;
+    std::shared_ptr<message_framing>* framing;
+    std::function<void(char const*)>* on_malformed;
+    /// The connection that ends when this stream is closed, or nullptr.
+    GIOStream* connection;
 };
 
 struct watched_input_class
@@ -37,16 +41,21 @@
     return g_filter_input_stream_get_base_stream(G_FILTER_INPUT_STREAM(stream));
 }
 
-/// \returns a failure if what was received can't be used.
-bool is_usable(response_framing const& framing, GError** failure)
+/// \returns false and a failure if what was received can't be used.
+bool is_usable(watched_input const& stream, GError** failure)
 {
-    if (framing.fault.reason == nullptr)
+    auto const& fault = (*stream.framing)->fault;
+    if (fault.reason == nullptr)
     {
         return true;
     }
+    if (auto const report = std::exchange(*stream.on_malformed, nullptr); report && !fault.is_cut)
+    {
+        report(fault.reason);
+    }
     g_set_error_literal(failure, G_IO_ERROR,
-                        framing.fault.is_cut ? G_IO_ERROR_PARTIAL_INPUT : G_IO_ERROR_INVALID_DATA,
-                        framing.fault.reason);
+                        fault.is_cut ? G_IO_ERROR_PARTIAL_INPUT : G_IO_ERROR_INVALID_DATA,
+                        fault.reason);
     return false;
 }
 
@@ -58,15 +67,16 @@
     {
         return count;
     }
-    auto& framing = **as_watched(stream)->framing;
+    auto const& watched = *as_watched(stream);
+    auto& framing = **watched.framing;
     if (count == 0)
     {
         check_end(framing);
-        return is_usable(framing, failure) ? 0 : -1;
+        return is_usable(watched, failure) ? 0 : -1;
     }
     auto const kept =
         check_received(framing, {static_cast<char*>(buffer), static_cast<std::size_t>(count)});
-    if (!is_usable(framing, failure))
+    if (!is_usable(watched, failure))
     {
         return -1;
     }
@@ -113,9 +123,21 @@
     return outer;
 }
 
+/// Closes the connection. Closing its streams alone would leave it open.
+gboolean close_watched(GInputStream* stream, GCancellable* cancellable, GError** failure)
+{
+    bool const is_closed =
+        G_INPUT_STREAM_CLASS(parent_class)->close_fn(stream, cancellable, failure) != 0;
+    auto* const connection = as_watched(stream)->connection;
+    return is_closed &&
+           (connection == nullptr || g_io_stream_close(connection, cancellable, failure) != 0);
+}
+
 void finalize(GObject* object)
 {
     delete as_watched(object)->framing;
+    delete as_watched(object)->on_malformed;
+    g_clear_object(&as_watched(object)->connection);
     G_OBJECT_CLASS(parent_class)->finalize(object);
 }
 
@@ -124,12 +146,14 @@
     parent_class = g_type_class_peek_parent(made);
     G_OBJECT_CLASS(made)->finalize = finalize;
     G_INPUT_STREAM_CLASS(made)->read_fn = read_watched;
+    G_INPUT_STREAM_CLASS(made)->close_fn = close_watched;
 }
 
 void init_instance(GTypeInstance* made, gpointer)
 {
-    reinterpret_cast<watched_input*>(made)->framing =
-        new std::shared_ptr<response_framing>(std::make_shared<response_framing>());
+    auto* const watched = reinterpret_cast<watched_input*>(made);
+    watched->framing = new std::shared_ptr<message_framing>(std::make_shared<message_framing>());
+    watched->on_malformed = new std::function<void(char const*)>();
 }
 
 void init_pollable(gpointer made, gpointer)
@@ -158,13 +182,31 @@
 
 } // namespace
 
-base::object_ptr<GInputStream> make_watched_input(GInputStream* socket_input)
+base::object_ptr<GInputStream> make_watched_input(GInputStream* socket_input, message_kind kind,
+                                                  std::function<void(char const*)> on_malformed)
 {
-    return base::object_ptr<GInputStream>(
+    base::object_ptr<GInputStream> made(
         G_INPUT_STREAM(g_object_new(watched_input_type(), "base-stream", socket_input, nullptr)));
+    auto const& watched = *as_watched(made.get());
+    *watched.on_malformed = std::move(on_malformed);
+    if (kind == message_kind::requests)
+    {
+        expect_requests(**watched.framing);
+    }
+    return made;
+}
+
+base::object_ptr<GIOStream> make_watched_connection(GIOStream* connection, message_kind kind,
+                                                    std::function<void(char const*)> on_malformed)
+{
+    auto const input =
+        make_watched_input(g_io_stream_get_input_stream(connection), kind, std::move(on_malformed));
+    as_watched(input.get())->connection = base::share(connection).release();
+    return base::object_ptr<GIOStream>(
+        g_simple_io_stream_new(input.get(), g_io_stream_get_output_stream(connection)));
 }
 
-std::shared_ptr<response_framing> find_framing(GInputStream* stream)
+std::shared_ptr<message_framing> find_framing(GInputStream* stream)
 {
     while (stream != nullptr)
     {
--- a/src/http/watched_input.hpp
+++ b/src/http/watched_input.hpp
@@ -2,26 +2,36 @@
 #define GOOSEBERRYWOOD_HTTP_WATCHED_INPUT_HPP
 
 #include "base/glib_ptr.hpp"
-#include "http/response_framing.hpp"
+#include "http/message_framing.hpp"
 
 #include <gio/gio.h>
 
+#include <functional>
 #include <memory>
 
 namespace gooseberrywood::http
 {
 
 /// \ingroup http
-/// \brief Makes a stream that reads from a socket's stream and checks the framing of the responses.
+/// \brief Makes a stream that reads from a socket's stream and checks the framing of the messages.
 /// Reading fails at the first byte that breaks it: G_IO_ERROR_INVALID_DATA if the peer sent what is
 /// not HTTP/1.1, G_IO_ERROR_PARTIAL_INPUT if it closed the connection too early.
-[[nodiscard]] base::object_ptr<GInputStream> make_watched_input(GInputStream* socket_input);
+/// \param on_malformed called once, before reading fails with the former; may be empty.
+[[nodiscard]] base::object_ptr<GInputStream>
+make_watched_input(GInputStream* socket_input, message_kind kind,
+                   std::function<void(char const* reason)> on_malformed = {});
+
+/// \ingroup http
+/// \brief As above, for the input of a connection. The connection is closed with the result.
+[[nodiscard]] base::object_ptr<GIOStream>
+make_watched_connection(GIOStream* connection, message_kind kind,
+                        std::function<void(char const* reason)> on_malformed = {});
 
 /// \ingroup http
 /// \brief The framing that a stream checks.
 /// \param stream a stream of `make_watched_input`, or a filter above one.
 /// \returns nullptr for any other stream.
-[[nodiscard]] std::shared_ptr<response_framing> find_framing(GInputStream* stream);
+[[nodiscard]] std::shared_ptr<message_framing> find_framing(GInputStream* stream);
 
 } // namespace gooseberrywood::http
 
