Tests of chunks: read the grammar with GLib's regular expressions

The build with sanitizers failed: GCC 12 warns of an uninitialized value inside std::regex there. The expressions are the same.

--- a/test/chunked_bytes.cpp
+++ b/test/chunked_bytes.cpp
@@ -2,8 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <glib.h>
+
 #include <algorithm>
-#include <regex>
+#include <memory>
 
 using namespace std::string_view_literals;
 
@@ -113,27 +115,56 @@
         rc::gen::elementOf(std::string("00012aF;=\"\\x: \t\r\r\r\n\n\n-")));
 }
 
+namespace
+{
+
+using regex = std::unique_ptr<GRegex, decltype(&g_regex_unref)>;
+
+regex make_regex(std::string const& pattern)
+{
+    return {g_regex_new(pattern.c_str(), G_REGEX_RAW, GRegexMatchFlags(0), nullptr), g_regex_unref};
+}
+
+/// \returns the end of the group that matches at a position, or nothing.
+std::optional<std::size_t> match_end(regex const& expression, std::string const& text,
+                                     std::size_t at, int group)
+{
+    GMatchInfo* found = nullptr;
+    bool const matches =
+        g_regex_match_full(expression.get(), text.data(), static_cast<gssize>(text.size()),
+                           static_cast<gint>(at), G_REGEX_MATCH_ANCHORED, &found, nullptr) != 0;
+    std::unique_ptr<GMatchInfo, decltype(&g_match_info_free)> const owned(found, g_match_info_free);
+    gint begin = 0;
+    gint end = 0;
+    return matches && g_match_info_fetch_pos(found, group, &begin, &end) != 0
+               ? std::optional(static_cast<std::size_t>(end))
+               : std::nullopt;
+}
+
+} // namespace
+
 std::optional<parsed_chunks> parse_chunked(std::string_view text)
 {
     static std::string const blanks = "[ \\t]*";
     static std::string const token = "[!#$%&'*+.^_`|~0-9A-Za-z-]+";
     static std::string const quoted = "\"(?:[\\t \\x21\\x23-\\x5b\\x5d-\\x7e\\x80-\\xff]|"
                                       "\\\\[\\t \\x21-\\x7e\\x80-\\xff])*\"";
-    static std::regex const size_line("^([0-9A-Fa-f]+)(?:" + blanks + ";" + blanks + token +
-                                      "(?:" + blanks + "=" + blanks + "(?:" + token + "|" + quoted +
-                                      "))?)*\r\n");
-    static std::regex const trailers("^(?:" + token + ":[\\t \\x21-\\x7e\\x80-\\xff]*\r\n)*\r\n");
+    static auto const size_line =
+        make_regex("([0-9A-Fa-f]+)(?:" + blanks + ";" + blanks + token + "(?:" + blanks + "=" +
+                   blanks + "(?:" + token + "|" + quoted + "))?)*\\r\\n");
+    static auto const trailers =
+        make_regex("(?:" + token + ":[\\t \\x21-\\x7e\\x80-\\xff]*\\r\\n)*\\r\\n");
     parsed_chunks parsed;
     std::string const copy(text);
     for (;;)
     {
-        std::smatch match;
-        std::string const rest = copy.substr(parsed.bytes);
-        if (!std::regex_search(rest, match, size_line))
+        auto const line_end = match_end(size_line, copy, parsed.bytes, 0);
+        if (!line_end)
         {
             return std::nullopt;
         }
-        auto digits = match.str(1);
+        auto const digits_end = *match_end(size_line, copy, parsed.bytes, 1);
+        auto digits = copy.substr(parsed.bytes, digits_end - parsed.bytes);
         digits.erase(0, std::min(digits.find_first_not_of('0'), digits.size()));
         constexpr std::size_t max_digits = 8;
         if (digits.size() > max_digits)
@@ -141,7 +172,7 @@
             return std::nullopt;
         }
         auto const size = digits.empty() ? 0 : std::stoull(digits, nullptr, 16);
-        parsed.bytes += static_cast<std::size_t>(match.length());
+        parsed.bytes = *line_end;
         if (size == 0)
         {
             break;
@@ -153,13 +184,12 @@
         parsed.body += copy.substr(parsed.bytes, size);
         parsed.bytes += size + 2;
     }
-    std::smatch match;
-    std::string const rest = copy.substr(parsed.bytes);
-    if (!std::regex_search(rest, match, trailers))
+    auto const end = match_end(trailers, copy, parsed.bytes, 0);
+    if (!end)
     {
         return std::nullopt;
     }
-    parsed.bytes += static_cast<std::size_t>(match.length());
+    parsed.bytes = *end;
     return parsed;
 }
 
