Bound the memory and the connections of callers

Cause: what an open request may hold had no common bound, each chunk of a body was kept as an object of its own, a body was copied for each try, and refused connections were kept open by a cycle of references between a socket and its address. Change: a budget over the process (half of the memory that the settings name) from which connections, bodies, batch jobs and responses are reserved; large requests get three quarters of it; connections without progress are closed first; bodies are received into one buffer and shared without copies; the limits of the configuration bind (413, 431, 408), and what a rejected client still sends is discarded while it reads the response.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "base/log.hpp"
+#include "gateway/caller_limits.hpp"
 #include "gateway/callers.hpp"
 #include "gateway/dump.hpp"
 #include "gateway/hand_over.hpp"
@@ -45,7 +46,8 @@
 base::result<void> open_caller_ports(gateway& self)
 {
     auto callers = http::serve(self.settings.listen_callers,
-                               [&self](auto const& exchange) { handle_caller(self, exchange); });
+                               [&self](auto const& exchange) { handle_caller(self, exchange); },
+                               caller_limits(self.settings, {}));
     if (!callers)
     {
         return tl::unexpected(callers.error());
@@ -94,7 +96,7 @@
 /// one.
 bool has_work(gateway const& self)
 {
-    return !self.requests.empty() || !self.callers->connections->empty();
+    return !self.requests.empty() || !self.callers->connections->open.empty();
 }
 
 /// Stops the process once no caller waits for an answer. Callers that still wait at the end are
--- a/src/http/watched_input.cpp
+++ b/src/http/watched_input.cpp
@@ -15,7 +15,7 @@
     GFilterInputStream parent;
     /// Owned; GObject instances have no constructors.
     std::shared_ptr<message_framing>* framing;
-    std::function<void(char const*)>* on_malformed;
+    std::function<void(framing_fault const&)>* on_malformed;
     /// The connection that ends when this stream is closed, or nullptr.
     GIOStream* connection;
 };
@@ -41,6 +41,9 @@
     return g_filter_input_stream_get_base_stream(G_FILTER_INPUT_STREAM(stream));
 }
 
+// Bounds the reads of one event, so that a client that sends without end can't starve the others.
+constexpr int max_discarded_reads = 16;
+
 /// \returns false and a failure if what was received can't be used.
 bool is_usable(watched_input const& stream, GError** failure)
 {
@@ -51,7 +54,7 @@
     }
     if (auto const report = std::exchange(*stream.on_malformed, nullptr); report && !fault.is_cut)
     {
-        report(fault.reason);
+        report(fault);
     }
     g_set_error_literal(failure, G_IO_ERROR,
                         fault.is_cut ? G_IO_ERROR_PARTIAL_INPUT : G_IO_ERROR_INVALID_DATA,
@@ -69,6 +72,10 @@
     }
     auto const& watched = *as_watched(stream);
     auto& framing = **watched.framing;
+    if (framing.discards && count > 0)
+    {
+        return std::nullopt;
+    }
     if (count == 0)
     {
         check_end(framing);
@@ -78,6 +85,12 @@
         check_received(framing, {static_cast<char*>(buffer), static_cast<std::size_t>(count)});
     if (!is_usable(watched, failure))
     {
+        // What was rejected is read on, so that the client can read the response.
+        if (framing.discards)
+        {
+            g_clear_error(failure);
+            return std::nullopt;
+        }
         return -1;
     }
     return kept > 0 ? std::optional(static_cast<gssize>(kept)) : std::nullopt;
@@ -98,7 +111,7 @@
 
 gssize read_nonblocking(GPollableInputStream* stream, void* buffer, gsize size, GError** failure)
 {
-    for (;;)
+    for (int reads = 0; reads < max_discarded_reads; ++reads)
     {
         auto const count = g_pollable_input_stream_read_nonblocking(
             G_POLLABLE_INPUT_STREAM(base_of(stream)), buffer, size, nullptr, failure);
@@ -107,6 +120,8 @@
             return *checked;
         }
     }
+    g_set_error_literal(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK, "the input is discarded");
+    return -1;
 }
 
 gboolean is_readable(GPollableInputStream* stream)
@@ -153,7 +168,7 @@
 {
     auto* const watched = reinterpret_cast<watched_input*>(made);
     watched->framing = new std::shared_ptr<message_framing>(std::make_shared<message_framing>());
-    watched->on_malformed = new std::function<void(char const*)>();
+    watched->on_malformed = new std::function<void(framing_fault const&)>();
 }
 
 void init_pollable(gpointer made, gpointer)
@@ -183,7 +198,7 @@
 } // namespace
 
 base::object_ptr<GInputStream> make_watched_input(GInputStream* socket_input, message_kind kind,
-                                                  std::function<void(char const*)> on_malformed)
+                                                  std::function<void(framing_fault const&)> on_malformed)
 {
     base::object_ptr<GInputStream> made(
         G_INPUT_STREAM(g_object_new(watched_input_type(), "base-stream", socket_input, nullptr)));
@@ -197,7 +212,7 @@
 }
 
 base::object_ptr<GIOStream> make_watched_connection(GIOStream* connection, message_kind kind,
-                                                    std::function<void(char const*)> on_malformed)
+                                                    std::function<void(framing_fault const&)> on_malformed)
 {
     auto const input =
         make_watched_input(g_io_stream_get_input_stream(connection), kind, std::move(on_malformed));
--- a/test/process/gateway_crowd_test.cpp
+++ b/test/process/gateway_crowd_test.cpp
@@ -16,6 +16,7 @@
 // gateway name the same figures.
 constexpr std::size_t memory_bound = 64 * mebibyte;
 constexpr std::size_t descriptor_bound = 96;
+constexpr char const* small_host = "memory_limit_mb = 64\ndescriptor_limit = 96\n";
 
 // Below the limit of a body of 1 MiB, so that no single member of a crowd is outside the limits.
 constexpr std::size_t body_bytes = 960 * 1024;
@@ -57,7 +58,7 @@
 {
     // Guards against a process that runs out of memory because open bodies have no common bound.
     site_service service(0);
-    add_gateway(service);
+    add_gateway(service, 1, small_host);
     auto const bytes =
         chunked_head("crowd") + unfinished_chunks(body_bytes, large_chunk_bytes);
     auto const held = make_crowd(service.gateways[0].http_port, crowd_size, bytes);
@@ -68,7 +69,7 @@
 {
     // Guards against chunks that are kept as objects of their own.
     site_service service(0);
-    add_gateway(service);
+    add_gateway(service, 1, small_host);
     auto const bytes = chunked_head("crowd") + unfinished_chunks(tiny_chunk_body_bytes, 1);
     auto const held = make_crowd(service.gateways[0].http_port, crowd_size, bytes);
     check_bounds_and_service(service);
@@ -78,7 +79,7 @@
 {
     // Guards against connections that use up the descriptors of the process.
     site_service service(0);
-    add_gateway(service);
+    add_gateway(service, 1, small_host);
     auto const held = make_crowd(service.gateways[0].http_port, 2 * crowd_size,
                                  "POST /q/1 HTTP/1.1\r\nHost: desk.example\r\n");
     check_bounds_and_service(service);
@@ -88,7 +89,7 @@
 {
     // Guards against answers that are held for callers without a common bound.
     site_service service(0);
-    add_gateway(service);
+    add_gateway(service, 1, small_host);
     auto const bytes = chunked_head("crowd") + unfinished_chunks(body_bytes, large_chunk_bytes) +
                        "0\r\n\r\n";
     auto const held = make_crowd(service.gateways[0].http_port, crowd_size, bytes);
