--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,9 +45,10 @@
 
 base::result<void> open_caller_ports(gateway& self)
 {
-    auto callers = http::serve(self.settings.listen_callers,
-                               [&self](auto const& exchange) { handle_caller(self, exchange); },
-                               caller_limits(self.settings, {}));
+    auto callers = http::serve(
+        self.settings.listen_callers,
+        [&self](auto const& exchange) { handle_caller(self, exchange); },
+        caller_limits(self.settings, {}));
     if (!callers)
     {
         return tl::unexpected(callers.error());
--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -178,8 +178,7 @@
                       "the batch job needs more memory than this host has for requests"});
         return false;
     }
-    refuse(self, exchange,
-           {result_code::overloaded, "there is no memory for the batch job now"},
+    refuse(self, exchange, {result_code::overloaded, "there is no memory for the batch job now"},
            retry_after_no_memory);
     return false;
 }
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -104,9 +104,11 @@
 
 std::size_t count_open(connection_table const& table, base::mono_time now)
 {
-    return static_cast<std::size_t>(std::count_if(
-        table.open.begin(), table.open.end(), [now](auto const& entry)
-        { return !entry.second.is_ending || is_lingering(entry.second, now); }));
+    return static_cast<std::size_t>(std::count_if(table.open.begin(), table.open.end(),
+                                                  [now](auto const& entry) {
+                                                      return !entry.second.is_ending ||
+                                                             is_lingering(entry.second, now);
+                                                  }));
 }
 
 std::string encode_rejection(std::uint16_t status, base::error const& error, double retry_after_s)
--- a/src/http/connection_table.hpp
+++ b/src/http/connection_table.hpp
@@ -96,9 +96,8 @@
 /// \ingroup http
 /// \brief Adds a connection. When there is no room for it, those without progress are closed first.
 /// \returns null if there is still no room.
-[[nodiscard]] open_connection* add_connection(connection_table& table,
-                                              base::object_ptr<GSocket> socket,
-                                              base::mono_time now);
+[[nodiscard]] open_connection*
+add_connection(connection_table& table, base::object_ptr<GSocket> socket, base::mono_time now);
 
 /// \ingroup http
 /// \brief Removes a connection that was closed.
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -68,8 +68,8 @@
 {
     if (!has_room_for(request, g_bytes_get_size(body)))
     {
-        auto const text = error_json({base::result_code::outcome_unknown,
-                                      "there is no memory for the response now"});
+        auto const text = error_json(
+            {base::result_code::outcome_unknown, "there is no memory for the response now"});
         shared_bytes const error = copy_bytes(text);
         set_headers(request, status::bad_gateway, "application/json", {});
         soup_message_body_append_bytes(response_body(request), error.get());
--- a/src/http/limits.hpp
+++ b/src/http/limits.hpp
@@ -9,7 +9,8 @@
 {
 
 /// \ingroup http
-/// \brief Default of the maximum size of a request body, in bytes. A frame (2 MiB) can hold it together with a resumed text.
+/// \brief Default of the maximum size of a request body, in bytes. A frame (2 MiB) can hold it
+/// together with a resumed text.
 inline constexpr std::size_t max_body_bytes = 1024 * 1024;
 
 /// \ingroup http
--- a/src/http/memory_budget.cpp
+++ b/src/http/memory_budget.cpp
@@ -16,7 +16,8 @@
     auto const large_before = share.is_large ? share.bytes : 0;
     auto const large_after = becomes_large ? share.bytes + bytes : large_before;
     auto const large = budget.reserved_large - large_before + large_after;
-    if (budget.reserved + bytes > budget.total || (becomes_large && large > max_large_bytes(budget)))
+    if (budget.reserved + bytes > budget.total ||
+        (becomes_large && large > max_large_bytes(budget)))
     {
         return false;
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -222,10 +222,10 @@
     // libsoup reads a request that has arrived before it returns.
     auto ended = std::make_unique<connection_end>(connection_end{owner.connections, key});
     g_object_weak_ref(G_OBJECT(stream.get()), forget_connection, ended.release());
-    auto const watched = make_watched_connection(G_IO_STREAM(stream.get()), message_kind::requests,
-                                                 [table = owner.connections.get(),
-                                                  key](framing_fault const& fault)
-                                                 { reject_malformed_request(*table, key, fault); });
+    auto const watched =
+        make_watched_connection(G_IO_STREAM(stream.get()), message_kind::requests,
+                                [table = owner.connections.get(), key](framing_fault const& fault)
+                                { reject_malformed_request(*table, key, fault); });
     added->input = find_framing(g_io_stream_get_input_stream(watched.get()));
     added->input->max_head_bytes = owner.connections->limits.max_head_bytes;
     soup_server_accept_iostream(owner.soup.get(), watched.get(), local.get(), remote.get(),
--- a/src/http/watched_input.cpp
+++ b/src/http/watched_input.cpp
@@ -197,8 +197,9 @@
 
 } // namespace
 
-base::object_ptr<GInputStream> make_watched_input(GInputStream* socket_input, message_kind kind,
-                                                  std::function<void(framing_fault const&)> on_malformed)
+base::object_ptr<GInputStream>
+make_watched_input(GInputStream* socket_input, message_kind kind,
+                   std::function<void(framing_fault const&)> on_malformed)
 {
     base::object_ptr<GInputStream> made(
         G_INPUT_STREAM(g_object_new(watched_input_type(), "base-stream", socket_input, nullptr)));
@@ -211,8 +212,9 @@
     return made;
 }
 
-base::object_ptr<GIOStream> make_watched_connection(GIOStream* connection, message_kind kind,
-                                                    std::function<void(framing_fault const&)> on_malformed)
+base::object_ptr<GIOStream>
+make_watched_connection(GIOStream* connection, message_kind kind,
+                        std::function<void(framing_fault const&)> on_malformed)
 {
     auto const input =
         make_watched_input(g_io_stream_get_input_stream(connection), kind, std::move(on_malformed));
--- a/test/process/gateway_crowd_test.cpp
+++ b/test/process/gateway_crowd_test.cpp
@@ -30,26 +30,27 @@
 {
     auto const& gateway = service.gateways[0];
     wait_settled(*gateway.program);
-    MESSAGE("peak " << peak_resident_bytes(*gateway.program) << " fds " << open_descriptors(*gateway.program));
-    REQUIRE(is_alive(*gateway.program));
-    CHECK(peak_resident_bytes(*gateway.program) < memory_bound);
-    CHECK(open_descriptors(*gateway.program) < descriptor_bound);
-    bool const is_served = eventually(
-        [&]
-        {
-            try
-            {
-                return call_gateway(gateway, "POST", "/q/1", "desk.example", "ordinary", "hello")
-                           .status == 200;
-            }
-            catch (std::runtime_error const&)
-            {
-                // The connection was closed; callers try again.
-                return false;
-            }
-        });
-    CHECK(is_served);
-    CHECK(is_alive(*gateway.program));
+                    << open_descriptors(*gateway.program));
+                    REQUIRE(is_alive(*gateway.program));
+                    CHECK(peak_resident_bytes(*gateway.program) < memory_bound);
+                    CHECK(open_descriptors(*gateway.program) < descriptor_bound);
+                    bool const is_served = eventually(
+                        [&]
+                        {
+                            try
+                            {
+                                return call_gateway(gateway, "POST", "/q/1", "desk.example",
+                                                    "ordinary", "hello")
+                                           .status == 200;
+                            }
+                            catch (std::runtime_error const&)
+                            {
+                                // The connection was closed; callers try again.
+                                return false;
+                            }
+                        });
+                    CHECK(is_served);
+                    CHECK(is_alive(*gateway.program));
 }
 
 } // namespace
@@ -59,8 +60,7 @@
     // Guards against a process that runs out of memory because open bodies have no common bound.
     site_service service(0);
     add_gateway(service, 1, small_host);
-    auto const bytes =
-        chunked_head("crowd") + unfinished_chunks(body_bytes, large_chunk_bytes);
+    auto const bytes = chunked_head("crowd") + unfinished_chunks(body_bytes, large_chunk_bytes);
     auto const held = make_crowd(service.gateways[0].http_port, crowd_size, bytes);
     check_bounds_and_service(service);
 }
@@ -90,8 +90,8 @@
     // Guards against answers that are held for callers without a common bound.
     site_service service(0);
     add_gateway(service, 1, small_host);
-    auto const bytes = chunked_head("crowd") + unfinished_chunks(body_bytes, large_chunk_bytes) +
-                       "0\r\n\r\n";
+    auto const bytes =
+        chunked_head("crowd") + unfinished_chunks(body_bytes, large_chunk_bytes) + "0\r\n\r\n";
     auto const held = make_crowd(service.gateways[0].http_port, crowd_size, bytes);
     check_bounds_and_service(service);
 }
