Order loads of weights by what each engine must have loaded, oldest load first

Cause: the list of upstreams shows new weights up to two seconds late, so engines that had just loaded a version were ordered again as too old, and among equal ones always those with the lowest ids. Engines with other ids waited several seconds with weights that no open step accepts. Change: the version of an accepted order counts once its load must have finished; among upstreams of equal urgency the one with the oldest load comes first; an order for another model no longer delays the first one for a moved engine; one in five may load, to the nearest number.

--- a/src/duty/weights_plan.cpp
+++ b/src/duty/weights_plan.cpp
@@ -12,11 +12,16 @@
 
 using fleet::version_of;
 
-// Upstreams that load weights at the same time slow each other down. At most one in five may load
-// at once, or two if that is more.
+// Upstreams that load weights at the same time slow each other down. One in five may load at once,
+// to the nearest number, or two if that is more.
 constexpr std::size_t upstreams_per_load = 5;
 constexpr std::size_t min_concurrent_loads = 2;
 
+std::size_t max_concurrent_loads(std::size_t upstreams)
+{
+    return std::max(min_concurrent_loads, (upstreams + upstreams_per_load / 2) / upstreams_per_load);
+}
+
 // The version with which every upstream starts.
 constexpr std::uint32_t initial_version = 1;
 
@@ -150,7 +155,13 @@
 
 void assign(share_map::iterator share, upstream_assignment* assignment)
 {
-    assignment->model = share->first;
+    if (assignment->model != share->first)
+    {
+        assignment->model = share->first;
+        // Versions of another model say nothing about what this one needs.
+        assignment->ordered_version = 0;
+        assignment->retry_at = {};
+    }
     share->second.assigned.push_back(assignment);
 }
 
@@ -219,11 +230,24 @@
     return assignment.busy || now < assignment.loaded_at;
 }
 
+/// Version of the assigned model that an upstream has: the listed one, or a newer one that it must
+/// have loaded since. The list shows new weights with a delay of up to two seconds.
+std::uint32_t loaded_version_of(upstream_assignment const& assignment,
+                                fleet::upstream_record const& record, base::mono_time now)
+{
+    auto const listed = version_of(record.weights, assignment.model);
+    bool const has_loaded = assignment.loaded_at != base::mono_time{} &&
+                            now >= assignment.loaded_at && now < assignment.retry_at;
+    return has_loaded ? std::max(listed, assignment.ordered_version) : listed;
+}
+
 struct order_candidate
 {
     weights_order order;
     /// Set when the version of the upstream is too old for a running job.
     bool is_urgent = false;
+    /// Time by which its last load had finished.
+    base::mono_time loaded_at{};
     /// Number of requests in progress at the upstream.
     std::uint32_t running = 0;
 };
@@ -239,8 +263,12 @@
             candidates.begin(), candidates.end(),
             [&](order_candidate const& a, order_candidate const& b)
             {
-                return std::tuple(!a.is_urgent, ordered_at[a.order.model], a.running) <
-                       std::tuple(!b.is_urgent, ordered_at[b.order.model], b.running);
+                auto const rank_of = [&](order_candidate const& candidate)
+                {
+                    return std::tuple(!candidate.is_urgent, ordered_at[candidate.order.model],
+                                      candidate.loaded_at, candidate.running);
+                };
+                return rank_of(a) < rank_of(b);
             });
         ordered_at[best->order.model] = now;
         selected.push_back(std::move(best->order));
@@ -305,7 +333,7 @@
             continue;
         }
         auto const wanted_version = version_of(latest, assignment.model);
-        auto const loaded_version = version_of(it->second.record.weights, assignment.model);
+        auto const loaded_version = loaded_version_of(assignment, it->second.record, now);
         bool const is_current = loaded_version >= wanted_version;
         bool const is_urgent = loaded_version < version_of(needed, assignment.model);
         if (is_loading(assignment, now))
@@ -320,11 +348,11 @@
             candidates.push_back({{id, it->second.record.address, assignment.model, wanted_version,
                                    assignment.accepted.value_or(0)},
                                   is_urgent,
+                                  assignment.loaded_at,
                                   it->second.running});
         }
     }
-    auto const max_loads =
-        std::max(min_concurrent_loads, plan.upstreams.size() / upstreams_per_load);
+    auto const max_loads = max_concurrent_loads(plan.upstreams.size());
     return select_orders(std::move(candidates), plan.ordered_at,
                          max_loads - std::min(max_loads, loading), now);
 }
--- a/src/gateway/weights_orders.cpp
+++ b/src/gateway/weights_orders.cpp
@@ -72,6 +72,7 @@
     case duty::order_outcome::not_sent:
         upstream.accepted.reset();
         upstream.ordered_version = order.version;
+        upstream.loaded_at = {};
         upstream.retry_at = now + retry_delay;
         break;
     }
@@ -118,6 +119,7 @@
             if (!upstream->accepted)
             {
                 upstream->ordered_version = version;
+                upstream->loaded_at = {};
                 upstream->retry_at = base::mono_now() + retry_delay;
             }
         });
