Order the loads by the open steps that each engine can serve, without waiting for a tick

Cause: an engine that could serve the newest step was loaded again while others of its model waited with weights that no open step accepts. A finished load was followed by the next order only at the next tick of 100 ms, and a query of the count of accepted orders took the place of a load. After a refused order the leader no longer knew what the engine had loaded before and put it first. Change: orders are ranked by whether the engine is too old for all open steps, for one of them, or for the next step; among models by the usable share, with a limit on how long a model waits for its turn. Counts are read ahead. The next orders follow when a load ends, when an order is answered and when a version is named. A failed order delays the next one but keeps what is known of the loads. A new leader continues with announced loads. The code moves to duty/weights_loads.

--- a/src/duty.hpp
+++ b/src/duty.hpp
@@ -11,6 +11,7 @@
 #include "duty/model_shares.hpp"
 #include "duty/report_transaction.hpp"
 #include "duty/usage_windows.hpp"
+#include "duty/weights_loads.hpp"
 #include "duty/weights_plan.hpp"
 
 #endif
--- /dev/null
+++ b/src/duty/needed_versions.cpp
@@ -0,0 +1,25 @@
+#include "duty/needed_versions.hpp"
+
+#include <algorithm>
+
+namespace gooseberrywood::duty
+{
+
+needed_versions needed_by(std::span<rollout::training_step const> steps)
+{
+    needed_versions needed;
+    for (auto const& step : steps)
+    {
+        if (!step.is_open)
+        {
+            continue;
+        }
+        auto const [it, is_first] =
+            needed.try_emplace(step.model, step.least_version, step.least_version);
+        it->second.any_step = std::min(it->second.any_step, step.least_version);
+        it->second.every_step = std::max(it->second.every_step, step.least_version);
+    }
+    return needed;
+}
+
+} // namespace gooseberrywood::duty
--- a/src/duty/weights_plan.cpp
+++ b/src/duty/weights_plan.cpp
@@ -1,7 +1,6 @@
 #include "duty/weights_plan.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace gooseberrywood::duty
@@ -12,16 +11,6 @@
 
 using fleet::version_of;
 
-// Upstreams that load weights at the same time slow each other down. One in five may load at once,
-// to the nearest number, or two if that is more.
-constexpr std::size_t upstreams_per_load = 5;
-constexpr std::size_t min_concurrent_loads = 2;
-
-std::size_t max_concurrent_loads(std::size_t upstreams)
-{
-    return std::max(min_concurrent_loads, (upstreams + upstreams_per_load / 2) / upstreams_per_load);
-}
-
 // The version with which every upstream starts.
 constexpr std::uint32_t initial_version = 1;
 
@@ -225,56 +214,16 @@
     rebalance(shares);
 }
 
-bool is_loading(upstream_assignment const& assignment, base::mono_time now)
-{
-    return assignment.busy || now < assignment.loaded_at;
-}
-
-/// Version of the assigned model that an upstream has: the listed one, or a newer one that it must
-/// have loaded since. The list shows new weights with a delay of up to two seconds.
-std::uint32_t loaded_version_of(upstream_assignment const& assignment,
-                                fleet::upstream_record const& record, base::mono_time now)
-{
-    auto const listed = version_of(record.weights, assignment.model);
-    bool const has_loaded = assignment.loaded_at != base::mono_time{} &&
-                            now >= assignment.loaded_at && now < assignment.retry_at;
-    return has_loaded ? std::max(listed, assignment.ordered_version) : listed;
-}
-
-struct order_candidate
-{
-    weights_order order;
-    /// Set when the version of the upstream is too old for a running job.
-    bool is_urgent = false;
-    /// Time by which its last load had finished.
-    base::mono_time loaded_at{};
-    /// Number of requests in progress at the upstream.
-    std::uint32_t running = 0;
-};
-
-std::vector<weights_order> select_orders(std::vector<order_candidate> candidates,
-                                         std::map<std::string, base::mono_time> ordered_at,
-                                         std::size_t max_orders, base::mono_time now)
+/// Continues with a load that an earlier leader has announced, so that the upstream is neither
+/// ordered again nor missing from the number of concurrent loads.
+void restore_load(upstream_assignment& assignment, fleet::announced_weights const& announced)
 {
-    std::vector<weights_order> selected;
-    while (selected.size() < max_orders && !candidates.empty())
+    if (announced.model == assignment.model)
     {
-        auto const best = std::min_element(
-            candidates.begin(), candidates.end(),
-            [&](order_candidate const& a, order_candidate const& b)
-            {
-                auto const rank_of = [&](order_candidate const& candidate)
-                {
-                    return std::tuple(!candidate.is_urgent, ordered_at[candidate.order.model],
-                                      candidate.loaded_at, candidate.running);
-                };
-                return rank_of(a) < rank_of(b);
-            });
-        ordered_at[best->order.model] = now;
-        selected.push_back(std::move(best->order));
-        candidates.erase(best);
+        assignment.ordered_version = announced.version;
+        assignment.loaded_at = announced.loaded_at;
+        assignment.retry_at = announced.loaded_at + report_delay;
     }
-    return selected;
 }
 
 } // namespace
@@ -314,47 +263,10 @@
             auto& assignment = plan.upstreams[id];
             assignment.model = model;
             assignment.started_ms = it->second.record.started_ms;
+            restore_load(assignment, it->second.announced);
         }
     }
     return plan;
 }
 
-std::vector<weights_order> due_orders(weights_plan const& plan, fleet::pool const& pool,
-                                      latest_versions const& latest,
-                                      fleet::weight_versions const& needed, base::mono_time now)
-{
-    std::size_t loading = 0;
-    std::vector<order_candidate> candidates;
-    for (auto const& [id, assignment] : plan.upstreams)
-    {
-        auto const it = pool.upstreams.find(id);
-        if (it == pool.upstreams.end())
-        {
-            continue;
-        }
-        auto const wanted_version = version_of(latest, assignment.model);
-        auto const loaded_version = loaded_version_of(assignment, it->second.record, now);
-        bool const is_current = loaded_version >= wanted_version;
-        bool const is_urgent = loaded_version < version_of(needed, assignment.model);
-        if (is_loading(assignment, now))
-        {
-            ++loading;
-        }
-        bool const may_order =
-            !is_loading(assignment, now) && wanted_version > initial_version && !is_current &&
-            (assignment.ordered_version < wanted_version || now >= assignment.retry_at);
-        if (may_order)
-        {
-            candidates.push_back({{id, it->second.record.address, assignment.model, wanted_version,
-                                   assignment.accepted.value_or(0)},
-                                  is_urgent,
-                                  assignment.loaded_at,
-                                  it->second.running});
-        }
-    }
-    auto const max_loads = max_concurrent_loads(plan.upstreams.size());
-    return select_orders(std::move(candidates), plan.ordered_at,
-                         max_loads - std::min(max_loads, loading), now);
-}
-
 } // namespace gooseberrywood::duty
--- a/src/duty/weights_plan.hpp
+++ b/src/duty/weights_plan.hpp
@@ -2,7 +2,6 @@
 #define GOOSEBERRYWOOD_DUTY_WEIGHTS_PLAN_HPP
 
 #include "base/time.hpp"
-#include "duty/weights_order.hpp"
 #include "fleet/configuration.hpp"
 #include "fleet/pool.hpp"
 #include "rollout/model_demand.hpp"
@@ -13,7 +12,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace gooseberrywood::duty
 {
@@ -34,8 +32,12 @@
     base::mono_time loaded_at{};
     /// The order is not repeated before this time, unless there is a newer version.
     base::mono_time retry_at{};
-    /// Set while a call to the upstream is in progress.
+    /// No order for any version is sent before this time, since the last one failed.
+    base::mono_time order_at{};
+    /// Set while an order is being sent to the upstream.
     bool busy = false;
+    /// Set while the number of accepted orders is being read.
+    bool querying = false;
 };
 
 /// \ingroup duty
@@ -53,6 +55,11 @@
 /// \brief Newest version of the weights, by model.
 using latest_versions = fleet::weight_versions;
 
+/// \ingroup duty
+/// \brief Time after the end of a load by which the upstream shows the new version. The list shows
+/// it up to two seconds late. After this time the load is taken to have failed.
+inline constexpr base::duration report_delay = std::chrono::milliseconds(3080);
+
 /// \ingroup duty
 /// \brief Assigns one model to each upstream of the services that have models, so that a new
 /// version of a model interrupts only its share of the upstreams. The shares are proportional to
@@ -74,20 +81,6 @@
 /// \brief Restores a plan from the shares that an earlier leader has published.
 [[nodiscard]] weights_plan restore_plan(fleet::model_shares const& shares, fleet::pool const& pool);
 
-/// \ingroup duty
-/// \brief Orders that should be sent now. Upstreams whose version is too old for a running job come
-/// first, then the models take turns, and within a model the least busy upstream comes first.
-///
-/// Load pattern: each trainer has a new version every few seconds and submits a new step of a
-/// hundred samples with it; together they reach the limit of what the upstreams can load. Only a
-/// few upstreams may load at once, and no model may fall behind the others. A step that needs newer
-/// weights than its upstreams have can't proceed, so those upstreams are ordered first.
-///
-/// \param needed oldest version that all running jobs of a model accept, by model.
-[[nodiscard]] std::vector<weights_order>
-due_orders(weights_plan const& plan, fleet::pool const& pool, latest_versions const& latest,
-           fleet::weight_versions const& needed, base::mono_time now);
-
 } // namespace gooseberrywood::duty
 
 #endif
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -130,6 +130,9 @@
     usage_reporting reporting;
     std::map<std::uint64_t, std::shared_ptr<http::fetch>> control_calls;
     base::event_source leader_timer;
+    /// Fires when a load of weights is expected to finish.
+    base::event_source load_end_timer;
+    base::event_source order_soon;
 };
 
 /// \ingroup gateway
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -8,6 +8,7 @@
 #include "gateway/sample_runs.hpp"
 #include "gateway/shared_entries.hpp"
 #include "gateway/unsent_requests.hpp"
+#include "gateway/weights_orders.hpp"
 #include "platform/operator_state.hpp"
 #include "platform/protocol_names.hpp"
 #include "platform/upstream_entry.hpp"
@@ -100,6 +101,7 @@
             base::log_line(base::log_level::info, "weights_named",
                            {{"model", model}, {"version", std::int64_t{version}}});
             known = version;
+            order_weights_soon(self);
         }
     }
 }
--- a/src/gateway/weights_orders.cpp
+++ b/src/gateway/weights_orders.cpp
@@ -2,17 +2,20 @@
 
 #include "base/log.hpp"
 #include "duty/model_shares.hpp"
+#include "duty/needed_versions.hpp"
+#include "duty/weights_loads.hpp"
 #include "gateway/control_call.hpp"
 #include "gateway/job_notices.hpp"
 #include "gateway/measure.hpp"
 #include "platform/control_calls.hpp"
 #include "rollout/model_demand.hpp"
 #include "rollout/store_keys.hpp"
+#include "rollout/training_step.hpp"
 
-#include <algorithm>
 #include <array>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace gooseberrywood::gateway
 {
@@ -22,11 +25,6 @@
 
 constexpr base::duration call_timeout = std::chrono::milliseconds(700);
 
-// Typical time of a load while few upstreams load at once.
-constexpr base::duration typical_load_time = std::chrono::milliseconds(920);
-// An upstream that does not report the version within this time is sent another order.
-constexpr base::duration reorder_delay = std::chrono::milliseconds(4000);
-constexpr base::duration retry_delay = std::chrono::milliseconds(300);
 constexpr base::duration publish_interval = std::chrono::milliseconds(1500);
 
 constexpr std::array<std::string_view, 7> outcome_names = {
@@ -41,9 +39,7 @@
 void record_accepted(gateway& self, duty::upstream_assignment& upstream,
                      duty::weights_order const& order, base::mono_time now)
 {
-    upstream.ordered_version = order.version;
-    upstream.loaded_at = now + typical_load_time;
-    upstream.retry_at = now + reorder_delay;
+    duty::note_order_accepted(upstream, order, now);
     notify_weights_loading(self, order.upstream, {order.model, order.version, upstream.loaded_at});
 }
 
@@ -70,10 +66,7 @@
     case duty::order_outcome::conflict:
     case duty::order_outcome::refused:
     case duty::order_outcome::not_sent:
-        upstream.accepted.reset();
-        upstream.ordered_version = order.version;
-        upstream.loaded_at = {};
-        upstream.retry_at = now + retry_delay;
+        duty::note_order_failed(upstream, now);
         break;
     }
 }
@@ -99,42 +92,46 @@
                                upstream->busy = false;
                                record_outcome(self, *upstream, order, outcome, base::mono_now());
                            }
+                           order_weights_soon(self);
                        });
 }
 
 /// Asks an upstream how many orders it has accepted, which the next order has to state.
-void query_order_count(gateway& self, duty::weights_order const& order, base::mono_time now)
+void query_order_count(gateway& self, std::string const& id, std::string const& address,
+                       base::mono_time now)
 {
-    start_control_call(
-        self, platform::encode_order_query(order.address), now + call_timeout,
-        [&self, id = order.upstream, version = order.version](http::fetch_outcome const& answer)
-        {
-            auto* const upstream = find_ordered(self, id);
-            if (upstream == nullptr)
-            {
-                return;
-            }
-            upstream->busy = false;
-            upstream->accepted = platform::decode_order_count(answer);
-            if (!upstream->accepted)
-            {
-                upstream->ordered_version = version;
-                upstream->loaded_at = {};
-                upstream->retry_at = base::mono_now() + retry_delay;
-            }
-        });
+    start_control_call(self, platform::encode_order_query(address), now + call_timeout,
+                       [&self, id](http::fetch_outcome const& answer)
+                       {
+                           auto* const upstream = find_ordered(self, id);
+                           if (upstream == nullptr)
+                           {
+                               return;
+                           }
+                           upstream->querying = false;
+                           upstream->accepted = platform::decode_order_count(answer);
+                           if (!upstream->accepted)
+                           {
+                               duty::note_order_failed(*upstream, base::mono_now());
+                           }
+                           order_weights_soon(self);
+                       });
 }
 
-/// Expected output tokens of recent steps.
-rollout::model_demand demand_of(shared_view const& shared)
+/// The batch jobs that this process knows, as training steps.
+std::vector<rollout::training_step> steps_of(gateway const& self)
 {
-    std::vector<rollout::job_record const*> records;
-    records.reserve(shared.records.size());
-    for (auto const& [id, stored] : shared.records)
+    static fleet::route const defaults;
+    auto const now = base::wall_now();
+    std::vector<rollout::training_step> steps;
+    steps.reserve(self.shared.records.size());
+    for (auto const& [id, stored] : self.shared.records)
     {
-        records.push_back(&stored.record);
+        auto const* const route = route_of(self, stored.record);
+        steps.push_back(rollout::step_of(stored.record,
+                                         (route != nullptr ? *route : defaults).run_target, now));
     }
-    return rollout::recent_demand(records);
+    return steps;
 }
 
 /// Publishes the assignment of models to upstreams to all processes.
@@ -166,20 +163,51 @@
         });
 }
 
-/// Oldest weights version of each model that every open job accepts.
-fleet::weight_versions needed_versions(shared_view const& shared)
+void start_query(gateway& self, std::string const& id, base::mono_time now)
+{
+    auto const* const known = fleet::find_upstream(self.pool, id);
+    auto* const upstream = find_ordered(self, id);
+    if (known != nullptr && upstream != nullptr)
+    {
+        upstream->querying = true;
+        query_order_count(self, id, known->record.address, now);
+    }
+}
+
+void send_due_orders(gateway& self, duty::authority const& authority, base::mono_time now)
+{
+    auto const needed = duty::needed_by(steps_of(self));
+    for (auto const& order :
+         duty::due_orders(self.weights, self.pool, self.named_weights, needed, now))
+    {
+        auto* const upstream = find_ordered(self, order.upstream);
+        if (!upstream->accepted)
+        {
+            start_query(self, order.upstream, now);
+            continue;
+        }
+        upstream->busy = true;
+        self.weights.ordered_at[order.model] = now;
+        send_order(self, order, authority, now);
+    }
+    for (auto const& id : duty::due_queries(self.weights, self.named_weights, now))
+    {
+        start_query(self, id, now);
+    }
+}
+
+/// Sends the due orders if this process still leads.
+void continue_orders(gateway& self)
 {
-    fleet::weight_versions needed;
-    for (auto const& [id, stored] : shared.records)
+    auto const now = base::mono_now();
+    if (auto const authority = duty::active_authority(self.candidate, self.lease.valid_until, now))
     {
-        auto const& record = stored.record;
-        if (!record.ended)
+        send_due_orders(self, *authority, now);
+        if (auto const load_end = duty::next_load_end(self.weights, now))
         {
-            auto& least = needed[record.model];
-            least = std::max(least, record.least_version);
+            self.load_end_timer = base::at(*load_end, [&self] { continue_orders(self); });
         }
     }
-    return needed;
 }
 
 } // namespace
@@ -191,24 +219,23 @@
         return;
     }
     duty::assign_models(self.weights, self.pool, *self.configuration, self.named_weights,
-                        demand_of(self.shared));
+                        rollout::recent_demand(steps_of(self)));
     publish_shares(self, authority, now);
-    auto const needed = needed_versions(self.shared);
-    for (auto const& order :
-         duty::due_orders(self.weights, self.pool, self.named_weights, needed, now))
+    continue_orders(self);
+}
+
+void order_weights_soon(gateway& self)
+{
+    if (!self.candidate.held || self.order_soon)
     {
-        auto* const upstream = find_ordered(self, order.upstream);
-        upstream->busy = true;
-        self.weights.ordered_at[order.model] = now;
-        if (upstream->accepted)
-        {
-            send_order(self, order, authority, now);
-        }
-        else
-        {
-            query_order_count(self, order, now);
-        }
+        return;
     }
+    self.order_soon = base::soon(
+        [&self]
+        {
+            self.order_soon.reset();
+            continue_orders(self);
+        });
 }
 
 } // namespace gooseberrywood::gateway
--- a/src/rollout/model_demand.hpp
+++ b/src/rollout/model_demand.hpp
@@ -1,7 +1,7 @@
 #ifndef GOOSEBERRYWOOD_ROLLOUT_MODEL_DEMAND_HPP
 #define GOOSEBERRYWOOD_ROLLOUT_MODEL_DEMAND_HPP
 
-#include "rollout/job_record.hpp"
+#include "rollout/training_step.hpp"
 
 #include <map>
 #include <span>
@@ -15,9 +15,9 @@
 using model_demand = std::map<std::string, double, std::less<>>;
 
 /// \ingroup rollout
-/// \brief Computes the demand from the most recent jobs of each model.
-/// \param records jobs in any order, including jobs that have ended.
-[[nodiscard]] model_demand recent_demand(std::span<job_record const* const> records);
+/// \brief Computes the demand from the most recent steps of each model.
+/// \param steps in any order, including steps that have ended.
+[[nodiscard]] model_demand recent_demand(std::span<training_step const> steps);
 
 } // namespace gooseberrywood::rollout
 
--- a/test/duty_test.cpp
+++ b/test/duty_test.cpp
@@ -127,7 +127,7 @@
     (void)fleet::apply_list(pool, listed, at_ms(0));
     duty::weights_plan plan;
     duty::latest_versions latest = {{"m0", 2}};
-    fleet::weight_versions needed;
+    duty::needed_versions needed;
     duty::assign_models(plan, pool, configuration, latest, {});
     THEN("the shares are equal, also within a failure domain")
     {
@@ -201,7 +201,7 @@
         // Guards against a blocked step whose upstreams wait while upstreams load weights that
         // their running step does not need.
         latest["m1"] = 3;
-        needed = {{"m0", 1}, {"m1", 3}};
+        needed = {{"m0", {1, 1}}, {"m1", {3, 3}}};
         plan.ordered_at["m1"] = at_ms(100);
         THEN("these upstreams come first, even if their model was the last one ordered")
         {
@@ -323,24 +323,18 @@
 
 SCENARIO("the demand of a model is the mean of its most recent steps")
 {
-    auto const make_job = [](std::string model, std::int64_t at_s, std::uint64_t tokens)
+    auto const make_step = [](std::string model, std::int64_t at_s, double tokens)
     {
-        rollout::job_record job;
-        job.model = std::move(model);
-        job.submitted_at = base::wall_time{std::chrono::seconds(at_s)};
-        job.expected_tokens = tokens;
-        return job;
+        rollout::training_step step;
+        step.model = std::move(model);
+        step.submitted_at = base::wall_time{std::chrono::seconds(at_s)};
+        step.expected_tokens = tokens;
+        return step;
     };
-    std::vector<rollout::job_record> const records = {make_job("a", 1, 9000),
-                                                      make_job("a", 13, 300), make_job("a", 5, 100),
-                                                      make_job("a", 9, 200), make_job("b", 2, 50)};
-    std::vector<rollout::job_record const*> all;
-    all.reserve(records.size());
-    for (auto const& job : records)
-    {
-        all.push_back(&job);
-    }
-    auto const demand = rollout::recent_demand(all);
+    std::vector<rollout::training_step> const steps = {
+        make_step("a", 1, 9000), make_step("a", 13, 300), make_step("a", 5, 100),
+        make_step("a", 9, 200), make_step("b", 2, 50)};
+    auto const demand = rollout::recent_demand(steps);
     CHECK(demand.at("a") == 200);
     CHECK(demand.at("b") == 50);
 }
