Give models that are behind more engines, and move engines only where it is worth a load

Cause: the shares followed the mean of the last three steps, so a model whose steps were late got no more engines. Engines were moved regardless of what they were doing and of loads that waited, and could be moved back at once. Change: if an open step before the newest one is late, half of the work of these steps counts as demand as well. A step older than twice its run target doesn't count as open. The least busy engine moves first, then the one with the oldest load. It stays for one step (learned median, 4 s while unknown). No engine moves while urgent loads wait, unless a model has none. Gauges by model: gateway_model_share, _target, _usable, _loading.

--- a/src/duty/weights_loads.cpp
+++ b/src/duty/weights_loads.cpp
@@ -190,11 +190,14 @@
     return selected;
 }
 
-std::size_t count_loading(weights_plan const& plan, base::mono_time now)
+/// Number of loads that may start now.
+std::size_t free_loads(weights_plan const& plan, base::mono_time now)
 {
-    return static_cast<std::size_t>(std::count_if(plan.upstreams.begin(), plan.upstreams.end(),
-                                                  [&](auto const& entry)
-                                                  { return is_loading(entry.second, now); }));
+    auto const loading = static_cast<std::size_t>(
+        std::count_if(plan.upstreams.begin(), plan.upstreams.end(),
+                      [&](auto const& entry) { return is_loading(entry.second, now); }));
+    auto const max_loads = max_concurrent_loads(plan.upstreams.size());
+    return max_loads - std::min(max_loads, loading);
 }
 
 } // namespace
@@ -217,11 +220,20 @@
                                       latest_versions const& latest, needed_versions const& needed,
                                       base::mono_time now)
 {
-    auto const max_loads = max_concurrent_loads(plan.upstreams.size());
-    auto const loading = count_loading(plan, now);
     return select_orders(find_candidates(plan, pool, latest, needed, now),
-                         make_turns(plan, pool, needed, now),
-                         max_loads - std::min(max_loads, loading), now);
+                         make_turns(plan, pool, needed, now), free_loads(plan, now), now);
+}
+
+bool urgent_loads_wait(weights_plan const& plan, fleet::pool const& pool,
+                       latest_versions const& latest, needed_versions const& needed,
+                       base::mono_time now)
+{
+    auto const candidates = find_candidates(plan, pool, latest, needed, now);
+    auto const urgent =
+        std::count_if(candidates.begin(), candidates.end(),
+                      [](order_candidate const& candidate)
+                      { return candidate.urgency <= load_urgency::too_old_for_a_step; });
+    return static_cast<std::size_t>(urgent) > free_loads(plan, now);
 }
 
 std::vector<std::string> due_queries(weights_plan const& plan, latest_versions const& latest,
--- a/src/duty/weights_loads.hpp
+++ b/src/duty/weights_loads.hpp
@@ -50,6 +50,12 @@
 due_orders(weights_plan const& plan, fleet::pool const& pool, latest_versions const& latest,
            needed_versions const& needed, base::mono_time now);
 
+/// \ingroup duty
+/// \brief Whether more upstreams are too old for an open step of their model than may load now.
+[[nodiscard]] bool urgent_loads_wait(weights_plan const& plan, fleet::pool const& pool,
+                                     latest_versions const& latest, needed_versions const& needed,
+                                     base::mono_time now);
+
 /// \ingroup duty
 /// \brief Upstreams whose number of accepted orders is unknown and should be read now, so that an
 /// order does not have to wait for it.
--- a/src/duty/weights_plan.hpp
+++ b/src/duty/weights_plan.hpp
@@ -5,6 +5,7 @@
 #include "fleet/configuration.hpp"
 #include "fleet/pool.hpp"
 #include "rollout/model_demand.hpp"
+#include "rollout/training_step.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -32,6 +33,8 @@
     base::mono_time loaded_at{};
     /// The order is not repeated before this time, unless there is a newer version.
     base::mono_time retry_at{};
+    /// After a move, the upstream is not moved to another model before this time.
+    base::mono_time stays_until{};
     /// No order for any version is sent before this time, since the last one failed.
     base::mono_time order_at{};
     /// Set while an order is being sent to the upstream.
@@ -60,18 +63,36 @@
 /// it up to two seconds late. After this time the load is taken to have failed.
 inline constexpr base::duration report_delay = std::chrono::milliseconds(3080);
 
+/// \ingroup duty
+/// \brief What decides whether upstreams may be moved to another model.
+struct move_conditions
+{
+    base::mono_time now{};
+    /// Set while upstreams that are too old for an open step wait to load. Each move costs a load.
+    bool urgent_loads_wait = false;
+    /// An upstream that was moved stays for one step of its new model.
+    rollout::step_intervals intervals;
+};
+
 /// \ingroup duty
 /// \brief Assigns one model to each upstream of the services that have models, so that a new
 /// version of a model interrupts only its share of the upstreams. The shares are proportional to
-/// the demand, are spread over the failure domains, and change only when one deviates by more than
-/// one upstream.
+/// the demand, are spread over the failure domains, and change only when one deviates by 1.5
+/// upstreams or more. The least busy upstream of a share moves first, then the one with the oldest
+/// load. While urgent loads wait, only a model without any upstream gets one.
 ///
 /// Load pattern: trainers submit steps at the same time that differ in size by a factor of several.
 /// With equal shares the large ones fall behind while the upstreams of the small ones are idle.
 /// \param demand models without an entry count with the mean of the others.
 void assign_models(weights_plan& plan, fleet::pool const& pool,
                    fleet::configuration const& configuration, latest_versions const& latest,
-                   rollout::model_demand const& demand);
+                   rollout::model_demand const& demand, move_conditions const& conditions);
+
+/// \ingroup duty
+/// \brief Number of upstreams that each model should have in proportion to the demand.
+[[nodiscard]] std::map<std::string, double, std::less<>>
+target_shares(fleet::service const& service, std::size_t upstreams,
+              rollout::model_demand const& demand);
 
 /// \ingroup duty
 /// \brief The model that is assigned to each upstream.
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -1,6 +1,10 @@
 #include "gateway/measure.hpp"
 
 #include "base/log.hpp"
+#include "duty/needed_versions.hpp"
+#include "duty/weights_loads.hpp"
+#include "gateway/training_steps.hpp"
+#include "rollout/model_demand.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -96,6 +100,49 @@
               static_cast<double>(self.requests.size()));
 }
 
+void set_model_gauge(gateway& self, base::metric_name<base::metric_kind::gauge> name,
+                     std::string_view model, double value)
+{
+    base::gauge_at(self.metrics, name, {{"model", std::string(model)}}).value =
+        self.candidate.held ? value : 0;
+}
+
+/// Shares of the models in the upstreams. Only the leader knows them; others report 0.
+void update_model_gauges(gateway& self, base::mono_time now)
+{
+    if (!self.configuration)
+    {
+        return;
+    }
+    auto const steps = training_steps(self);
+    auto const demand = rollout::recent_demand(steps);
+    auto loads = duty::summarize_loads(self.weights, self.pool, duty::needed_by(steps), now);
+    for (auto const& service : self.configuration->services)
+    {
+        std::size_t upstreams = 0;
+        for (auto const& model : service.models)
+        {
+            upstreams += loads[model].assigned;
+        }
+        for (auto const& [model, target] : duty::target_shares(service, upstreams, demand))
+        {
+            auto const& load = loads[model];
+            set_model_gauge(self, {"gateway_model_share", "upstreams that a model has"}, model,
+                            static_cast<double>(load.assigned));
+            set_model_gauge(
+                self, {"gateway_model_target", "upstreams that a model should have by demand"},
+                model, target);
+            set_model_gauge(
+                self,
+                {"gateway_model_usable", "upstreams of a model that can serve every open step now"},
+                model, static_cast<double>(load.usable));
+            set_model_gauge(self,
+                            {"gateway_model_loading", "upstreams of a model that load weights"},
+                            model, static_cast<double>(load.loading));
+        }
+    }
+}
+
 } // namespace
 
 void count_answer(gateway& self, std::string_view route, std::string_view outcome,
@@ -218,6 +265,7 @@
     auto const now = base::mono_now();
     update_job_gauges(self);
     update_upstream_gauges(self, now);
+    update_model_gauges(self, now);
     set_gauge(self, {"gateway_leads", "1 while this process leads"}, self.candidate.held ? 1 : 0);
     set_gauge(self, {"gateway_lease_held", "1 while the lease in the store holds"},
               has_lease(self, now) ? 1 : 0);
--- a/src/gateway/weights_orders.cpp
+++ b/src/gateway/weights_orders.cpp
@@ -7,15 +7,14 @@
 #include "gateway/control_call.hpp"
 #include "gateway/job_notices.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/training_steps.hpp"
 #include "platform/control_calls.hpp"
 #include "rollout/model_demand.hpp"
 #include "rollout/store_keys.hpp"
-#include "rollout/training_step.hpp"
 
 #include <array>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 namespace gooseberrywood::gateway
 {
@@ -118,22 +117,6 @@
                        });
 }
 
-/// The batch jobs that this process knows, as training steps.
-std::vector<rollout::training_step> steps_of(gateway const& self)
-{
-    static fleet::route const defaults;
-    auto const now = base::wall_now();
-    std::vector<rollout::training_step> steps;
-    steps.reserve(self.shared.records.size());
-    for (auto const& [id, stored] : self.shared.records)
-    {
-        auto const* const route = route_of(self, stored.record);
-        steps.push_back(rollout::step_of(stored.record,
-                                         (route != nullptr ? *route : defaults).run_target, now));
-    }
-    return steps;
-}
-
 /// Publishes the assignment of models to upstreams to all processes.
 void publish_shares(gateway& self, duty::authority const& authority, base::mono_time now)
 {
@@ -176,7 +159,7 @@
 
 void send_due_orders(gateway& self, duty::authority const& authority, base::mono_time now)
 {
-    auto const needed = duty::needed_by(steps_of(self));
+    auto const needed = duty::needed_by(training_steps(self));
     for (auto const& order :
          duty::due_orders(self.weights, self.pool, self.named_weights, needed, now))
     {
@@ -218,8 +201,12 @@
     {
         return;
     }
+    auto const steps = training_steps(self);
+    bool const urgent_loads_wait = duty::urgent_loads_wait(
+        self.weights, self.pool, self.named_weights, duty::needed_by(steps), now);
     duty::assign_models(self.weights, self.pool, *self.configuration, self.named_weights,
-                        rollout::recent_demand(steps_of(self)));
+                        rollout::recent_demand(steps),
+                        {now, urgent_loads_wait, rollout::median_intervals(steps)});
     publish_shares(self, authority, now);
     continue_orders(self);
 }
--- a/src/rollout/training_step.hpp
+++ b/src/rollout/training_step.hpp
@@ -5,6 +5,9 @@
 #include "rollout/job_record.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
 #include <string>
 
 namespace gooseberrywood::rollout
@@ -18,6 +21,8 @@
     base::wall_time submitted_at{};
     /// Set while the caller still waits for results.
     bool is_open = false;
+    /// Set while it is open although its results are due.
+    bool is_late = false;
     /// Oldest version of the weights that is accepted.
     std::uint32_t least_version = 0;
     /// Expected number of output tokens of all samples together.
@@ -31,6 +36,16 @@
 [[nodiscard]] training_step step_of(job_record const& record, base::duration run_target,
                                     base::wall_time now);
 
+/// \ingroup rollout
+/// \brief Median time between two submissions of steps, by model. A model with less than two steps
+/// has no entry.
+using step_intervals = std::map<std::string, base::duration, std::less<>>;
+
+/// \ingroup rollout
+/// \brief Learns the time between the steps of each model.
+/// \param steps in any order, including steps that have ended.
+[[nodiscard]] step_intervals median_intervals(std::span<training_step const> steps);
+
 } // namespace gooseberrywood::rollout
 
 #endif
--- a/test/duty_loads_test.cpp
+++ b/test/duty_loads_test.cpp
@@ -63,7 +63,7 @@
         replay.engines.push_back(record);
     }
     (void)fleet::apply_list(replay.pool, replay.engines, at_ms(0));
-    duty::assign_models(replay.plan, replay.pool, replay.configuration, replay.latest, {});
+    duty::assign_models(replay.plan, replay.pool, replay.configuration, replay.latest, {}, {});
     return replay;
 }
 
@@ -301,7 +301,8 @@
             (void)fleet::apply_list(replay.pool, replay.engines, at_ms(1));
             replay.latest["m1"] = 2;
             replay.configuration.services[0].models = {"m1"};
-            duty::assign_models(replay.plan, replay.pool, replay.configuration, replay.latest, {});
+            duty::assign_models(replay.plan, replay.pool, replay.configuration, replay.latest, {},
+                                {});
             THEN("it is ordered as soon as the load has ended")
             {
                 CHECK(next_order(900).empty());
--- a/test/duty_test.cpp
+++ b/test/duty_test.cpp
@@ -128,7 +128,7 @@
     duty::weights_plan plan;
     duty::latest_versions latest = {{"m0", 2}};
     duty::needed_versions needed;
-    duty::assign_models(plan, pool, configuration, latest, {});
+    duty::assign_models(plan, pool, configuration, latest, {}, {});
     THEN("the shares are equal, also within a failure domain")
     {
         CHECK(counts_by_model(plan) == std::map<std::string, int>{{"m0", 4}, {"m1", 4}});
@@ -229,7 +229,7 @@
             }
         }
         duty::weights_plan new_plan;
-        duty::assign_models(new_plan, pool, configuration, latest, {});
+        duty::assign_models(new_plan, pool, configuration, latest, {}, {});
         THEN("it infers the shares from the loaded versions and moves no upstream")
         {
             for (auto const& [id, assignment] : plan.upstreams)
@@ -242,7 +242,7 @@
     {
         listed.resize(4);
         (void)fleet::apply_list(pool, listed, at_ms(1000));
-        duty::assign_models(plan, pool, configuration, latest, {});
+        duty::assign_models(plan, pool, configuration, latest, {}, {at_ms(1000), false, {}});
         THEN("both models keep a share")
         {
             CHECK(counts_by_model(plan) == std::map<std::string, int>{{"m0", 2}, {"m1", 2}});
@@ -270,9 +270,9 @@
     fleet::pool pool;
     (void)fleet::apply_list(pool, listed, at_ms(0));
     duty::weights_plan plan;
-    duty::assign_models(plan, pool, configuration, {}, {});
+    duty::assign_models(plan, pool, configuration, {}, {}, {});
     CHECK(counts_by_model(plan).at("m0") >= 11);
-    duty::assign_models(plan, pool, configuration, {}, demand);
+    duty::assign_models(plan, pool, configuration, {}, demand, {at_ms(1000), false, {}});
     auto const counts = counts_by_model(plan);
     THEN("the share of each model is proportional to the demand of its steps")
     {
@@ -288,14 +288,15 @@
         auto changed_demand = demand;
         changed_demand["m1"] *= 1.03;
         changed_demand["m3"] *= 0.97;
-        duty::assign_models(plan, pool, configuration, {}, changed_demand);
+        duty::assign_models(plan, pool, configuration, {}, changed_demand,
+                            {at_ms(10'000), false, {}});
         CHECK(duty::shares_of(plan) == shares_before);
     }
     WHEN("a sixth of the engines is removed")
     {
         listed.resize(77);
-        (void)fleet::apply_list(pool, listed, at_ms(1000));
-        duty::assign_models(plan, pool, configuration, {}, demand);
+        (void)fleet::apply_list(pool, listed, at_ms(10'000));
+        duty::assign_models(plan, pool, configuration, {}, demand, {at_ms(10'000), false, {}});
         THEN("the shares remain proportional to the demand")
         {
             constexpr double all_tokens = 9278;
@@ -311,7 +312,7 @@
         auto const shares = duty::decode_shares(duty::encode_shares(duty::shares_of(plan)));
         REQUIRE(shares.has_value());
         auto new_plan = duty::restore_plan(*shares, pool);
-        duty::assign_models(new_plan, pool, configuration, {}, demand);
+        duty::assign_models(new_plan, pool, configuration, {}, demand, {at_ms(10'000), false, {}});
         THEN("it continues with the same shares")
         {
             CHECK(duty::shares_of(new_plan) == duty::shares_of(plan));
