Let a new leader read the named versions and the upstreams at once

Change: the begin of a term reads the operator's entries and the upstreams from the store and performs the duties at once. Rules of fencing and of the leader's turn are unchanged.

--- a/src/duty/needed_versions.cpp
+++ b/src/duty/needed_versions.cpp
@@ -15,7 +15,7 @@
             continue;
         }
         auto const [it, is_first] =
-            needed.try_emplace(step.model, step.least_version, step.least_version);
+            needed.try_emplace(step.model, needed_version{step.least_version, step.least_version});
         it->second.any_step = std::min(it->second.any_step, step.least_version);
         it->second.every_step = std::max(it->second.every_step, step.least_version);
     }
--- a/src/gateway/leadership.cpp
+++ b/src/gateway/leadership.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/refresh.hpp"
 #include "gateway/usage_reports.hpp"
 #include "gateway/weights_orders.hpp"
 #include "platform/operator_state.hpp"
@@ -17,41 +18,6 @@
 
 constexpr base::duration duty_interval = std::chrono::milliseconds(100);
 
-void begin_term(gateway& self, std::uint64_t fencing)
-{
-    self.candidate.held = duty::authority{self.settings.host, fencing};
-    self.weights = duty::restore_plan(self.shared.shares, self.pool);
-    self.retired_hosts.clear();
-    count_change(self, "leadership_gained");
-    base::log_line(base::log_level::info, "leadership_gained",
-                   {{"fencing", static_cast<std::int64_t>(fencing)}});
-}
-
-void end_term(gateway& self, std::string_view reason)
-{
-    count_change(self, "leadership_lost");
-    base::log_line(base::log_level::warning, "leadership_lost", {{"reason", reason}});
-    duty::note_leadership_lost(self.candidate, self.settings.leader_turn, base::mono_now());
-}
-
-void apply_for_leadership(gateway& self)
-{
-    self.candidate.busy = true;
-    store::transaction transaction;
-    std::string const key(rollout::leader_key);
-    transaction.expected.push_back({key, 0});
-    transaction.writes.push_back({key, own_mark(self), self.lease.id});
-    self.store.commit_transaction(transaction, base::mono_now() + store_call_timeout,
-                                  [&self](base::result<store::commit> const& outcome)
-                                  {
-                                      self.candidate.busy = false;
-                                      if (outcome && outcome->committed)
-                                      {
-                                          begin_term(self, outcome->revision);
-                                      }
-                                  });
-}
-
 /// Reports each retiring host as retired. The service keeps no data on local disks, so nothing has
 /// to be moved off a host first.
 void report_retired_hosts(gateway& self)
@@ -87,6 +53,43 @@
     }
 }
 
+void begin_term(gateway& self, std::uint64_t fencing)
+{
+    self.candidate.held = duty::authority{self.settings.host, fencing};
+    self.weights = duty::restore_plan(self.shared.shares, self.pool);
+    self.retired_hosts.clear();
+    count_change(self, "leadership_gained");
+    base::log_line(base::log_level::info, "leadership_gained",
+                   {{"fencing", static_cast<std::int64_t>(fencing)}});
+    refresh_for_duties(self);
+    perform_duties(self);
+}
+
+void end_term(gateway& self, std::string_view reason)
+{
+    count_change(self, "leadership_lost");
+    base::log_line(base::log_level::warning, "leadership_lost", {{"reason", reason}});
+    duty::note_leadership_lost(self.candidate, self.settings.leader_turn, base::mono_now());
+}
+
+void apply_for_leadership(gateway& self)
+{
+    self.candidate.busy = true;
+    store::transaction transaction;
+    std::string const key(rollout::leader_key);
+    transaction.expected.push_back({key, 0});
+    transaction.writes.push_back({key, own_mark(self), self.lease.id});
+    self.store.commit_transaction(transaction, base::mono_now() + store_call_timeout,
+                                  [&self](base::result<store::commit> const& outcome)
+                                  {
+                                      self.candidate.busy = false;
+                                      if (outcome && outcome->committed)
+                                      {
+                                          begin_term(self, outcome->revision);
+                                      }
+                                  });
+}
+
 } // namespace
 
 void start_leadership(gateway& self)
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -208,6 +208,12 @@
     read_list_now(self, self.shared_poller, shared_plan(self));
 }
 
+void refresh_for_duties(gateway& self)
+{
+    read_list_now(self, self.operator_poller, operator_plan(self));
+    read_list_now(self, self.upstream_poller, upstream_plan(self));
+}
+
 poller const* find_list_poller(gateway const& self, std::string_view prefix)
 {
     if (prefix == platform::store_keys::operator_prefix)
--- a/src/gateway/refresh.hpp
+++ b/src/gateway/refresh.hpp
@@ -16,6 +16,12 @@
 /// \brief Reads the shared entries from the store now instead of at the next interval.
 void refresh_shared_now(gateway& self);
 
+/// \ingroup gateway
+/// \brief Reads the operator's entries and the upstreams from the store now. Called when this
+/// process becomes the leader: its lists may be as old as a change may take to be in effect, and
+/// orders for versions that are already loaded or outdated would take the place of others.
+void refresh_for_duties(gateway& self);
+
 /// \ingroup gateway
 /// \brief Finds the poller of the list under a prefix.
 /// \returns nullptr when this process does not poll such a list.
