Let a round of engines skip a version while loads can't keep up

Cause: 43 engines that load each version every 4 s need more loads than may run (4.4 s), so loads of engines that can still serve every open step take a quarter of the engines' time. Change: while the loads of all versions don't fit into the time between steps, as many of these engines as may load at once are left until a step needs them. Moves are logged as upstream_moved.

--- a/src/duty/needed_versions.cpp
+++ b/src/duty/needed_versions.cpp
@@ -7,6 +7,7 @@
 
 needed_versions needed_by(std::span<rollout::training_step const> steps)
 {
+    auto const intervals = rollout::median_intervals(steps);
     needed_versions needed;
     for (auto const& step : steps)
     {
@@ -19,6 +20,11 @@
         it->second.any_step = std::min(it->second.any_step, step.least_version);
         it->second.every_step = std::max(it->second.every_step, step.least_version);
     }
+    for (auto& [model, versions] : needed)
+    {
+        auto const it = intervals.find(model);
+        versions.step_interval = it != intervals.end() ? it->second : base::duration{};
+    }
     return needed;
 }
 
--- a/src/duty/needed_versions.hpp
+++ b/src/duty/needed_versions.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYWOOD_DUTY_NEEDED_VERSIONS_HPP
 #define GOOSEBERRYWOOD_DUTY_NEEDED_VERSIONS_HPP
 
+#include "base/time.hpp"
 #include "rollout/training_step.hpp"
 
 #include <cstdint>
@@ -13,13 +14,15 @@
 {
 
 /// \ingroup duty
-/// \brief Versions of the weights of a model that its open steps need; 0 without open steps.
+/// \brief Versions of the weights of a model that its open steps need.
 struct needed_version
 {
     /// An upstream with an older version can't serve any open step.
     std::uint32_t any_step = 0;
     /// An upstream with an older version can't serve every open step.
     std::uint32_t every_step = 0;
+    /// Median time between two steps of the model; 0 while unknown.
+    base::duration step_interval{};
 };
 
 /// \ingroup duty
--- a/src/duty/weights_loads.cpp
+++ b/src/duty/weights_loads.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <iterator>
+#include <span>
 #include <tuple>
 #include <utility>
 
@@ -41,6 +41,8 @@
 {
     weights_order order;
     load_urgency urgency = load_urgency::not_latest;
+    /// Set when its model has open steps and the upstream can serve all of them.
+    bool is_deferrable = false;
     /// Time by which its last load had finished.
     base::mono_time loaded_at{};
     /// Number of requests in progress at the upstream.
@@ -146,11 +148,15 @@
         auto const loaded = loaded_version_of(assignment, it->second.record, now);
         if (may_order(assignment, loaded, wanted, now))
         {
-            candidates.push_back({{id, it->second.record.address, assignment.model, wanted,
-                                   assignment.accepted.value_or(0)},
-                                  urgency_of(loaded, needed_of(needed, assignment.model), wanted),
-                                  assignment.loaded_at,
-                                  it->second.running});
+            auto const versions = needed_of(needed, assignment.model);
+            auto const urgency = urgency_of(loaded, versions, wanted);
+            candidates.push_back(
+                {{id, it->second.record.address, assignment.model, wanted,
+                  assignment.accepted.value_or(0)},
+                 urgency,
+                 versions.every_step > 0 && urgency > load_urgency::too_old_for_a_step,
+                 assignment.loaded_at,
+                 it->second.running});
         }
     }
     return candidates;
@@ -170,17 +176,61 @@
                       candidate.running);
 }
 
+/// Whether loading every version on every upstream would take more loads than may run.
+bool is_saturated(weights_plan const& plan, needed_versions const& needed)
+{
+    double concurrent_loads = 0;
+    for (auto const& [id, assignment] : plan.upstreams)
+    {
+        auto const interval = needed_of(needed, assignment.model).step_interval;
+        if (interval > base::duration{})
+        {
+            concurrent_loads += static_cast<double>(typical_load_time.count()) /
+                                static_cast<double>(interval.count());
+        }
+    }
+    return concurrent_loads > static_cast<double>(max_concurrent_loads(plan.upstreams.size()));
+}
+
+/// Number of upstreams that may be ordered although they can serve all open steps. A saturated
+/// leader leaves as many of them as may load at once. These skip a version: when the next step
+/// finds them too old, they all load at once.
+std::size_t max_early_orders(std::span<order_candidate const> candidates, weights_plan const& plan,
+                             needed_versions const& needed)
+{
+    auto const deferrable = static_cast<std::size_t>(
+        std::count_if(candidates.begin(), candidates.end(),
+                      [](order_candidate const& candidate) { return candidate.is_deferrable; }));
+    auto const kept = is_saturated(plan, needed) ? max_concurrent_loads(plan.upstreams.size()) : 0;
+    return deferrable - std::min(deferrable, kept);
+}
+
+/// Limits of a selection of orders.
+struct order_limits
+{
+    std::size_t orders = 0;
+    /// Orders to upstreams that can serve all open steps.
+    std::size_t early_orders = 0;
+};
+
 std::vector<weights_order> select_orders(std::vector<order_candidate> candidates, turn_map turns,
-                                         std::size_t max_orders, base::mono_time now)
+                                         order_limits limits, base::mono_time now)
 {
     std::vector<weights_order> selected;
-    while (selected.size() < max_orders && !candidates.empty())
+    while (selected.size() < limits.orders && !candidates.empty())
     {
         auto const best = std::min_element(candidates.begin(), candidates.end(),
                                            [&](order_candidate const& a, order_candidate const& b) {
                                                return rank_of(a, turns[a.order.model], now) <
                                                       rank_of(b, turns[b.order.model], now);
                                            });
+        if (best->is_deferrable && limits.early_orders == 0)
+        {
+            std::erase_if(candidates,
+                          [](order_candidate const& candidate) { return candidate.is_deferrable; });
+            continue;
+        }
+        limits.early_orders -= best->is_deferrable ? 1 : 0;
         auto& turn = turns[best->order.model];
         turn.ordered_at = now;
         turn.usable += best->urgency <= load_urgency::too_old_for_a_step ? 1 : 0;
@@ -220,8 +270,9 @@
                                       latest_versions const& latest, needed_versions const& needed,
                                       base::mono_time now)
 {
-    return select_orders(find_candidates(plan, pool, latest, needed, now),
-                         make_turns(plan, pool, needed, now), free_loads(plan, now), now);
+    auto candidates = find_candidates(plan, pool, latest, needed, now);
+    order_limits const limits{free_loads(plan, now), max_early_orders(candidates, plan, needed)};
+    return select_orders(std::move(candidates), make_turns(plan, pool, needed, now), limits, now);
 }
 
 bool urgent_loads_wait(weights_plan const& plan, fleet::pool const& pool,
--- a/src/duty/weights_loads.hpp
+++ b/src/duty/weights_loads.hpp
@@ -38,6 +38,9 @@
 /// 3. those whose version will be too old for its next step;
 /// 4. all others that do not have the latest version.
 ///
+/// If not every version can be loaded on every upstream, as many upstreams of the last two kinds as
+/// may load at once are left until a step needs them.
+///
 /// Among the models of equally urgent upstreams, one that has had no order for longer than the
 /// others would take in turns comes first, then the one with the smallest usable share. Within a
 /// model, the upstream with the oldest load comes first, then the least busy one.
--- a/src/gateway/weights_orders.cpp
+++ b/src/gateway/weights_orders.cpp
@@ -117,6 +117,20 @@
                        });
 }
 
+/// Writes a log line for each upstream that was moved to another model.
+void log_moves(duty::weights_plan const& plan, fleet::model_shares const& before)
+{
+    for (auto const& [id, model] : before)
+    {
+        auto const it = plan.upstreams.find(id);
+        if (it != plan.upstreams.end() && it->second.model != model && !model.empty())
+        {
+            base::log_line(base::log_level::info, "upstream_moved",
+                           {{"upstream", id}, {"from", model}, {"to", it->second.model}});
+        }
+    }
+}
+
 /// Publishes the assignment of models to upstreams to all processes.
 void publish_shares(gateway& self, duty::authority const& authority, base::mono_time now)
 {
@@ -204,9 +218,11 @@
     auto const steps = training_steps(self);
     bool const urgent_loads_wait = duty::urgent_loads_wait(
         self.weights, self.pool, self.named_weights, duty::needed_by(steps), now);
+    auto const shares_before = duty::shares_of(self.weights);
     duty::assign_models(self.weights, self.pool, *self.configuration, self.named_weights,
                         rollout::recent_demand(steps),
                         {now, urgent_loads_wait, rollout::median_intervals(steps)});
+    log_moves(self.weights, shares_before);
     publish_shares(self, authority, now);
     continue_orders(self);
 }
--- a/test/duty_loads_test.cpp
+++ b/test/duty_loads_test.cpp
@@ -135,7 +135,8 @@
     replay.latest[model] = version;
     bool const previous_is_open =
         version > 2 && now - trainer.named_at + step_interval < trainer.open_for;
-    replay.needed[model] = {previous_is_open ? version - 2 : version - 1, version - 1};
+    replay.needed[model] = {previous_is_open ? version - 2 : version - 1, version - 1,
+                            step_interval};
 }
 
 /// Outcome of a replay over the time after the first loads.
@@ -312,6 +313,52 @@
     }
 }
 
+SCENARIO("engines skip a version if not all can load it")
+{
+    // Guards against loads that interrupt engines for a version that they don't need yet, while the
+    // loads of the next step wait for them.
+    auto replay = make_replay(43);
+    replay.latest = {{"m0", 2}, {"m1", 2}, {"m2", 1}, {"m3", 1}};
+    auto const orders_with_interval = [&](base::duration interval)
+    {
+        for (std::size_t model = 0; model < models; ++model)
+        {
+            replay.needed[model_name(model)] = {1, 1, interval};
+        }
+        return duty::due_orders(replay.plan, replay.pool, replay.latest, replay.needed, at_ms(0))
+            .size();
+    };
+    WHEN("more engines can serve only the present steps than may load at once")
+    {
+        THEN("they are ordered")
+        {
+            CHECK(orders_with_interval(step_interval) == 9);
+        }
+    }
+    WHEN("no more than that are left")
+    {
+        std::size_t left = 9;
+        for (auto& [id, assignment] : replay.plan.upstreams)
+        {
+            bool const is_outdated = replay.latest[assignment.model] == 2;
+            if (is_outdated && left == 0)
+            {
+                fleet::note_weights(replay.pool, id, assignment.model, 2);
+            }
+            left -= is_outdated && left > 0 ? 1 : 0;
+        }
+        THEN("they are ordered only if all loads fit into the time of a step, or a step needs them")
+        {
+            CHECK(orders_with_interval(step_interval) == 0);
+            CHECK(orders_with_interval(5s) == 9);
+            replay.needed["m0"] = {2, 2, step_interval};
+            replay.needed["m1"] = {2, 2, step_interval};
+            CHECK(duty::due_orders(replay.plan, replay.pool, replay.latest, replay.needed, at_ms(0))
+                      .size() == 9);
+        }
+    }
+}
+
 SCENARIO("no model waits for engines of another one that are always as urgent")
 {
     // Guards against starvation: the usable share of a model whose versions are named faster than
