Choose plain upstreams by estimated cost and outstanding work

All plain requests counted alike: an upstream with six lookups of 25 ms in progress looked as busy as one with six requests of 220 ms. One rare answer of 220 ms more than doubled an upstream's mean for 3 s, and an upstream whose slow tries are abandoned for a hedge kept the mean of its fast answers.

The expected cost is learned by route and size class of the body, as a multiple of the service's mean; the outstanding work of an upstream is the sum of its requests' costs. The choice is the least (outstanding per slot + own) x recent time, with a tenth counted as equal. A single answer counts at most three times the median, and an abandoned try that took longer than expected counts as an answer of that time.

Metrics: outstanding work and relative times by service.

Not yet measured under a deployment's load.

--- a/src/fleet/pool.cpp
+++ b/src/fleet/pool.cpp
@@ -24,8 +24,8 @@
 // An upstream that refuses samples is usually loading weights, which takes about a second.
 constexpr base::duration refusal_pause = std::chrono::milliseconds(150);
 
-// A slow phase of 0.6 s changes the mean over this time by a third, so that only the longest samples
-// move because of one.
+// A slow phase of 0.6 s changes the mean over this time by a third, so that only the longest
+// samples move because of one.
 constexpr base::duration steady_period = std::chrono::milliseconds(1500);
 
 void update(upstream& known, upstream_record const& listed)
@@ -97,6 +97,23 @@
     }
 }
 
+// Limits a measured response time relative to the median: the longest requests take 220 ms where
+// most take 25 ms, and an upstream must not count as slow for seconds because of one.
+constexpr double max_answer_ratio = 3;
+
+/// Adds a response time to the mean, converted to that of a request of mean cost.
+void add_answer_time(pool& pool, upstream& measured, base::duration answer_time,
+                     base::mono_time now, double work)
+{
+    auto const median_us = answer_times(pool, measured.record.service, now).median_us;
+    auto us = static_cast<double>(answer_time.count()) / work;
+    if (median_us > 0)
+    {
+        us = std::min(us, max_answer_ratio * median_us);
+    }
+    add_measurement(measured.answer_time, base::duration(static_cast<std::int64_t>(us)), now);
+}
+
 service_times& times_of(pool& pool, std::string_view service)
 {
     auto const it = pool.times.find(service);
@@ -215,15 +232,31 @@
 }
 
 void note_answer_time(pool& pool, std::string_view id, base::duration answer_time,
-                      base::mono_time now)
+                      base::mono_time now, double work)
 {
     if (auto* const found = find_upstream(pool, id))
     {
-        add_measurement(found->answer_time, answer_time, now);
+        add_answer_time(pool, *found, answer_time, now, work);
         found->failures = 0;
     }
 }
 
+void note_abandoned(pool& pool, std::string_view id, base::duration elapsed, base::mono_time now,
+                    double work)
+{
+    auto* const found = find_upstream(pool, id);
+    if (found == nullptr)
+    {
+        return;
+    }
+    auto const peers_us = answer_times(pool, found->record.service, now).median_us;
+    auto const expected_us = work * current_us(found->answer_time, peers_us, now);
+    if (static_cast<double>(elapsed.count()) > expected_us)
+    {
+        add_answer_time(pool, *found, elapsed, now, work);
+    }
+}
+
 void note_event_interval(pool& pool, std::string_view id, base::duration interval,
                          base::mono_time now)
 {
--- a/src/fleet/pool.hpp
+++ b/src/fleet/pool.hpp
@@ -115,8 +115,18 @@
 
 /// \ingroup fleet
 /// \brief Adds the response time of an answered request to the mean, and resets the failure count.
+/// A single long answer has a limited effect, since rare requests take ten times as long as others
+/// of their kind.
+/// \param work expected cost of the request, as a multiple of the service's mean response time.
 void note_answer_time(pool& pool, std::string_view id, base::duration answer_time,
-                      base::mono_time now);
+                      base::mono_time now, double work = 1);
+
+/// \ingroup fleet
+/// \brief Adds the time that passed without an answer until a request was abandoned, if that is
+/// more than the mean. Without it, an upstream whose requests are answered elsewhere by a hedge
+/// would keep the mean of its fast answers.
+void note_abandoned(pool& pool, std::string_view id, base::duration elapsed, base::mono_time now,
+                    double work);
 
 /// \ingroup fleet
 /// \brief Adds the time between two events of a stream to the mean, and resets the failure count.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "duty/usage_windows.hpp"
 #include "duty/weights_plan.hpp"
 #include "fleet/configuration.hpp"
+#include "fleet/cost_estimate.hpp"
 #include "fleet/pool.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/list_exchange.hpp"
@@ -93,6 +94,7 @@
     std::uint64_t rejected_configuration_revision = 0;
     duty::latest_versions named_weights;
     fleet::pool pool;
+    fleet::cost_estimates costs;
     /// Hosts that the operator is retiring and whose disks must be emptied.
     std::vector<std::string> retiring_hosts;
     /// Hosts that this process has reported as empty while leading.
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -40,11 +40,30 @@
     return static_cast<double>((now - since).count()) / micros_per_second;
 }
 
+/// Times of the fastest and slowest upstream of a service relative to the median.
+void update_speed_gauges(gateway& self, std::string const& service, base::mono_time now)
+{
+    auto const& events = fleet::event_times(self.pool, service, now);
+    auto const& times =
+        events.median_us > 0 ? events : fleet::answer_times(self.pool, service, now);
+    auto const set_relative = [&](std::string_view upstream, double us)
+    {
+        base::gauge_at(self.metrics,
+                       {"gateway_upstream_relative_time",
+                        "time per event or answer relative to the median, of two upstreams"},
+                       {{"service", service}, {"upstream", upstream}})
+            .value = times.median_us > 0 ? us / times.median_us : 1;
+    };
+    set_relative("fastest", times.fastest_us);
+    set_relative("slowest", times.slowest_us);
+}
+
 void update_upstream_gauges(gateway& self, base::mono_time now)
 {
     // Upstream ids change with each start, so a series per id would grow without bound.
     std::map<std::string, std::map<std::string, double>> counts;
     std::map<std::string, double> running;
+    std::map<std::string, double> outstanding;
     for (auto const& [id, upstream] : self.pool.upstreams)
     {
         auto const* const state = upstream.record.draining           ? "draining"
@@ -56,6 +75,7 @@
                                                                      : "ready";
         ++counts[upstream.record.service][state];
         running[upstream.record.service] += upstream.running;
+        outstanding[upstream.record.service] += upstream.outstanding.sum;
     }
     for (auto const& [service, states] : counts)
     {
@@ -71,6 +91,12 @@
                        {"gateway_upstream_requests", "requests that upstreams work on for us"},
                        {{"service", service}})
             .value = running[service];
+        base::gauge_at(self.metrics,
+                       {"gateway_upstream_outstanding_work",
+                        "expected events, or multiples of a mean request, not done yet"},
+                       {{"service", service}})
+            .value = outstanding[service];
+        update_speed_gauges(self, service, now);
     }
 }
 
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -9,6 +9,7 @@
 #include "gateway/measure.hpp"
 #include "gateway/permits.hpp"
 #include "gateway/refresh.hpp"
+#include "gateway/request_costs.hpp"
 #include "gateway/unsent_requests.hpp"
 #include "http/status.hpp"
 
@@ -48,7 +49,8 @@
     outcome.tries = request.tries;
     for (auto const& [number, running] : request.running_tries)
     {
-        fleet::note_request_ended(self.pool, running.upstream);
+        fleet::note_request_ended(self.pool, running.upstream, running.work);
+        note_abandoned_cost(self, running, base::mono_now());
     }
     // Keeps the request alive until the handler has returned: the caller's frame may use it.
     auto const it = self.requests.find(request.number);
@@ -113,7 +115,8 @@
     {
     case fleet::try_outcome::answered:
     case fleet::try_outcome::failed:
-        fleet::note_answer_time(self.pool, ended.upstream, now - ended.sent_at, now);
+        fleet::note_answer_time(self.pool, ended.upstream, now - ended.sent_at, now,
+                                ended.work.left);
         break;
     case fleet::try_outcome::not_run:
         if (ended.withdrawn)
@@ -224,7 +227,7 @@
     auto const now = base::mono_now();
     auto node = request->running_tries.extract(index);
     auto const& ended = node.mapped();
-    fleet::note_request_ended(self.pool, ended.upstream);
+    fleet::note_request_ended(self.pool, ended.upstream, ended.work);
     auto const head = answer ? platform::decode_response_head(answer->status, answer->headers)
                              : platform::response_head{};
     auto const outcome = outcome_of(answer, head, request->spec.request_id);
@@ -247,6 +250,7 @@
     }
     if (outcome == fleet::try_outcome::answered)
     {
+        note_answered_cost(self, request->spec, now - ended.sent_at);
         finish(self, *request, answered_outcome(answer, ended));
         return;
     }
@@ -317,8 +321,9 @@
     platform::upstream_target const target{
         chosen.id,         chosen.address,          request.spec.host,
         request.spec.team, request.spec.request_id, request.spec.deadline};
-    fleet::note_request_sent(self.pool, chosen.id, now);
     auto& started_try = request.running_tries[index];
+    started_try.work.left = expected_cost(self, request.spec);
+    fleet::note_request_sent(self.pool, chosen.id, now, started_try.work);
     started_try.upstream = chosen.id;
     started_try.incarnation = fleet::incarnation_of(chosen);
     started_try.origin = {chosen.service, chosen.software_version};
@@ -360,8 +365,9 @@
         stop_crashing_request(self, request, *until);
         return;
     }
-    fleet::plain_requirements const need{request.spec.service, self.settings.domain,
-                                         request.tried_upstreams, request.spec.software_version};
+    fleet::plain_requirements const need{
+        request.spec.service,          self.settings.domain,    request.tried_upstreams,
+        request.spec.software_version, request.spec.request_id, expected_cost(self, request.spec)};
     auto const chosen = may_be_sent(self, request.spec, now)
                             ? fleet::choose_plain(self.pool, *self.configuration, need, now)
                             : std::nullopt;
@@ -476,7 +482,7 @@
     note_abandoned_tries(self, *it->second);
     for (auto const& [index, running] : it->second->running_tries)
     {
-        fleet::note_request_ended(self.pool, running.upstream);
+        fleet::note_request_ended(self.pool, running.upstream, running.work);
         started_at = started_at.value_or(running.started_at);
     }
     self.requests.erase(it);
--- a/src/gateway/routed_request.hpp
+++ b/src/gateway/routed_request.hpp
@@ -4,6 +4,7 @@
 #include "base/event_source.hpp"
 #include "base/time.hpp"
 #include "fleet/departures.hpp"
+#include "fleet/outstanding_work.hpp"
 #include "http/fetch.hpp"
 #include "platform/upstream_calls.hpp"
 #include "rollout/text_origin.hpp"
@@ -101,6 +102,8 @@
     fleet::incarnation incarnation;
     /// Service and software version of the upstream.
     rollout::text_origin origin;
+    /// Expected cost, as counted for the upstream.
+    fleet::request_work work;
     base::mono_time sent_at{};
     base::wall_time started_at{};
     /// The list that told that version was recent when the first byte was sent.
--- a/test/fleet_placement_test.cpp
+++ b/test/fleet_placement_test.cpp
@@ -273,3 +273,95 @@
     fleet::note_request_ended(pool, "a", longer);
     CHECK(work.sum == 0);
 }
+
+SCENARIO("the cost of a plain request is estimated by route and size")
+{
+    // Guards against long requests that queue behind each other while other upstreams are idle.
+    fleet::cost_estimates costs;
+    CHECK(fleet::expected_work(costs, "desk", "report", 100) == 1);
+    fleet::note_cost(costs, "desk", "report", 100, 25ms);
+    CHECK(fleet::expected_work(costs, "desk", "report", 100) == 1);
+    CHECK(fleet::expected_work(costs, "desk", "other", 100) == 1);
+    for (int i = 0; i < 100; ++i)
+    {
+        fleet::note_cost(costs, "desk", "report", 100, 25ms);
+        fleet::note_cost(costs, "desk", "report", 2'000'000, 100ms);
+    }
+    auto const small = fleet::expected_work(costs, "desk", "report", 100);
+    auto const large = fleet::expected_work(costs, "desk", "report", 2'000'000);
+    CHECK(large / small == doctest::Approx(4).epsilon(0.05));
+    fleet::note_cost(costs, "desk", "report", 100, 10s);
+    CHECK(fleet::expected_work(costs, "desk", "report", 100) <= 8);
+}
+
+SCENARIO("wrong estimates of response times do not attract or repel all plain requests")
+{
+    auto const config = make_configuration();
+    auto pool = make_pool({"a", "b", "c"});
+    std::vector<std::string> const tried;
+    auto const choose = [&](std::string_view request_id, int ms)
+    {
+        fleet::plain_requirements const need{"engines", "", tried, "", request_id};
+        return fleet::choose_plain(pool, config, need, at_ms(ms))->id;
+    };
+    WHEN("one upstream is taken for much faster than it is")
+    {
+        fleet::note_answer_time(pool, "a", 8ms, at_ms(0));
+        fleet::note_answer_time(pool, "b", 25ms, at_ms(0));
+        fleet::note_answer_time(pool, "c", 25ms, at_ms(0));
+        std::map<std::string, int> counts;
+        for (int i = 0; i < 24; ++i)
+        {
+            auto const id = choose(std::to_string(i), 0);
+            fleet::note_request_sent(pool, id, at_ms(0));
+            ++counts[id];
+        }
+        THEN("the others get requests before its queue is full")
+        {
+            CHECK(counts["a"] < 20);
+            CHECK(counts["b"] > 0);
+            CHECK(counts["c"] > 0);
+        }
+    }
+    WHEN("one answer of an upstream takes ten times as long as others")
+    {
+        for (auto const* id : {"a", "b", "c"})
+        {
+            for (int i = 0; i < 10; ++i)
+            {
+                fleet::note_answer_time(pool, id, 25ms, at_ms(0));
+            }
+        }
+        fleet::note_answer_time(pool, "a", 250ms, at_ms(0));
+        THEN("it gets requests again when the others have as many as they have slots")
+        {
+            for (std::uint32_t i = 0; i < slots; ++i)
+            {
+                fleet::note_request_sent(pool, "b", at_ms(0));
+                fleet::note_request_sent(pool, "c", at_ms(0));
+            }
+            CHECK(choose("request", 0) == "a");
+        }
+    }
+    WHEN("requests to an upstream are abandoned since hedges were answered first")
+    {
+        for (auto const* id : {"a", "b", "c"})
+        {
+            fleet::note_answer_time(pool, id, 25ms, at_ms(0));
+        }
+        for (int i = 0; i < 3; ++i)
+        {
+            fleet::note_abandoned(pool, "a", 5ms, at_ms(60), 1);
+        }
+        CHECK(pool.upstreams.at("a").answer_time.us == 25'000);
+        fleet::note_abandoned(pool, "a", 60ms, at_ms(60), 1);
+        THEN("it counts as slower")
+        {
+            CHECK(pool.upstreams.at("a").answer_time.us > 25'000);
+            for (int i = 0; i < 10; ++i)
+            {
+                CHECK(choose(std::to_string(i), 60) != "a");
+            }
+        }
+    }
+}
