Read from the owner of a job only the results that the caller does not know

Cause: callers read a job about twice a second, each time at another gateway, mostly from the position of their last read on. Each gateway that did not own the job transferred, decoded and kept all its results from the first one. Change: a read beyond the cached results asks the owner from that position on and caches nothing.

--- a/src/gateway/read_job.cpp
+++ b/src/gateway/read_job.cpp
@@ -120,6 +120,42 @@
            from_position <= cache.results.size();
 }
 
+/// Answers with the results that the owner lists from the caller's position on.
+/// \returns false, without an answer, when the results must be read from the store.
+bool answer_from_owner(http::exchange& exchange, std::size_t total, std::size_t from_position,
+                       std::optional<wire::list_answer> const& answer)
+{
+    if (!answer || !answer->available)
+    {
+        return false;
+    }
+    result_cache later;
+    if (!append_owned_results(later, 0, answer->changes.items))
+    {
+        return false;
+    }
+    http::respond(exchange, http::status::ok, "application/json",
+                  platform::encode_results(total, from_position, later.results));
+    return true;
+}
+
+/// Reads only what the caller does not know. Callers read a job from many gateways, most of them
+/// from the position of their last read on, so that the earlier results would be transferred to
+/// nearly every gateway.
+void read_later_results(gateway& self, shared_exchange const& exchange, std::string const& id,
+                        std::size_t total, std::size_t from_position, rollout::member const& owner)
+{
+    request_list(
+        self, owner, {0, rollout::result_prefix(id), 0, from_position, {}},
+        [&self, exchange, id, total, from_position](std::optional<wire::list_answer> const& answer)
+        {
+            if (!answer_from_owner(*exchange, total, from_position, answer))
+            {
+                read_stored_results(self, exchange, id, total, from_position);
+            }
+        });
+}
+
 /// Answers with the results of a job that this process does not own. Asks the owner, which holds
 /// them in memory, and falls back to the store.
 void read_remote_results(gateway& self, shared_exchange const& exchange, std::string const& id,
@@ -140,6 +176,11 @@
         return;
     }
     auto const known = cache.results.size();
+    if (from_position > known)
+    {
+        read_later_results(self, exchange, id, total, from_position, *owner);
+        return;
+    }
     request_list(self, *owner, {0, rollout::result_prefix(id), 0, known, {}},
                  [&self, exchange, id, total, from_position,
                   known](std::optional<wire::list_answer> const& answer)
