Compute the needed versions once per tick, and the gauges of models on the leader only

Cause: the training steps were computed from all records again after each answer to an order and on each reading of metrics.

--- a/src/duty/weights_loads.cpp
+++ b/src/duty/weights_loads.cpp
@@ -321,12 +321,10 @@
     return next;
 }
 
-std::map<std::string, load_summary, std::less<>> summarize_loads(weights_plan const& plan,
-                                                                 fleet::pool const& pool,
-                                                                 needed_versions const& needed,
-                                                                 base::mono_time now)
+load_summaries summarize_loads(weights_plan const& plan, fleet::pool const& pool,
+                               needed_versions const& needed, base::mono_time now)
 {
-    std::map<std::string, load_summary, std::less<>> summaries;
+    load_summaries summaries;
     for (auto const& [id, assignment] : plan.upstreams)
     {
         auto const it = pool.upstreams.find(id);
--- a/src/duty/weights_loads.hpp
+++ b/src/duty/weights_loads.hpp
@@ -84,11 +84,14 @@
     std::size_t loading_accepted = 0;
 };
 
+/// \ingroup duty
+/// \brief By model.
+using load_summaries = std::map<std::string, load_summary, std::less<>>;
+
 /// \ingroup duty
 /// \brief Summarizes the upstreams by model, for metrics and decisions.
-[[nodiscard]] std::map<std::string, load_summary, std::less<>>
-summarize_loads(weights_plan const& plan, fleet::pool const& pool, needed_versions const& needed,
-                base::mono_time now);
+[[nodiscard]] load_summaries summarize_loads(weights_plan const& plan, fleet::pool const& pool,
+                                             needed_versions const& needed, base::mono_time now);
 
 } // namespace gooseberrywood::duty
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "base/metrics.hpp"
 #include "base/result.hpp"
 #include "duty/candidate.hpp"
+#include "duty/needed_versions.hpp"
 #include "duty/usage_windows.hpp"
 #include "duty/weights_plan.hpp"
 #include "fleet/configuration.hpp"
@@ -124,6 +125,8 @@
 
     duty::candidate candidate;
     duty::weights_plan weights;
+    /// Versions that the open steps need, as of the last duties.
+    duty::needed_versions needed_weights;
     /// Changed model shares are not written before this time.
     base::mono_time publish_shares_at{};
     duty::usage_windows usage;
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -1,7 +1,6 @@
 #include "gateway/measure.hpp"
 
 #include "base/log.hpp"
-#include "duty/needed_versions.hpp"
 #include "duty/weights_loads.hpp"
 #include "gateway/training_steps.hpp"
 #include "rollout/model_demand.hpp"
@@ -103,43 +102,47 @@
 void set_model_gauge(gateway& self, base::metric_name<base::metric_kind::gauge> name,
                      std::string_view model, double value)
 {
-    base::gauge_at(self.metrics, name, {{"model", std::string(model)}}).value =
-        self.candidate.held ? value : 0;
+    base::gauge_at(self.metrics, name, {{"model", std::string(model)}}).value = value;
+}
+
+void update_model_gauges_of(gateway& self, fleet::service const& service, base::mono_time now)
+{
+    // Only the leader knows the state of the loads; the others report 0.
+    bool const leads = self.candidate.held.has_value();
+    auto loads = leads ? duty::summarize_loads(self.weights, self.pool, self.needed_weights, now)
+                       : duty::load_summaries{};
+    std::size_t upstreams = 0;
+    for (auto const& model : service.models)
+    {
+        upstreams += loads[model].assigned;
+    }
+    auto const demand =
+        leads ? rollout::recent_demand(training_steps(self)) : rollout::model_demand{};
+    for (auto const& [model, target] : duty::target_shares(service, upstreams, demand))
+    {
+        auto const& load = loads[model];
+        set_model_gauge(self, {"gateway_model_share", "upstreams that a model has"}, model,
+                        static_cast<double>(load.assigned));
+        set_model_gauge(self,
+                        {"gateway_model_target", "upstreams that a model should have by demand"},
+                        model, target);
+        set_model_gauge(
+            self, {"gateway_model_usable", "upstreams of a model that can serve every open step"},
+            model, static_cast<double>(load.usable));
+        set_model_gauge(self, {"gateway_model_loading", "upstreams of a model that load weights"},
+                        model, static_cast<double>(load.loading));
+    }
 }
 
-/// Shares of the models in the upstreams. Only the leader knows them; others report 0.
 void update_model_gauges(gateway& self, base::mono_time now)
 {
     if (!self.configuration)
     {
         return;
     }
-    auto const steps = training_steps(self);
-    auto const demand = rollout::recent_demand(steps);
-    auto loads = duty::summarize_loads(self.weights, self.pool, duty::needed_by(steps), now);
     for (auto const& service : self.configuration->services)
     {
-        std::size_t upstreams = 0;
-        for (auto const& model : service.models)
-        {
-            upstreams += loads[model].assigned;
-        }
-        for (auto const& [model, target] : duty::target_shares(service, upstreams, demand))
-        {
-            auto const& load = loads[model];
-            set_model_gauge(self, {"gateway_model_share", "upstreams that a model has"}, model,
-                            static_cast<double>(load.assigned));
-            set_model_gauge(
-                self, {"gateway_model_target", "upstreams that a model should have by demand"},
-                model, target);
-            set_model_gauge(
-                self,
-                {"gateway_model_usable", "upstreams of a model that can serve every open step now"},
-                model, static_cast<double>(load.usable));
-            set_model_gauge(self,
-                            {"gateway_model_loading", "upstreams of a model that load weights"},
-                            model, static_cast<double>(load.loading));
-        }
+        update_model_gauges_of(self, service, now);
     }
 }
 
--- a/src/gateway/weights_orders.cpp
+++ b/src/gateway/weights_orders.cpp
@@ -173,9 +173,8 @@
 
 void send_due_orders(gateway& self, duty::authority const& authority, base::mono_time now)
 {
-    auto const needed = duty::needed_by(training_steps(self));
     for (auto const& order :
-         duty::due_orders(self.weights, self.pool, self.named_weights, needed, now))
+         duty::due_orders(self.weights, self.pool, self.named_weights, self.needed_weights, now))
     {
         auto* const upstream = find_ordered(self, order.upstream);
         if (!upstream->accepted)
@@ -216,8 +215,9 @@
         return;
     }
     auto const steps = training_steps(self);
+    self.needed_weights = duty::needed_by(steps);
     bool const urgent_loads_wait = duty::urgent_loads_wait(
-        self.weights, self.pool, self.named_weights, duty::needed_by(steps), now);
+        self.weights, self.pool, self.named_weights, self.needed_weights, now);
     auto const shares_before = duty::shares_of(self.weights);
     duty::assign_models(self.weights, self.pool, *self.configuration, self.named_weights,
                         rollout::recent_demand(steps),
