Don't leave engines that the step of a named version finds too old

Cause: the records show a step up to 1.2 s after its version is named. Until then an engine that is too old for it seemed to serve all open steps and could be left without a load. Change: only engines with the version before the latest are left.

--- a/src/duty/weights_loads.cpp
+++ b/src/duty/weights_loads.cpp
@@ -41,7 +41,8 @@
 {
     weights_order order;
     load_urgency urgency = load_urgency::not_latest;
-    /// Set when its model has open steps and the upstream can serve all of them.
+    /// Set when its model has open steps, of which the upstream can serve all that are known and
+    /// the one of the latest version.
     bool is_deferrable = false;
     /// Time by which its last load had finished.
     base::mono_time loaded_at{};
@@ -150,13 +151,16 @@
         {
             auto const versions = needed_of(needed, assignment.model);
             auto const urgency = urgency_of(loaded, versions, wanted);
-            candidates.push_back(
-                {{id, it->second.record.address, assignment.model, wanted,
-                  assignment.accepted.value_or(0)},
-                 urgency,
-                 versions.every_step > 0 && urgency > load_urgency::too_old_for_a_step,
-                 assignment.loaded_at,
-                 it->second.running});
+            // The records show a step later than its version is named. An upstream that is too old
+            // for the step of the latest version is not left.
+            bool const is_deferrable = versions.every_step > 0 && loaded + 1 >= wanted &&
+                                       urgency > load_urgency::too_old_for_a_step;
+            candidates.push_back({{id, it->second.record.address, assignment.model, wanted,
+                                   assignment.accepted.value_or(0)},
+                                  urgency,
+                                  is_deferrable,
+                                  assignment.loaded_at,
+                                  it->second.running});
         }
     }
     return candidates;
