--- a/src/duty/weights_plan.cpp
+++ b/src/duty/weights_plan.cpp
@@ -1,6 +1,8 @@
 #include "duty/weights_plan.hpp"
 
 #include <algorithm>
+#include <optional>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -12,11 +14,6 @@
 
 using fleet::version_of;
 
-// Upstreams that load weights at the same time slow each other down. At most one in five may load
-// at once, or two if that is more.
-constexpr std::size_t upstreams_per_load = 5;
-constexpr std::size_t min_concurrent_loads = 2;
-
 // The version with which every upstream starts.
 constexpr std::uint32_t initial_version = 1;
 
@@ -43,20 +40,21 @@
 
 /// Upstreams of a service, sorted by failure domain so that each model gets upstreams in all
 /// domains.
-std::vector<fleet::upstream_record const*> upstreams_of(fleet::pool const& pool,
-                                                        fleet::service const& service)
+std::vector<fleet::upstream const*> upstreams_of(fleet::pool const& pool,
+                                                 fleet::service const& service)
 {
-    std::vector<fleet::upstream_record const*> found;
+    std::vector<fleet::upstream const*> found;
     for (auto const& [id, upstream] : pool.upstreams)
     {
         if (upstream.record.service == service.name && !upstream.record.draining &&
             !upstream.leaving)
         {
-            found.push_back(&upstream.record);
+            found.push_back(&upstream);
         }
     }
     std::stable_sort(found.begin(), found.end(),
-                     [](auto const* a, auto const* b) { return a->domain < b->domain; });
+                     [](auto const* a, auto const* b)
+                     { return a->record.domain < b->record.domain; });
     return found;
 }
 
@@ -76,13 +74,24 @@
 // random variation.
 constexpr double rebalance_threshold = 1.5;
 
+// Time between two steps of a model while it is unknown: the usual one.
+constexpr base::duration default_step_interval = std::chrono::milliseconds(4000);
+
+/// An upstream in the share of a model.
+struct assigned_upstream
+{
+    upstream_assignment* assignment = nullptr;
+    /// Number of requests of this process in progress there.
+    std::uint32_t running = 0;
+};
+
 /// Share of a model in the upstreams of a service.
 struct model_share
 {
     /// Number of upstreams that the model should have.
     double target = 0;
     /// Upstreams that the model has.
-    std::vector<upstream_assignment*> assigned;
+    std::vector<assigned_upstream> assigned;
 };
 
 double deficit(model_share const& share)
@@ -92,25 +101,13 @@
 
 using share_map = std::map<std::string, model_share>;
 
-share_map target_shares(fleet::service const& service, std::size_t upstreams,
-                        rollout::model_demand const& demand)
+share_map make_shares(fleet::service const& service, std::size_t upstreams,
+                      rollout::model_demand const& demand)
 {
-    double known_models = 0;
-    double sum = 0;
-    for (auto const& model : service.models)
-    {
-        auto const it = demand.find(model);
-        known_models += it != demand.end() ? 1 : 0;
-        sum += it != demand.end() ? it->second : 0;
-    }
-    auto const mean = sum > 0 ? sum / known_models : 1;
-    auto const total = sum + mean * (static_cast<double>(service.models.size()) - known_models);
     share_map shares;
-    for (auto const& model : service.models)
+    for (auto const& [model, target] : target_shares(service, upstreams, demand))
     {
-        auto const it = demand.find(model);
-        auto const fraction = (it != demand.end() && sum > 0 ? it->second : mean) / total;
-        shares[model].target = fraction * static_cast<double>(upstreams);
+        shares[model].target = target;
     }
     return shares;
 }
@@ -118,19 +115,19 @@
 /// Keeps an upstream assigned to its model or, if it has none in the plan, assigns it to the model
 /// that it appears to be assigned to, and counts it in the share of that model. Returns false,
 /// without a change, if the service has no such model.
-bool keep_assignment(upstream_assignment& assignment, fleet::upstream_record const& record,
+bool keep_assignment(upstream_assignment& assignment, fleet::upstream const& upstream,
                      fleet::service const& service, latest_versions const& latest,
                      share_map& shares)
 {
-    auto const model =
-        assignment.model.empty() ? inferred_model(record, service, latest) : assignment.model;
+    auto const model = assignment.model.empty() ? inferred_model(upstream.record, service, latest)
+                                                : assignment.model;
     auto const it = shares.find(model);
     if (it == shares.end())
     {
         return false;
     }
     assignment.model = model;
-    it->second.assigned.push_back(&assignment);
+    it->second.assigned.push_back({&assignment, upstream.running});
     return true;
 }
 
@@ -148,10 +145,17 @@
                             { return deficit(a.second) < deficit(b.second); });
 }
 
-void assign(share_map::iterator share, upstream_assignment* assignment)
+void assign(share_map::iterator share, assigned_upstream upstream)
 {
-    assignment->model = share->first;
-    share->second.assigned.push_back(assignment);
+    auto* const assignment = upstream.assignment;
+    if (assignment->model != share->first)
+    {
+        assignment->model = share->first;
+        // Versions of another model say nothing about what this one needs.
+        assignment->ordered_version = 0;
+        assignment->retry_at = {};
+    }
+    share->second.assigned.push_back(upstream);
 }
 
 bool needs_rebalancing(share_map& shares)
@@ -160,9 +164,39 @@
            -deficit(smallest_deficit(shares)->second) >= rebalance_threshold;
 }
 
+/// Removes the upstream that is moved first from a share: the least busy one, then the one with the
+/// oldest load. Returns nothing if none may be moved.
+std::optional<assigned_upstream> take_movable(model_share& share, base::mono_time now)
+{
+    auto const is_movable = [&](assigned_upstream const& upstream)
+    {
+        return !upstream.assignment->busy && now >= upstream.assignment->stays_until;
+    };
+    auto const rank_of = [&](assigned_upstream const& upstream)
+    {
+        return std::tuple(!is_movable(upstream), upstream.running, upstream.assignment->loaded_at);
+    };
+    auto const first =
+        std::min_element(share.assigned.begin(), share.assigned.end(),
+                         [&](auto const& a, auto const& b) { return rank_of(a) < rank_of(b); });
+    if (first == share.assigned.end() || !is_movable(*first))
+    {
+        return std::nullopt;
+    }
+    auto const taken = *first;
+    share.assigned.erase(first);
+    return taken;
+}
+
+base::duration step_interval_of(move_conditions const& conditions, std::string_view model)
+{
+    auto const it = conditions.intervals.find(model);
+    return it != conditions.intervals.end() ? it->second : default_step_interval;
+}
+
 /// If a share deviates from its target by at least the threshold, moves upstreams until all shares
 /// are as close to their targets as possible.
-void rebalance(share_map& shares)
+void rebalance(share_map& shares, move_conditions const& conditions)
 {
     if (!needs_rebalancing(shares))
     {
@@ -175,24 +209,29 @@
         // A move brings two shares closer to their targets only if their deficits differ by more
         // than one upstream.
         bool const is_improvement = deficit(target->second) - deficit(source->second) > 1;
-        if (!is_improvement || source->second.assigned.empty())
+        bool const may_move = !conditions.urgent_loads_wait || target->second.assigned.empty();
+        auto const moved = is_improvement && may_move ? take_movable(source->second, conditions.now)
+                                                      : std::nullopt;
+        if (!moved)
         {
             return;
         }
-        auto* const moved = source->second.assigned.back();
-        source->second.assigned.pop_back();
-        assign(target, moved);
+        assign(target, *moved);
+        moved->assignment->stays_until =
+            conditions.now + step_interval_of(conditions, target->first);
     }
 }
 
 void assign_service(weights_plan& plan, fleet::pool const& pool, fleet::service const& service,
-                    latest_versions const& latest, rollout::model_demand const& demand)
+                    latest_versions const& latest, rollout::model_demand const& demand,
+                    move_conditions const& conditions)
 {
     auto const upstreams = upstreams_of(pool, service);
-    auto shares = target_shares(service, upstreams.size(), demand);
-    std::vector<upstream_assignment*> unassigned;
-    for (auto const* record : upstreams)
+    auto shares = make_shares(service, upstreams.size(), demand);
+    std::vector<assigned_upstream> unassigned;
+    for (auto const* upstream : upstreams)
     {
+        auto const* const record = &upstream->record;
         auto& assignment = plan.upstreams[record->id];
         if (assignment.started_ms != record->started_ms)
         {
@@ -202,69 +241,70 @@
             assignment.model = std::move(model);
             assignment.started_ms = record->started_ms;
         }
-        if (!keep_assignment(assignment, *record, service, latest, shares))
+        if (!keep_assignment(assignment, *upstream, service, latest, shares))
         {
-            unassigned.push_back(&assignment);
+            unassigned.push_back({&assignment, upstream->running});
         }
     }
-    for (auto* const assignment : unassigned)
+    for (auto const& upstream : unassigned)
     {
-        assign(largest_deficit(shares), assignment);
+        assign(largest_deficit(shares), upstream);
     }
-    rebalance(shares);
+    rebalance(shares, conditions);
 }
 
-bool is_loading(upstream_assignment const& assignment, base::mono_time now)
+/// Continues with a load that an earlier leader has announced, so that the upstream is neither
+/// ordered again nor missing from the number of concurrent loads.
+void restore_load(upstream_assignment& assignment, fleet::announced_weights const& announced)
 {
-    return assignment.busy || now < assignment.loaded_at;
-}
-
-struct order_candidate
-{
-    weights_order order;
-    /// Set when the version of the upstream is too old for a running job.
-    bool is_urgent = false;
-    /// Number of requests in progress at the upstream.
-    std::uint32_t running = 0;
-};
-
-std::vector<weights_order> select_orders(std::vector<order_candidate> candidates,
-                                         std::map<std::string, base::mono_time> ordered_at,
-                                         std::size_t max_orders, base::mono_time now)
-{
-    std::vector<weights_order> selected;
-    while (selected.size() < max_orders && !candidates.empty())
+    if (announced.model == assignment.model)
     {
-        auto const best = std::min_element(
-            candidates.begin(), candidates.end(),
-            [&](order_candidate const& a, order_candidate const& b)
-            {
-                return std::tuple(!a.is_urgent, ordered_at[a.order.model], a.running) <
-                       std::tuple(!b.is_urgent, ordered_at[b.order.model], b.running);
-            });
-        ordered_at[best->order.model] = now;
-        selected.push_back(std::move(best->order));
-        candidates.erase(best);
+        assignment.ordered_version = announced.version;
+        assignment.loaded_at = announced.loaded_at;
+        assignment.retry_at = announced.loaded_at + report_delay;
     }
-    return selected;
 }
 
 } // namespace
 
 void assign_models(weights_plan& plan, fleet::pool const& pool,
                    fleet::configuration const& configuration, latest_versions const& latest,
-                   rollout::model_demand const& demand)
+                   rollout::model_demand const& demand, move_conditions const& conditions)
 {
     erase_unavailable(plan, pool);
     for (auto const& service : configuration.services)
     {
         if (!service.models.empty())
         {
-            assign_service(plan, pool, service, latest, demand);
+            assign_service(plan, pool, service, latest, demand, conditions);
         }
     }
 }
 
+std::map<std::string, double, std::less<>> target_shares(fleet::service const& service,
+                                                         std::size_t upstreams,
+                                                         rollout::model_demand const& demand)
+{
+    double known_models = 0;
+    double sum = 0;
+    for (auto const& model : service.models)
+    {
+        auto const it = demand.find(model);
+        known_models += it != demand.end() ? 1 : 0;
+        sum += it != demand.end() ? it->second : 0;
+    }
+    auto const mean = sum > 0 ? sum / known_models : 1;
+    auto const total = sum + mean * (static_cast<double>(service.models.size()) - known_models);
+    std::map<std::string, double, std::less<>> targets;
+    for (auto const& model : service.models)
+    {
+        auto const it = demand.find(model);
+        auto const fraction = (it != demand.end() && sum > 0 ? it->second : mean) / total;
+        targets[model] = fraction * static_cast<double>(upstreams);
+    }
+    return targets;
+}
+
 fleet::model_shares shares_of(weights_plan const& plan)
 {
     fleet::model_shares shares;
@@ -286,47 +326,10 @@
             auto& assignment = plan.upstreams[id];
             assignment.model = model;
             assignment.started_ms = it->second.record.started_ms;
+            restore_load(assignment, it->second.announced);
         }
     }
     return plan;
 }
 
-std::vector<weights_order> due_orders(weights_plan const& plan, fleet::pool const& pool,
-                                      latest_versions const& latest,
-                                      fleet::weight_versions const& needed, base::mono_time now)
-{
-    std::size_t loading = 0;
-    std::vector<order_candidate> candidates;
-    for (auto const& [id, assignment] : plan.upstreams)
-    {
-        auto const it = pool.upstreams.find(id);
-        if (it == pool.upstreams.end())
-        {
-            continue;
-        }
-        auto const wanted_version = version_of(latest, assignment.model);
-        auto const loaded_version = version_of(it->second.record.weights, assignment.model);
-        bool const is_current = loaded_version >= wanted_version;
-        bool const is_urgent = loaded_version < version_of(needed, assignment.model);
-        if (is_loading(assignment, now))
-        {
-            ++loading;
-        }
-        bool const may_order =
-            !is_loading(assignment, now) && wanted_version > initial_version && !is_current &&
-            (assignment.ordered_version < wanted_version || now >= assignment.retry_at);
-        if (may_order)
-        {
-            candidates.push_back({{id, it->second.record.address, assignment.model, wanted_version,
-                                   assignment.accepted.value_or(0)},
-                                  is_urgent,
-                                  it->second.running});
-        }
-    }
-    auto const max_loads =
-        std::max(min_concurrent_loads, plan.upstreams.size() / upstreams_per_load);
-    return select_orders(std::move(candidates), plan.ordered_at,
-                         max_loads - std::min(max_loads, loading), now);
-}
-
 } // namespace gooseberrywood::duty
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -5,9 +5,11 @@
 #include "base/metrics.hpp"
 #include "base/result.hpp"
 #include "duty/candidate.hpp"
+#include "duty/needed_versions.hpp"
 #include "duty/usage_windows.hpp"
 #include "duty/weights_plan.hpp"
 #include "fleet/configuration.hpp"
+#include "fleet/cost_estimate.hpp"
 #include "fleet/pool.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/list_exchange.hpp"
@@ -93,6 +95,7 @@
     std::uint64_t rejected_configuration_revision = 0;
     duty::latest_versions named_weights;
     fleet::pool pool;
+    fleet::cost_estimates costs;
     /// Hosts that the operator is retiring and whose disks must be emptied.
     std::vector<std::string> retiring_hosts;
     /// Hosts that this process has reported as empty while leading.
@@ -119,17 +122,24 @@
     base::event_source sample_timer;
     /// When the next sample check is due; a later check shows that the process was delayed.
     base::mono_time sample_check_due{};
+    /// Running samples are not checked for moves before this time.
+    base::mono_time next_move_check{};
     base::event_source dispatch_soon;
     base::event_source withdraw_soon;
 
     duty::candidate candidate;
     duty::weights_plan weights;
+    /// Versions that the open steps need, as of the last duties.
+    duty::needed_versions needed_weights;
     /// Changed model shares are not written before this time.
     base::mono_time publish_shares_at{};
     duty::usage_windows usage;
     usage_reporting reporting;
     std::map<std::uint64_t, std::shared_ptr<http::fetch>> control_calls;
     base::event_source leader_timer;
+    /// Fires when a load of weights is expected to finish.
+    base::event_source load_end_timer;
+    base::event_source order_soon;
 };
 
 /// \ingroup gateway
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -1,6 +1,9 @@
 #include "gateway/measure.hpp"
 
 #include "base/log.hpp"
+#include "duty/weights_loads.hpp"
+#include "gateway/training_steps.hpp"
+#include "rollout/model_demand.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -40,11 +43,30 @@
     return static_cast<double>((now - since).count()) / micros_per_second;
 }
 
+/// Times of the fastest and slowest upstream of a service relative to the median.
+void update_speed_gauges(gateway& self, std::string const& service, base::mono_time now)
+{
+    auto const& events = fleet::event_times(self.pool, service, now);
+    auto const& times =
+        events.median_us > 0 ? events : fleet::answer_times(self.pool, service, now);
+    auto const set_relative = [&](std::string_view upstream, double us)
+    {
+        base::gauge_at(self.metrics,
+                       {"gateway_upstream_relative_time",
+                        "time per event or answer relative to the median, of two upstreams"},
+                       {{"service", service}, {"upstream", upstream}})
+            .value = times.median_us > 0 ? us / times.median_us : 1;
+    };
+    set_relative("fastest", times.fastest_us);
+    set_relative("slowest", times.slowest_us);
+}
+
 void update_upstream_gauges(gateway& self, base::mono_time now)
 {
     // Upstream ids change with each start, so a series per id would grow without bound.
     std::map<std::string, std::map<std::string, double>> counts;
     std::map<std::string, double> running;
+    std::map<std::string, double> outstanding;
     for (auto const& [id, upstream] : self.pool.upstreams)
     {
         auto const* const state = upstream.record.draining           ? "draining"
@@ -56,6 +78,7 @@
                                                                      : "ready";
         ++counts[upstream.record.service][state];
         running[upstream.record.service] += upstream.running;
+        outstanding[upstream.record.service] += upstream.outstanding.sum;
     }
     for (auto const& [service, states] : counts)
     {
@@ -71,6 +94,12 @@
                        {"gateway_upstream_requests", "requests that upstreams work on for us"},
                        {{"service", service}})
             .value = running[service];
+        base::gauge_at(self.metrics,
+                       {"gateway_upstream_outstanding_work",
+                        "expected events, or multiples of a mean request, not done yet"},
+                       {{"service", service}})
+            .value = outstanding[service];
+        update_speed_gauges(self, service, now);
     }
 }
 
@@ -115,6 +144,53 @@
               static_cast<double>(self.requests.size()));
 }
 
+void set_model_gauge(gateway& self, base::metric_name<base::metric_kind::gauge> name,
+                     std::string_view model, double value)
+{
+    base::gauge_at(self.metrics, name, {{"model", std::string(model)}}).value = value;
+}
+
+void update_model_gauges_of(gateway& self, fleet::service const& service, base::mono_time now)
+{
+    // Only the leader knows the state of the loads; the others report 0.
+    bool const leads = self.candidate.held.has_value();
+    auto loads = leads ? duty::summarize_loads(self.weights, self.pool, self.needed_weights, now)
+                       : duty::load_summaries{};
+    std::size_t upstreams = 0;
+    for (auto const& model : service.models)
+    {
+        upstreams += loads[model].assigned;
+    }
+    auto const demand =
+        leads ? rollout::recent_demand(training_steps(self)) : rollout::model_demand{};
+    for (auto const& [model, target] : duty::target_shares(service, upstreams, demand))
+    {
+        auto const& load = loads[model];
+        set_model_gauge(self, {"gateway_model_share", "upstreams that a model has"}, model,
+                        static_cast<double>(load.assigned));
+        set_model_gauge(self,
+                        {"gateway_model_target", "upstreams that a model should have by demand"},
+                        model, target);
+        set_model_gauge(
+            self, {"gateway_model_usable", "upstreams of a model that can serve every open step"},
+            model, static_cast<double>(load.usable));
+        set_model_gauge(self, {"gateway_model_loading", "upstreams of a model that load weights"},
+                        model, static_cast<double>(load.loading));
+    }
+}
+
+void update_model_gauges(gateway& self, base::mono_time now)
+{
+    if (!self.configuration)
+    {
+        return;
+    }
+    for (auto const& service : self.configuration->services)
+    {
+        update_model_gauges_of(self, service, now);
+    }
+}
+
 } // namespace
 
 void count_answer(gateway& self, std::string_view route, std::string_view outcome,
@@ -238,6 +314,7 @@
     update_job_gauges(self);
     update_upstream_gauges(self, now);
     update_caller_gauges(self);
+    update_model_gauges(self, now);
     set_gauge(self, {"gateway_leads", "1 while this process leads"}, self.candidate.held ? 1 : 0);
     set_gauge(self, {"gateway_lease_held", "1 while the lease in the store holds"},
               has_lease(self, now) ? 1 : 0);
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -9,6 +9,7 @@
 #include "gateway/sample_runs.hpp"
 #include "gateway/shared_entries.hpp"
 #include "gateway/unsent_requests.hpp"
+#include "gateway/weights_orders.hpp"
 #include "platform/operator_state.hpp"
 #include "platform/protocol_names.hpp"
 #include "platform/upstream_entry.hpp"
@@ -103,6 +104,7 @@
             base::log_line(base::log_level::info, "weights_named",
                            {{"model", model}, {"version", std::int64_t{version}}});
             known = version;
+            order_weights_soon(self);
         }
     }
 }
@@ -209,6 +211,12 @@
     read_list_now(self, self.shared_poller, shared_plan(self));
 }
 
+void refresh_for_duties(gateway& self)
+{
+    read_list_now(self, self.operator_poller, operator_plan(self));
+    read_list_now(self, self.upstream_poller, upstream_plan(self));
+}
+
 poller const* find_list_poller(gateway const& self, std::string_view prefix)
 {
     if (prefix == platform::store_keys::operator_prefix)
