Tests of engine shares and bench of placement: linter findings

Cause: a parameter was copied and a constant unused. Change: the parameter is a reference, the constant is gone.

--- a/bench/placement_policy.cpp
+++ b/bench/placement_policy.cpp
@@ -161,7 +161,6 @@
 
 // Samples.
 
-constexpr std::size_t engine_count = 43;
 constexpr std::uint32_t tokens_per_event = 79;
 constexpr base::duration run_target = 7500ms;
 // Connection and place in the queue.
--- a/test/duty_shares_test.cpp
+++ b/test/duty_shares_test.cpp
@@ -34,7 +34,8 @@
 }
 
 /// Steps that two trainers have submitted every 4 s, at 16 s; those from `open_from` on are open.
-std::vector<rollout::training_step> steps_at_16_s(std::map<std::string, base::duration> open_from)
+std::vector<rollout::training_step>
+steps_at_16_s(std::map<std::string, base::duration> const& open_from)
 {
     std::vector<rollout::training_step> steps;
     for (auto const& [model, first_open] : open_from)
