Rollout: plan which groups get the engines when not all can be in time

Cause: waiting samples were ordered by slack alone. When capacity is short, all steps then share the engines and all groups are late at the same time.

Change: rollout::plan_groups ranks the groups of a process's own jobs and orders their waiting samples. While the engines can complete all groups in time, the longest remaining sample starts first, as before. Otherwise the groups nearest to completion get the engines, as many as fit. Lengths of samples are learned by model, and the time per event comes from the pool. Late groups are logged once, and waiting samples are counted by rank.

--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -10,6 +10,7 @@
 #include "fleet/configuration.hpp"
 #include "fleet/crash_marks.hpp"
 #include "fleet/departures.hpp"
+#include "fleet/model_capacity.hpp"
 #include "fleet/permit_bucket.hpp"
 #include "fleet/pool.hpp"
 
--- a/src/fleet/service.hpp
+++ b/src/fleet/service.hpp
@@ -17,6 +17,8 @@
     double cold_requests_per_s = 0;
     /// Models that the upstreams serve; empty for a service without models.
     std::vector<std::string> models;
+    /// Number of tokens that one event of a stream carries.
+    std::uint32_t tokens_per_event = 32;
 };
 
 } // namespace gooseberrywood::fleet
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -17,6 +17,7 @@
 #include "gateway/poller.hpp"
 #include "gateway/process_lease.hpp"
 #include "gateway/routed_request.hpp"
+#include "gateway/sample_planning.hpp"
 #include "gateway/sample_run.hpp"
 #include "gateway/shared_view.hpp"
 #include "gateway/store_relay.hpp"
@@ -115,6 +116,7 @@
     /// Jobs that this process owns and is loading from the store.
     std::set<std::string> loading_jobs;
     std::map<std::uint64_t, sample_run> runs;
+    sample_planning planning;
     std::map<std::string, result_cache> result_caches;
     base::event_source sample_timer;
     /// When the next sample check is due; a later check shows that the process was delayed.
--- a/src/gateway/job_running.cpp
+++ b/src/gateway/job_running.cpp
@@ -10,6 +10,8 @@
 #include "rollout/store_keys.hpp"
 
 #include <iterator>
+#include <map>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -34,6 +36,21 @@
     job.give_up_at = submitted + (route != nullptr ? route->retention : defaults.retention);
 }
 
+/// Finds the groups of a job, in the order of their first samples.
+void collect_groups(owned_job& job)
+{
+    std::map<std::string_view, std::size_t> index_by_group;
+    for (auto const& sample : job.spec.samples)
+    {
+        auto const [it, is_new] = index_by_group.try_emplace(sample.group, job.groups.size());
+        if (is_new)
+        {
+            job.groups.push_back({sample.group});
+        }
+        job.group_of_sample.push_back(it->second);
+    }
+}
+
 owned_job make_owned_job(gateway const& self, rollout::job_record const& record,
                          rollout::batch_job spec, std::uint64_t owner_revision)
 {
@@ -45,6 +62,7 @@
     {
         job.index_by_id[job.spec.samples[i].id] = i;
     }
+    collect_groups(job);
     job.owner_revision = owner_revision;
     set_times(self, job);
     return job;
@@ -61,6 +79,7 @@
         {
             withdraw_sample_work(self, job.record.id, it->second);
             job.samples[it->second].phase = rollout::sample_phase::listed;
+            job.samples[it->second].given_up = !result.done;
         }
     }
     job.listed = std::move(listed);
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -89,6 +89,14 @@
     set_gauge(self, {"gateway_jobs", "batch jobs that this process runs"},
               static_cast<double>(self.jobs.size()));
     set_gauge(self, {"gateway_samples_waiting", "samples without an upstream"}, waiting);
+    for (std::size_t i = 0; i < rollout::group_rank_names.size(); ++i)
+    {
+        base::gauge_at(self.metrics,
+                       {"gateway_samples_waiting_by_rank",
+                        "samples without an upstream by the rank of their group"},
+                       {{"rank", rollout::group_rank_names[i]}})
+            .value = static_cast<double>(self.planning.waiting_by_rank[i]);
+    }
     set_gauge(self, {"gateway_results_unstored", "results that wait to be stored"}, unstored);
     set_gauge(self, {"gateway_runs", "samples that upstreams generate"},
               static_cast<double>(self.runs.size()));
--- a/src/gateway/owned_job.hpp
+++ b/src/gateway/owned_job.hpp
@@ -17,6 +17,15 @@
 namespace gooseberrywood::gateway
 {
 
+/// \ingroup gateway
+/// \brief A group of a batch job that this process runs.
+struct owned_group
+{
+    std::string id;
+    /// A log line has told that it can't be complete by its due time.
+    bool is_reported_late = false;
+};
+
 /// \ingroup gateway
 /// \brief A batch job that this process runs.
 struct owned_job
@@ -25,6 +34,10 @@
     rollout::batch_job spec;
     /// Progress of each sample, in the order of `spec.samples`.
     std::vector<rollout::sample_progress> samples;
+    /// Groups in the order of the job.
+    std::vector<owned_group> groups;
+    /// Index into `groups` for each sample.
+    std::vector<std::size_t> group_of_sample;
     /// Index of a sample by its id.
     std::map<std::string, std::size_t> index_by_id;
     /// Upstream that last ran a sample of a group, and has therefore read the group's prompt.
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -204,6 +204,7 @@
 {
     auto& progress = job.samples[index];
     progress.phase = rollout::sample_phase::finished;
+    progress.given_up = !done;
     rollout::sample_result result;
     result.id = job.spec.samples[index].id;
     result.done = done;
--- /dev/null
+++ b/src/gateway/sample_planning.hpp
@@ -0,0 +1,30 @@
+#ifndef GOOSEBERRYWOOD_GATEWAY_SAMPLE_PLANNING_HPP
+#define GOOSEBERRYWOOD_GATEWAY_SAMPLE_PLANNING_HPP
+
+#include "rollout/group_plan.hpp"
+#include "rollout/length_estimate.hpp"
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace gooseberrywood::gateway
+{
+
+/// \ingroup gateway
+/// \brief What a gateway knows between two plans of its samples. It is process memory: the next
+/// owner of a job learns it again.
+struct sample_planning
+{
+    rollout::length_estimates lengths;
+    /// Expected number of output tokens that jobs of other processes still generate, by model.
+    std::map<std::string, double, std::less<>> foreign_tokens;
+    /// Samples that waited after the last dispatch, by the rank of their group.
+    std::array<std::size_t, rollout::group_rank_names.size()> waiting_by_rank{};
+};
+
+} // namespace gooseberrywood::gateway
+
+#endif
--- a/src/gateway/sample_run_answers.cpp
+++ b/src/gateway/sample_run_answers.cpp
@@ -7,6 +7,7 @@
 #include "gateway/refresh.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
+#include "gateway/sample_plan.hpp"
 #include "gateway/sample_runs.hpp"
 #include "gateway/unsent_requests.hpp"
 #include "http/response_watch.hpp"
@@ -227,6 +228,7 @@
     }
     log_run(self, "run_complete", run, *context, "", http::status::ok);
     context->progress->complete = true;
+    note_sample_length(self, *context->job, run.index);
     auto const index = run.index;
     auto& job = *context->job;
     end_run(self, run_number, {});
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -5,9 +5,9 @@
 #include "gateway/permits.hpp"
 #include "gateway/refresh.hpp"
 #include "gateway/result_writer.hpp"
+#include "gateway/sample_plan.hpp"
 #include "gateway/sample_runs.hpp"
 #include "process/main_loop.hpp"
-#include "rollout/waiting_sample.hpp"
 
 #include <optional>
 #include <set>
@@ -35,38 +35,9 @@
 // A text waits this long for an upstream of the software version that began it. To start again
 // costs the time that the text has taken, mostly less than two seconds.
 constexpr base::duration max_origin_wait = std::chrono::milliseconds(1000);
-// A sample with fewer expected tokens left is not moved.
-constexpr std::uint32_t min_tokens_to_move = 200;
-
-std::uint32_t tokens_left(rollout::sample_spec const& spec,
-                          rollout::sample_progress const& progress)
-{
-    // An event carries several tokens; the length of its text is a poor measure of how many.
-    constexpr std::size_t tokens_per_event = 32;
-    auto const generated = progress.events * tokens_per_event;
-    return spec.expected_tokens > generated
-               ? static_cast<std::uint32_t>(spec.expected_tokens - generated)
-               : 0;
-}
-
-void collect_waiting(gateway const& self, owned_job const& job, base::mono_time now,
-                     std::vector<rollout::waiting_sample>& waiting)
-{
-    auto const* const route = route_of(self, job.record);
-    if (route == nullptr)
-    {
-        return;
-    }
-    for (std::size_t i = 0; i < job.samples.size(); ++i)
-    {
-        auto const& progress = job.samples[i];
-        if (progress.phase == sample_phase::waiting && now >= progress.not_before)
-        {
-            waiting.push_back({job.record.id, i, job.due,
-                               tokens_left(job.spec.samples[i], progress), route->priority});
-        }
-    }
-}
+// A sample with fewer expected events left is not moved: at half the speed they take about 0.2 s
+// longer, which is little more than a move costs.
+constexpr double min_events_to_move = 4;
 
 /// Requirements of a sample that decide which upstreams can run it.
 struct sample_kind
@@ -126,26 +97,25 @@
 /// Starts a run of a waiting sample if an upstream can take it at present. The text of the sample,
 /// if it has one, is continued by the software version that began it. When no such upstream takes
 /// the sample, but another one does, the text is discarded and the sample starts again.
-void dispatch_sample(gateway& self, rollout::waiting_sample const& waiting,
+void dispatch_sample(gateway& self, owned_job& job, std::size_t index,
                      std::set<sample_kind>& unplaceable, base::mono_time now)
 {
-    auto& job = self.jobs.at(waiting.job_id);
-    auto& progress = job.samples[waiting.index];
+    auto& progress = job.samples[index];
     if (progress.origin && !has_current_upstreams(self, now))
     {
         return;
     }
-    auto const& spec = job.spec.samples[waiting.index];
+    auto const& spec = job.spec.samples[index];
     auto const& service = fleet::service_for_request(*route_of(self, job.record), spec.id);
     auto const version = progress.origin ? progress.origin->software_version : std::string();
-    auto chosen = choose_for(self, job, waiting.index, service, version, unplaceable, now);
+    auto chosen = choose_for(self, job, index, service, version, unplaceable, now);
     if (!chosen && progress.origin && !may_wait_for_origin(self, progress, service, now))
     {
-        chosen = choose_for(self, job, waiting.index, service, "", unplaceable, now);
+        chosen = choose_for(self, job, index, service, "", unplaceable, now);
     }
     if (chosen)
     {
-        start_run(self, job, waiting.index, *chosen, now);
+        start_run(self, job, index, *chosen, now);
     }
 }
 
@@ -155,19 +125,14 @@
     {
         return;
     }
-    constexpr double typical_us_per_token = 900;
     auto const now = base::mono_now();
-    std::vector<rollout::waiting_sample> waiting;
-    for (auto const& [id, job] : self.jobs)
-    {
-        collect_waiting(self, job, now, waiting);
-    }
-    rollout::sort_by_slack(waiting, now, typical_us_per_token);
+    auto const plan = plan_samples(self, now);
     std::set<sample_kind> unplaceable;
-    for (auto const& sample : waiting)
+    for (auto const& sample : plan)
     {
-        dispatch_sample(self, sample, unplaceable, now);
+        dispatch_sample(self, *sample.job, sample.index, unplaceable, now);
     }
+    count_waiting_by_rank(self, plan);
     request_wanted_permits(self);
 }
 
@@ -195,7 +160,7 @@
         auto const context = context_of(self, run);
         if (!context || !run.is_streaming ||
             static_cast<int>(slow_runs.size()) >= max_moves_per_check ||
-            tokens_left(*context->spec, *context->progress) < min_tokens_to_move)
+            expected_events_left(self, *context->job, run.index) < min_events_to_move)
         {
             continue;
         }
@@ -269,6 +234,7 @@
         move_slow_runs(self, now);
     }
     give_up_expired_jobs(self, now);
+    update_foreign_work(self);
     write_pending_results(self);
     dispatch_waiting_samples(self);
 }
--- a/src/rollout.hpp
+++ b/src/rollout.hpp
@@ -8,8 +8,10 @@
 /// All functions are pure: the time is a parameter, and nothing here does I/O.
 
 #include "rollout/batch_job.hpp"
+#include "rollout/group_plan.hpp"
 #include "rollout/job_placement.hpp"
 #include "rollout/job_record.hpp"
+#include "rollout/length_estimate.hpp"
 #include "rollout/member.hpp"
 #include "rollout/permit_issuer.hpp"
 #include "rollout/result_chunk.hpp"
@@ -17,6 +19,5 @@
 #include "rollout/saved_progress.hpp"
 #include "rollout/store_keys.hpp"
 #include "rollout/text_origin.hpp"
-#include "rollout/waiting_sample.hpp"
 
 #endif
--- a/src/rollout/batch_job.hpp
+++ b/src/rollout/batch_job.hpp
@@ -3,7 +3,9 @@
 
 #include "rollout/sample_spec.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace gooseberrywood::rollout
@@ -15,6 +17,8 @@
 {
     /// Oldest version of the weights that may generate a sample; 0 accepts any version.
     std::uint32_t least_version = 0;
+    /// Number of complete groups after which the trainer ends the job; absent for all.
+    std::optional<std::size_t> desired_groups;
     std::vector<sample_spec> samples;
 };
 
--- a/src/rollout/sample_progress.hpp
+++ b/src/rollout/sample_progress.hpp
@@ -45,6 +45,8 @@
     std::set<std::uint32_t> versions;
     /// The text is complete; at most its score is missing.
     bool complete = false;
+    /// The sample was finished without a result.
+    bool given_up = false;
     /// Number of runs and of reward calls whose answers count as failed attempts.
     std::uint32_t failed_runs = 0;
     std::uint32_t failed_rewards = 0;
--- a/test/fleet_pool_test.cpp
+++ b/test/fleet_pool_test.cpp
@@ -135,3 +135,22 @@
         }
     }
 }
+
+SCENARIO("the capacity for a model counts the slots of its upstreams by their speed")
+{
+    fleet::pool pool;
+    (void)fleet::apply_list(pool, make_records({"a", "b", "c", "d"}), at_ms(0));
+    pool.shares = {{"a", "m"}, {"b", "m"}, {"c", "m"}, {"d", "other"}};
+    auto const unmeasured = fleet::capacity_for(pool, "engines", "m", at_ms(0));
+    CHECK(unmeasured.slots == 6);
+    CHECK(unmeasured.event_time > 0ms);
+    fleet::note_event_interval(pool, "a", 40ms, at_ms(0));
+    fleet::note_event_interval(pool, "b", 50ms, at_ms(0));
+    fleet::note_event_interval(pool, "c", 200ms, at_ms(0));
+    auto const measured = fleet::capacity_for(pool, "engines", "m", at_ms(0));
+    CHECK(measured.event_time == 50ms);
+    CHECK(measured.fastest_event_time == 40ms);
+    CHECK(measured.slots == doctest::Approx(2 * (1.25 + 1 + 0.25)));
+    pool.domains_out.insert("krapina");
+    CHECK(fleet::capacity_for(pool, "engines", "m", at_ms(0)).slots == 0);
+}
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -17,7 +17,7 @@
 "target_latency_ms":150,"priority":2,"traffic_split":[{"service":"s","weight":90},
 {"service":"t","weight":10}],"attempts":2,"public":false}],
 "services":[{"name":"s","health_path":"/healthz","max_conns":140,"cold_start_s":3.0,
-"cold_per_s":18.0,"engine":{"slots":8,"models":[{"name":"m0"},{"name":"m1"}]}}],
+"cold_per_s":18.0,"engine":{"slots":8,"stride":79,"models":[{"name":"m0"},{"name":"m1"}]}}],
 "tenants":[{"name":"team","api_keys":["k1","k2"],"priority":1}]})";
 
 store::item upstream_item(std::string const& text)
@@ -39,6 +39,7 @@
         CHECK(decoded->routes[0].services.size() == 2);
         CHECK(decoded->services[0].models == std::vector<std::string>{"m0", "m1"});
         CHECK(decoded->services[0].cold_requests_per_s == 18);
+        CHECK(decoded->services[0].tokens_per_event == 79);
         CHECK(*fleet::find_team(*decoded, "k2") == "team");
     }
     GIVEN("text that is not a valid configuration")
@@ -113,6 +114,7 @@
     auto const job = platform::decode_batch_job(body);
     REQUIRE(job.has_value());
     CHECK(job->least_version == 6);
+    CHECK(job->desired_groups == 12U);
     CHECK(job->samples[0].model == "m");
     CHECK(job->samples[0].body == "\xab\xcd");
     CHECK(job->samples[0].expected_tokens == 90);
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -4,80 +4,10 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
-#include <queue>
-
 using namespace gooseberrywood;
 using gooseberrywood::test::at_ms;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-rollout::waiting_sample make_waiting(std::size_t index, std::uint32_t tokens, base::mono_time due)
-{
-    return {"job", index, due, tokens, 0};
-}
-
-constexpr double us_per_token = 1000;
-
-/// Time at which the last sample ends when `slots` slots run the samples in the given order.
-std::int64_t last_end_ms(std::vector<rollout::waiting_sample> const& samples, std::size_t slots)
-{
-    std::priority_queue<std::int64_t, std::vector<std::int64_t>, std::greater<>> slot_free_ms;
-    for (std::size_t i = 0; i < slots; ++i)
-    {
-        slot_free_ms.push(0);
-    }
-    std::int64_t last = 0;
-    for (auto const& sample : samples)
-    {
-        auto const end = slot_free_ms.top() + static_cast<std::int64_t>(sample.tokens_left);
-        slot_free_ms.pop();
-        slot_free_ms.push(end);
-        last = std::max(last, end);
-    }
-    return last;
-}
-
-} // namespace
-
-SCENARIO("waiting samples are ordered by slack")
-{
-    GIVEN("a step of 48 samples for 16 slots whose longest samples are submitted last")
-    {
-        // The worst step of a trainer: 10 % of the samples are eight times as long as the others.
-        std::vector<rollout::waiting_sample> step;
-        for (std::size_t i = 0; i < 48; ++i)
-        {
-            step.push_back(make_waiting(i, i < 43 ? 600 : 4800, at_ms(7500)));
-        }
-        auto const unsorted_end_ms = last_end_ms(step, 16);
-        WHEN("they are sorted")
-        {
-            rollout::sort_by_slack(step, at_ms(0), us_per_token);
-            THEN("the step ends with its longest samples, earlier than in the order of submission")
-            {
-                CHECK(last_end_ms(step, 16) == 4800);
-                CHECK(unsorted_end_ms > 4800);
-            }
-        }
-    }
-    GIVEN("a sample of an older job, one of a newer job, and one that is already late")
-    {
-        std::vector<rollout::waiting_sample> waiting = {make_waiting(0, 100, at_ms(500)),
-                                                        make_waiting(1, 100, at_ms(9000)),
-                                                        make_waiting(2, 100, at_ms(5000))};
-        rollout::sort_by_slack(waiting, at_ms(1000), us_per_token);
-        THEN("the older job comes first and the late sample last")
-        {
-            CHECK(waiting[0].index == 2);
-            CHECK(waiting[1].index == 1);
-            CHECK(waiting[2].index == 0);
-        }
-    }
-}
-
 SCENARIO("events are appended to the text of a sample in order")
 {
     rollout::text_origin const origin{"engines", "v1"};
