--- a/src/gateway/job_running.cpp
+++ b/src/gateway/job_running.cpp
@@ -6,6 +6,7 @@
 #include "gateway/measure.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
+#include "gateway/sample_plan.hpp"
 #include "gateway/sample_runner.hpp"
 #include "rollout/store_keys.hpp"
 
@@ -63,6 +64,7 @@
         job.index_by_id[job.spec.samples[i].id] = i;
     }
     collect_groups(job);
+    job.carried_groups = count_carried_groups(self, job);
     job.owner_revision = owner_revision;
     set_times(self, job);
     return job;
@@ -277,7 +279,12 @@
 void stop_job(gateway& self, std::string const& id)
 {
     withdraw_job_work(self, id);
-    self.jobs.erase(id);
+    auto const it = self.jobs.find(id);
+    if (it != self.jobs.end())
+    {
+        remember_unfinished_groups(self, it->second);
+        self.jobs.erase(it);
+    }
 }
 
 void mark_job_ended(gateway& self, std::string const& id)
--- a/src/gateway/owned_job.hpp
+++ b/src/gateway/owned_job.hpp
@@ -36,6 +36,8 @@
     std::vector<rollout::sample_progress> samples;
     /// Groups in the order of the job.
     std::vector<owned_group> groups;
+    /// Number of first groups that are known to come from an earlier step.
+    std::size_t carried_groups = 0;
     /// Index into `groups` for each sample.
     std::vector<std::size_t> group_of_sample;
     /// Index of a sample by its id.
--- a/src/gateway/sample_plan.cpp
+++ b/src/gateway/sample_plan.cpp
@@ -21,6 +21,9 @@
 // occupies some engines.
 constexpr double min_share_left = 0.1;
 
+// Incomplete groups come again in the next step, mostly within seconds.
+constexpr base::duration unfinished_group_retention = std::chrono::seconds(30);
+
 constexpr auto no_group = std::numeric_limits<std::size_t>::max();
 
 /// Engines of one model, with what is needed to estimate the lengths of its samples.
@@ -113,7 +116,8 @@
                 route.priority,
                 states.size(),
                 std::min(job.spec.desired_groups.value_or(states.size()), states.size()),
-                0};
+                0,
+                job.carried_groups};
     auto& groups = plan.jobs.emplace_back(planned_job{&job, {}}).groups;
     groups.resize(states.size(), no_group);
     for (std::size_t i = 0; i < states.size(); ++i)
@@ -162,8 +166,9 @@
 
 void add_running_samples(plan_builder& plan)
 {
-    for (auto const& [run_number, run] : plan.self.runs)
+    for (auto const& entry : plan.self.runs)
     {
+        auto const& run = entry.second;
         auto const it = std::find_if(plan.jobs.begin(), plan.jobs.end(),
                                      [&](planned_job const& planned)
                                      { return planned.job->record.id == run.job_id; });
@@ -274,6 +279,31 @@
     }
 }
 
+void remember_unfinished_groups(gateway& self, owned_job const& job)
+{
+    auto const now = base::mono_now();
+    auto& known = self.planning.unfinished_groups;
+    std::erase_if(known, [&](auto const& entry) { return entry.second <= now; });
+    for (std::size_t i = 0; i < job.samples.size(); ++i)
+    {
+        if (job.samples[i].phase < sample_phase::finished || job.samples[i].given_up)
+        {
+            known[job.groups[job.group_of_sample[i]].id] = now + unfinished_group_retention;
+        }
+    }
+}
+
+std::size_t count_carried_groups(gateway const& self, owned_job const& job)
+{
+    auto const is_known = [&](owned_group const& group)
+    {
+        return self.planning.unfinished_groups.contains(group.id);
+    };
+    // Groups of an earlier step stand before all others.
+    auto const last = std::find_if(job.groups.rbegin(), job.groups.rend(), is_known);
+    return static_cast<std::size_t>(job.groups.rend() - last);
+}
+
 void update_foreign_work(gateway& self)
 {
     self.planning.foreign_tokens.clear();
--- a/src/gateway/sample_plan.hpp
+++ b/src/gateway/sample_plan.hpp
@@ -30,6 +30,14 @@
 /// \brief Counts the planned samples that still wait after the dispatch, for the metrics.
 void count_waiting_by_rank(gateway& self, std::span<planned_sample const> plan);
 
+/// \ingroup gateway
+/// \brief Remembers the incomplete groups of a job that ends here, which may come again.
+void remember_unfinished_groups(gateway& self, owned_job const& job);
+
+/// \ingroup gateway
+/// \brief Finds the number of first groups of a job that are known to come from an earlier step.
+[[nodiscard]] std::size_t count_carried_groups(gateway const& self, owned_job const& job);
+
 /// \ingroup gateway
 /// \brief Estimates the work of open jobs that other processes run on the same engines.
 void update_foreign_work(gateway& self);
--- a/src/rollout/group_plan.cpp
+++ b/src/rollout/group_plan.cpp
@@ -75,7 +75,7 @@
     std::vector<std::size_t> nearest;
     std::vector<due_load> loads;
     /// By engines: not all groups can be complete in time.
-    std::vector<char> is_short;
+    std::vector<bool> is_short;
 };
 
 open_job const& job_of(planner const& self, std::size_t group)
@@ -108,7 +108,7 @@
     {
         auto const& job = job_of(self, i);
         auto const position = self.input.groups[i].position;
-        self.work[i].is_carried = position + job.desired < job.groups;
+        self.work[i].is_carried = position < job.carried || position + job.desired < job.groups;
         self.work[i].priority = job.priority;
         auto const relative_position = static_cast<double>(position) /
                                        static_cast<double>(std::max<std::size_t>(job.groups, 1));
@@ -225,7 +225,7 @@
     }
     for (auto const& load : self.loads)
     {
-        self.is_short[load.engines] |= static_cast<char>(load.promised > load.available);
+        self.is_short[load.engines] = self.is_short[load.engines] || load.promised > load.available;
     }
     for (std::size_t i = 0; i < self.work.size(); ++i)
     {
@@ -255,7 +255,7 @@
     for (auto const group : self.nearest)
     {
         auto& rank = self.plan.ranks[group];
-        if (self.is_short[self.input.groups[group].engines] == 0)
+        if (!self.is_short[self.input.groups[group].engines])
         {
             continue;
         }
@@ -286,7 +286,7 @@
 {
     auto const slack_on_slow_engine = slack - time_of(slow_engine_factor - 1, needed);
     return self.plan.ranks[group] == group_rank::in_time &&
-           (self.is_short[self.input.groups[group].engines] == 0 ||
+           (!self.is_short[self.input.groups[group].engines] ||
             slack_on_slow_engine <= urgent_slack);
 }
 
--- a/src/rollout/group_plan.hpp
+++ b/src/rollout/group_plan.hpp
@@ -60,6 +60,8 @@
     std::size_t desired = 0;
     /// Number of groups that are complete.
     std::size_t complete = 0;
+    /// Number of first groups that are known to come from an earlier step.
+    std::size_t carried = 0;
 };
 
 /// \ingroup rollout
@@ -120,9 +122,10 @@
 /// that is, the longest one of those with the same due time. Otherwise the groups that are nearest
 /// to completion get the engines, as many as can be complete by their due time.
 ///
-/// Groups that stand first in their job may have failed in an earlier step. As many of them as the
-/// trainer does not wait for in each step are preferred to all others, and a group that stands
-/// later must be the smaller the later it stands, so that large groups do not fail in each step.
+/// Groups of an earlier step, which the trainer waits for in any case, stand first in their job and
+/// are preferred to all others. Not all of them are known, so that at least as many first groups
+/// are preferred as the trainer does not wait for in each step, and a group that stands later must
+/// be the smaller the later it stands. Large groups do not fail in each step then.
 [[nodiscard]] group_plan plan_groups(group_plan_input const& input, base::mono_time now);
 
 } // namespace gooseberrywood::rollout
--- a/test/rollout_group_plan_test.cpp
+++ b/test/rollout_group_plan_test.cpp
@@ -448,19 +448,21 @@
         {
             using enum rollout::group_rank;
             CHECK(plan.ranks == std::vector{in_time, in_time, not_awaited, not_awaited});
+            input.jobs[0].carried = 3;
+            CHECK(rollout::plan_groups(input, at_ms(0)).ranks[2] == in_time);
         }
     }
     GIVEN("a sample whose due time leaves no time to wait")
     {
         // An event takes 43 to 78 ms, and the longest samples have 146 events: such a sample must
-        // start at once, also when its group has the most work.
+        // start at once, also when another group is nearer to completion.
         input.jobs[0].desired = 4;
-        input.samples = {{0, 60, {}, true}, {1, 60, {}, true}, {2, 146, {}, true}};
-        auto const at_once = rollout::plan_groups(input, at_ms(0));
-        input.engines[0].slots = 4;
-        auto const enough = rollout::plan_groups(input, at_ms(0));
-        CHECK(enough.order.front() == 2);
-        CHECK(at_once.order.size() == 3);
+        input.engines[0].slots = 3;
+        input.samples = {
+            {0, 60, {}, true}, {1, 60, {}, true}, {2, 146, {}, true}, {3, 140, {}, true}};
+        auto const plan = rollout::plan_groups(input, at_ms(0));
+        CHECK(plan.ranks[3] == rollout::group_rank::late);
+        CHECK(plan.order == std::vector<std::size_t>{2, 0, 1, 3});
     }
     GIVEN("a hint and a number of slots that are absurd")
     {
