--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -12,6 +12,7 @@
 #include "fleet/cost_estimate.hpp"
 #include "fleet/crash_marks.hpp"
 #include "fleet/departures.hpp"
+#include "fleet/model_capacity.hpp"
 #include "fleet/permit_bucket.hpp"
 #include "fleet/pool.hpp"
 
--- a/src/fleet/cost_estimate.hpp
+++ b/src/fleet/cost_estimate.hpp
@@ -47,18 +47,6 @@
 [[nodiscard]] double expected_work(cost_estimates const& costs, std::string_view service,
                                    std::string_view route, std::size_t body_bytes);
 
-/// \ingroup fleet
-/// \brief Number of events that a sample is expected to produce yet.
-///
-/// Load pattern: the length hint of a sample is right at the median and often far off; one sample
-/// in twelve is five times as long as the others. A sample that has outlived its hint is likely to
-/// be one of these, so that it must not count as nearly finished.
-/// \param expected_tokens length hint of the sample.
-/// \param tokens_per_event see `service::tokens_per_event`.
-/// \param events number of events that it has produced.
-[[nodiscard]] double expected_events_left(std::uint32_t expected_tokens,
-                                          std::uint32_t tokens_per_event, std::size_t events);
-
 /// \ingroup fleet
 /// \brief Expected time in which an upstream with a free slot completes a sample.
 /// \param events_left number of events that the sample is expected to produce yet.
--- a/src/gateway/job_running.cpp
+++ b/src/gateway/job_running.cpp
@@ -6,10 +6,13 @@
 #include "gateway/measure.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
+#include "gateway/sample_plan.hpp"
 #include "gateway/sample_runner.hpp"
 #include "rollout/store_keys.hpp"
 
 #include <iterator>
+#include <map>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -34,6 +37,21 @@
     job.give_up_at = submitted + (route != nullptr ? route->retention : defaults.retention);
 }
 
+/// Finds the groups of a job, in the order of their first samples.
+void collect_groups(owned_job& job)
+{
+    std::map<std::string_view, std::size_t> index_by_group;
+    for (auto const& sample : job.spec.samples)
+    {
+        auto const [it, is_new] = index_by_group.try_emplace(sample.group, job.groups.size());
+        if (is_new)
+        {
+            job.groups.push_back({sample.group});
+        }
+        job.group_of_sample.push_back(it->second);
+    }
+}
+
 owned_job make_owned_job(gateway const& self, rollout::job_record const& record,
                          rollout::batch_job spec, std::uint64_t owner_revision)
 {
@@ -45,6 +63,8 @@
     {
         job.index_by_id[job.spec.samples[i].id] = i;
     }
+    collect_groups(job);
+    job.carried_groups = count_carried_groups(self, job);
     job.owner_revision = owner_revision;
     set_times(self, job);
     return job;
@@ -61,6 +81,7 @@
         {
             withdraw_sample_work(self, job.record.id, it->second);
             job.samples[it->second].phase = rollout::sample_phase::listed;
+            job.samples[it->second].given_up = !result.done;
         }
     }
     job.listed = std::move(listed);
@@ -258,7 +279,12 @@
 void stop_job(gateway& self, std::string const& id)
 {
     withdraw_job_work(self, id);
-    self.jobs.erase(id);
+    auto const it = self.jobs.find(id);
+    if (it != self.jobs.end())
+    {
+        remember_unfinished_groups(self, it->second);
+        self.jobs.erase(it);
+    }
 }
 
 void mark_job_ended(gateway& self, std::string const& id)
--- a/src/gateway/move_runs.cpp
+++ b/src/gateway/move_runs.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/choose_move.hpp"
 #include "gateway/refresh.hpp"
+#include "gateway/sample_plan.hpp"
 #include "gateway/sample_runs.hpp"
 
 #include <algorithm>
@@ -46,7 +47,7 @@
         {
             continue;
         }
-        auto const left = events_left(self, run.origin.service, *context->spec, *context->progress);
+        auto const left = expected_events_left(self, *context->job, run.index);
         auto const saved_us =
             fleet::max_saved_us(self.pool, run.upstream, run.origin.service, left, now);
         if (saved_us > 0)
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -6,9 +6,9 @@
 #include "gateway/permits.hpp"
 #include "gateway/refresh.hpp"
 #include "gateway/result_writer.hpp"
+#include "gateway/sample_plan.hpp"
 #include "gateway/sample_runs.hpp"
 #include "process/main_loop.hpp"
-#include "rollout/waiting_sample.hpp"
 
 #include <optional>
 #include <set>
@@ -38,36 +38,6 @@
 // many events.
 constexpr double much_longer = 2;
 
-std::uint32_t tokens_left(rollout::sample_spec const& spec,
-                          rollout::sample_progress const& progress)
-{
-    // An event carries several tokens; the length of its text is a poor measure of how many.
-    constexpr std::size_t tokens_per_event = 32;
-    auto const generated = progress.events * tokens_per_event;
-    return spec.expected_tokens > generated
-               ? static_cast<std::uint32_t>(spec.expected_tokens - generated)
-               : 0;
-}
-
-void collect_waiting(gateway const& self, owned_job const& job, base::mono_time now,
-                     std::vector<rollout::waiting_sample>& waiting)
-{
-    auto const* const route = route_of(self, job.record);
-    if (route == nullptr)
-    {
-        return;
-    }
-    for (std::size_t i = 0; i < job.samples.size(); ++i)
-    {
-        auto const& progress = job.samples[i];
-        if (progress.phase == sample_phase::waiting && now >= progress.not_before)
-        {
-            waiting.push_back({job.record.id, i, job.due,
-                               tokens_left(job.spec.samples[i], progress), route->priority});
-        }
-    }
-}
-
 /// Requirements of a sample that decide which upstreams can run it.
 struct sample_kind
 {
@@ -83,7 +53,7 @@
 /// Waiting samples in the order in which they are dispatched.
 struct dispatch_round
 {
-    std::vector<rollout::waiting_sample> waiting;
+    std::vector<planned_sample> waiting;
     /// Number of events that each of them is expected to produce yet.
     std::vector<double> events_left;
     /// Kinds of samples that no upstream can take at present.
@@ -91,20 +61,20 @@
     base::mono_time now{};
 };
 
-rollout::sample_spec const& spec_of(gateway const& self, rollout::waiting_sample const& waiting)
+rollout::sample_spec const& spec_of(planned_sample const& waiting)
 {
-    return self.jobs.at(waiting.job_id).spec.samples[waiting.index];
+    return waiting.job->spec.samples[waiting.index];
 }
 
 /// Number of samples of the same model that are dispatched after one and are much longer.
-std::uint32_t count_longer(gateway const& self, dispatch_round const& round, std::size_t position)
+std::uint32_t count_longer(dispatch_round const& round, std::size_t position)
 {
-    auto const& model = spec_of(self, round.waiting[position]).model;
+    auto const& model = spec_of(round.waiting[position]).model;
     std::uint32_t count = 0;
     for (auto i = position + 1; i < round.waiting.size(); ++i)
     {
         if (round.events_left[i] >= much_longer * round.events_left[position] &&
-            spec_of(self, round.waiting[i]).model == model)
+            spec_of(round.waiting[i]).model == model)
         {
             ++count;
         }
@@ -119,8 +89,8 @@
                                                  std::string const& software_version)
 {
     auto const& waiting = round.waiting[position];
-    auto const& job = self.jobs.at(waiting.job_id);
-    auto const& spec = job.spec.samples[waiting.index];
+    auto const& job = *waiting.job;
+    auto const& spec = spec_of(waiting);
     sample_kind kind{service, spec.model, job.spec.least_version, software_version};
     if (round.unplaceable.contains(kind))
     {
@@ -133,7 +103,7 @@
     need.software_version = software_version;
     need.avoided = job.samples[waiting.index].avoided_upstream;
     need.events_left = round.events_left[position];
-    need.longer_waiting = count_longer(self, round, position);
+    need.longer_waiting = count_longer(round, position);
     need.request_id = spec.id;
     auto const group = job.upstream_by_group.find(spec.group);
     if (group != job.upstream_by_group.end())
@@ -162,7 +132,7 @@
 void dispatch_sample(gateway& self, dispatch_round& round, std::size_t position)
 {
     auto const& waiting = round.waiting[position];
-    auto& job = self.jobs.at(waiting.job_id);
+    auto& job = *waiting.job;
     auto& progress = job.samples[waiting.index];
     if (progress.origin && !has_current_upstreams(self, round.now))
     {
@@ -182,19 +152,6 @@
     }
 }
 
-/// Estimates the events that each waiting sample is expected to produce yet.
-void estimate_events(gateway const& self, dispatch_round& round)
-{
-    round.events_left.reserve(round.waiting.size());
-    for (auto const& waiting : round.waiting)
-    {
-        auto const& job = self.jobs.at(waiting.job_id);
-        auto const& spec = job.spec.samples[waiting.index];
-        auto const& service = fleet::service_for_request(*route_of(self, job.record), spec.id);
-        round.events_left.push_back(events_left(self, service, spec, job.samples[waiting.index]));
-    }
-}
-
 void dispatch_waiting_samples(gateway& self)
 {
     auto const now = base::mono_now();
@@ -202,20 +159,20 @@
     {
         return;
     }
-    constexpr double typical_us_per_token = 900;
     move_runs(self, now);
     dispatch_round round;
     round.now = now;
-    for (auto const& [id, job] : self.jobs)
+    round.waiting = plan_samples(self, now);
+    round.events_left.reserve(round.waiting.size());
+    for (auto const& waiting : round.waiting)
     {
-        collect_waiting(self, job, now, round.waiting);
+        round.events_left.push_back(expected_events_left(self, *waiting.job, waiting.index));
     }
-    rollout::sort_by_slack(round.waiting, now, typical_us_per_token);
-    estimate_events(self, round);
     for (std::size_t position = 0; position < round.waiting.size(); ++position)
     {
         dispatch_sample(self, round, position);
     }
+    count_waiting_by_rank(self, round.waiting);
     request_wanted_permits(self);
 }
 
@@ -282,6 +239,7 @@
     fleet::discard_stale_means(self.pool, now);
     abort_silent_runs(self, now);
     give_up_expired_jobs(self, now);
+    update_foreign_work(self);
     write_pending_results(self);
     dispatch_waiting_samples(self);
 }
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "fleet/cost_estimate.hpp"
 #include "gateway/measure.hpp"
+#include "gateway/sample_plan.hpp"
 #include "gateway/sample_run_answers.hpp"
 #include "gateway/sample_runner.hpp"
 #include "platform/upstream_calls.hpp"
@@ -110,15 +111,6 @@
     schedule_sample_dispatch(self);
 }
 
-double events_left(gateway const& self, std::string_view service, rollout::sample_spec const& spec,
-                   rollout::sample_progress const& progress)
-{
-    auto const* const found =
-        self.configuration ? fleet::find_service(*self.configuration, service) : nullptr;
-    auto const tokens_per_event = (found != nullptr ? *found : fleet::service{}).tokens_per_event;
-    return fleet::expected_events_left(spec.expected_tokens, tokens_per_event, progress.events);
-}
-
 sample_run& start_run(gateway& self, owned_job& job, std::size_t index,
                       fleet::chosen_upstream const& chosen, base::mono_time now)
 {
@@ -138,7 +130,7 @@
     run.started_at = now;
     run.silence_deadline = now + first_event_timeout;
     discard_foreign_text(progress, run, spec.id);
-    run.work.left = events_left(self, chosen.service, spec, progress);
+    run.work.left = expected_events_left(self, job, index);
     fleet::note_sample_sent(self.pool, chosen.id, now, run.work);
     platform::upstream_target const target{
         chosen.id,       chosen.address, job.record.host,
--- a/src/gateway/sample_runs.hpp
+++ b/src/gateway/sample_runs.hpp
@@ -28,13 +28,6 @@
 /// \returns nothing if this process no longer runs the job.
 [[nodiscard]] std::optional<run_context> context_of(gateway& self, sample_run const& run);
 
-/// \ingroup gateway
-/// \brief Number of events that a sample is expected to produce yet.
-/// \param service service that runs it.
-[[nodiscard]] double events_left(gateway const& self, std::string_view service,
-                                 rollout::sample_spec const& spec,
-                                 rollout::sample_progress const& progress);
-
 /// \ingroup gateway
 /// \brief Starts a run of a sample on the chosen upstream.
 sample_run& start_run(gateway& self, owned_job& job, std::size_t index,
