Queue plain requests that find no free upstream

Requests without a free upstream looked for one every 10 ms each, in no order, so that a burst of reward calls took the slots that lookups needed.

Each service has one queue in each gateway. fleet::service_queue states the order, the expected wait and which requests can't be dispatched in time; fleet::reward_share limits reward calls while callers are seen (AIMD); fleet::try_budget limits hedges and repeats. The queue is served when a slot frees, an upstream opens, the list changes or a permit arrives, with one timer. The end of a request and the record of a try moved to their own files.

--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -12,5 +12,9 @@
 #include "fleet/departures.hpp"
 #include "fleet/permit_bucket.hpp"
 #include "fleet/pool.hpp"
+#include "fleet/reward_share.hpp"
+#include "fleet/service_load.hpp"
+#include "fleet/service_queue.hpp"
+#include "fleet/try_budget.hpp"
 
 #endif
--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -16,10 +16,6 @@
 // An upstream is slow when its time per event exceeds the median by this factor.
 constexpr double slow_factor = 1.6;
 
-// Plain requests beyond the number of slots are queued at the upstream, so that its slots stay
-// busy.
-constexpr std::uint32_t max_requests_per_slot = 2;
-
 /// Median of the known means of a service's upstreams. Returns 1 if no mean is known, so that only
 /// the loads are compared.
 double median_us(pool const& pool, std::string_view service, recent_mean upstream::*mean)
--- /dev/null
+++ b/src/fleet/try_budget.hpp
@@ -0,0 +1,48 @@
+#ifndef GOOSEBERRYWOOD_FLEET_TRY_BUDGET_HPP
+#define GOOSEBERRYWOOD_FLEET_TRY_BUDGET_HPP
+
+#include <algorithm>
+
+namespace gooseberrywood::fleet
+{
+
+/// \ingroup fleet
+/// \brief Further tries that may be sent in one burst.
+inline constexpr double try_burst = 5;
+
+/// \ingroup fleet
+/// \brief Budget of a service for further tries, that is, hedges and repeats: a tenth of the
+/// requests, and a burst of a few.
+///
+/// Load pattern: half of the upstreams become six times slower. A second try helps against one slow
+/// upstream; when all are slow, it only adds load.
+struct try_budget
+{
+    double tokens = try_burst;
+};
+
+/// \ingroup fleet
+/// \brief Records a new request.
+inline void note_request(try_budget& budget)
+{
+    constexpr double tries_per_request = 0.1;
+    budget.tokens = std::min(try_burst, budget.tokens + tries_per_request);
+}
+
+/// \ingroup fleet
+/// \brief Whether a further try may be sent. Reward calls leave half of the burst to callers.
+[[nodiscard]] inline bool may_try_again(try_budget const& budget, bool is_reward)
+{
+    return budget.tokens >= (is_reward ? 1 + try_burst / 2 : 1);
+}
+
+/// \ingroup fleet
+/// \brief Uses up the budget of one further try.
+inline void use_try(try_budget& budget)
+{
+    budget.tokens = std::max(0.0, budget.tokens - 1);
+}
+
+} // namespace gooseberrywood::fleet
+
+#endif
--- a/src/fleet/upstream.hpp
+++ b/src/fleet/upstream.hpp
@@ -12,6 +12,11 @@
 namespace gooseberrywood::fleet
 {
 
+/// \ingroup fleet
+/// \brief Maximum number of plain requests per slot. Those beyond the number of slots are queued at
+/// the upstream, so that its slots stay busy.
+inline constexpr std::uint32_t max_requests_per_slot = 2;
+
 /// \ingroup fleet
 /// \brief State of an upstream as this process knows it.
 struct upstream
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include "gateway/permits.hpp"
 #include "gateway/poller.hpp"
 #include "gateway/process_lease.hpp"
+#include "gateway/request_queue.hpp"
 #include "gateway/routed_request.hpp"
 #include "gateway/sample_run.hpp"
 #include "gateway/shared_view.hpp"
@@ -111,6 +112,7 @@
 
     std::uint64_t last_number = 0;
     std::map<std::uint64_t, std::unique_ptr<routed_request>> requests;
+    request_queues queues;
     std::map<std::string, owned_job> jobs;
     /// Jobs that this process owns and is loading from the store.
     std::set<std::string> loading_jobs;
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -96,6 +96,34 @@
               static_cast<double>(self.requests.size()));
 }
 
+void update_queue_gauges(gateway& self)
+{
+    for (auto const& [service, queue] : self.queues)
+    {
+        auto const& waiting = queue.waiting.waiting;
+        auto const rewards =
+            std::count_if(waiting.begin(), waiting.end(),
+                          [](auto const& entry) { return entry.second.is_reward; });
+        auto const set = [&](std::string_view kind, double value)
+        {
+            base::gauge_at(self.metrics,
+                           {"gateway_requests_waiting", "plain requests without an upstream"},
+                           {{"service", service}, {"class", kind}})
+                .value = value;
+        };
+        set("reward", static_cast<double>(rewards));
+        set("caller", static_cast<double>(waiting.size()) - static_cast<double>(rewards));
+        base::gauge_at(self.metrics,
+                       {"gateway_reward_calls", "reward calls in progress at upstreams"},
+                       {{"service", service}})
+            .value = queue.rewards.running;
+        base::gauge_at(self.metrics,
+                       {"gateway_reward_share", "share of the slots that reward calls may hold"},
+                       {{"service", service}})
+            .value = queue.rewards.share;
+    }
+}
+
 } // namespace
 
 void count_answer(gateway& self, std::string_view route, std::string_view outcome,
@@ -120,6 +148,21 @@
                    {{"service", service}, {"outcome", outcome}}));
 }
 
+void count_early_refusal(gateway& self, std::string_view service)
+{
+    add(counter_at(self.metrics,
+                   {"gateway_refused_early_total",
+                    "requests that could not be dispatched in time and were refused at once"},
+                   {{"service", service}}));
+}
+
+void count_further_try(gateway& self, std::string_view service, std::string_view outcome)
+{
+    add(counter_at(self.metrics,
+                   {"gateway_further_tries_total", "hedges and repeats of plain requests"},
+                   {{"service", service}, {"outcome", outcome}}));
+}
+
 void count_crash_sighting(gateway& self, std::string_view outcome)
 {
     add(counter_at(
@@ -218,6 +261,7 @@
     auto const now = base::mono_now();
     update_job_gauges(self);
     update_upstream_gauges(self, now);
+    update_queue_gauges(self);
     set_gauge(self, {"gateway_leads", "1 while this process leads"}, self.candidate.held ? 1 : 0);
     set_gauge(self, {"gateway_lease_held", "1 while the lease in the store holds"},
               has_lease(self, now) ? 1 : 0);
--- a/src/gateway/measure.hpp
+++ b/src/gateway/measure.hpp
@@ -26,6 +26,14 @@
 /// \brief Counts a finished try of a plain request at an upstream.
 void count_try(gateway& self, std::string_view service, std::string_view outcome);
 
+/// \ingroup gateway
+/// \brief Counts a plain request that was refused before its dispatch deadline.
+void count_early_refusal(gateway& self, std::string_view service);
+
+/// \ingroup gateway
+/// \brief Counts a further try of a plain request that was sent, deferred or denied.
+void count_further_try(gateway& self, std::string_view service, std::string_view outcome);
+
 /// \ingroup gateway
 /// \brief Counts a try under which an upstream seems to have ended, or a request that was refused
 /// because upstreams have ended under equal ones.
--- a/src/gateway/permits.cpp
+++ b/src/gateway/permits.cpp
@@ -68,6 +68,7 @@
         found->limit.permits.push_back(asked_at + fleet::permit_validity);
         schedule_sample_dispatch(self);
     }
+    wake_queue(self, found->record.service);
 }
 
 void on_no_answer(gateway& self, std::uint64_t number)
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -91,6 +91,7 @@
     }
     self.pool.domains_out = state.domains_out;
     withdraw_unsent(self);
+    wake_queues(self);
     self.retiring_hosts = state.retiring_hosts;
     for (auto const& [model, version] : state.latest_versions)
     {
@@ -132,6 +133,7 @@
     log_ids("upstream_draining", change.draining);
     log_ids("upstream_removed", change.removed);
     withdraw_unsent(self);
+    wake_queues(self);
 }
 
 base::duration fraction_of(base::duration limit, double fraction)
@@ -189,6 +191,7 @@
             [&self](items const& read, base::mono_time read_at)
             {
                 apply_shared_entries(self, read, read_at);
+                wake_queues(self);
             }};
 }
 
--- a/src/gateway/reward_runner.cpp
+++ b/src/gateway/reward_runner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/reward_runner.hpp"
 
 #include "base/log.hpp"
+#include "gateway/request_queue.hpp"
 #include "gateway/result_writer.hpp"
 #include "gateway/route_request.hpp"
 #include "http/status.hpp"
@@ -111,8 +112,10 @@
     spec.idempotent = true;
     spec.max_runs = 2;
     spec.deadline = now + route->timeout;
+    spec.dispatch_deadline = reward_dispatch_deadline(self, spec.service, spec.deadline, now);
     // A later call may use the upstreams again on which this one broke off.
-    spec.dispatch_deadline = std::min(spec.deadline, now + route->target_latency);
+    spec.repeat_deadline = now + route->target_latency;
+    spec.priority = route->priority;
     spec.hedge_delay = route->target_latency;
     spec.call = {"POST", call.path, "application/octet-stream", call.body, {}, true};
     start_request(self, std::move(spec),
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -5,15 +5,17 @@
 #include "fleet/try_outcome.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/departures.hpp"
+#include "gateway/end_request.hpp"
 #include "gateway/job_work.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/permits.hpp"
 #include "gateway/refresh.hpp"
+#include "gateway/request_queue.hpp"
+#include "gateway/try_record.hpp"
 #include "gateway/unsent_requests.hpp"
 #include "http/status.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 #include <vector>
 
@@ -25,9 +27,6 @@
 
 using base::result_code;
 
-// Delay before looking for a free upstream again.
-constexpr base::duration retry_interval = std::chrono::milliseconds(10);
-
 // A try that has less time than this until the deadline can't succeed.
 constexpr base::duration min_try_duration = std::chrono::milliseconds(5);
 
@@ -36,76 +35,8 @@
 
 constexpr std::size_t max_answer_bytes = 32 * 1024 * 1024;
 
-routed_request* find(gateway& self, std::uint64_t number)
-{
-    auto const it = self.requests.find(number);
-    return it != self.requests.end() ? it->second.get() : nullptr;
-}
-
-void finish(gateway& self, routed_request& request, routed_outcome outcome)
-{
-    outcome.started_at = request.started_at;
-    outcome.tries = request.tries;
-    for (auto const& [number, running] : request.running_tries)
-    {
-        fleet::note_request_ended(self.pool, running.upstream);
-    }
-    // Keeps the request alive until the handler has returned: the caller's frame may use it.
-    auto const it = self.requests.find(request.number);
-    auto const owned = std::move(it->second);
-    self.requests.erase(it);
-    owned->running_tries.clear();
-    owned->done(std::move(outcome));
-}
-
-void finish_without_answer(gateway& self, routed_request& request, outcome_kind kind,
-                           result_code code, std::string message)
-{
-    routed_outcome outcome;
-    outcome.kind = kind;
-    outcome.error = {code, std::move(message)};
-    finish(self, request, std::move(outcome));
-}
-
 void try_next(gateway& self, routed_request& request);
 
-void schedule_retry(gateway& self, routed_request& request)
-{
-    request.retry_timer = base::at(base::mono_now() + retry_interval,
-                                   [&self, number = request.number]
-                                   {
-                                       if (auto* const found = find(self, number))
-                                       {
-                                           try_next(self, *found);
-                                       }
-                                   });
-}
-
-fleet::try_outcome outcome_of(http::fetch_outcome const& answer,
-                              platform::response_head const& head, std::string const& request_id)
-{
-    using fleet::try_outcome;
-    if (!answer)
-    {
-        return answer.error().sent ? try_outcome::lost : try_outcome::not_run;
-    }
-    // The answer belongs to an earlier request on this connection, or to no request.
-    if (head.request_id && *head.request_id != request_id)
-    {
-        return try_outcome::lost;
-    }
-    if (head.not_run)
-    {
-        return try_outcome::not_run;
-    }
-    if (http::status::is_success(answer->status) && (!head.server_stamp || !head.request_id))
-    {
-        return try_outcome::lost;
-    }
-    return http::status::is_server_error(answer->status) ? try_outcome::failed
-                                                         : try_outcome::answered;
-}
-
 void update_pool(gateway& self, routed_try const& ended, fleet::try_outcome outcome,
                  http::fetch_outcome const& answer, base::mono_time now)
 {
@@ -132,49 +63,6 @@
     }
 }
 
-void record_try(gateway& self, routed_request const& request, routed_try const& ended,
-                fleet::try_outcome outcome, http::fetch_outcome const& answer)
-{
-    constexpr std::array<std::string_view, 4> names = {"answered", "failed", "not_run", "lost"};
-    count_try(self, request.spec.service, names.at(static_cast<std::size_t>(outcome)));
-    if (outcome == fleet::try_outcome::answered)
-    {
-        return;
-    }
-    base::log_line(base::log_level::info, "try_ended",
-                   {{"request", request.spec.request_id},
-                    {"upstream", ended.upstream},
-                    {"outcome", names.at(static_cast<std::size_t>(outcome))},
-                    {"status", answer ? std::int64_t{answer->status} : 0},
-                    {"reason", answer ? "" : answer.error().why.message},
-                    {"runs", std::int64_t{request.runs}}});
-}
-
-/// Tells the crash watch how a try ended.
-void note_try(gateway& self, routed_request& request, routed_try const& ended,
-              fleet::try_outcome outcome, http::fetch_outcome const& answer)
-{
-    if (!answer)
-    {
-        bool const is_broken = answer.error().sent && !answer.error().timed_out &&
-                               answer.error().why.code == result_code::connection_lost;
-        if (is_broken)
-        {
-            note_broken_try(self, request.spec, ended);
-        }
-        return;
-    }
-    // Other answers may come from elsewhere: they don't tell that the upstream lives.
-    if (outcome == fleet::try_outcome::answered || outcome == fleet::try_outcome::failed)
-    {
-        note_upstream_answered(self, ended);
-    }
-    if (outcome == fleet::try_outcome::answered && http::status::is_success(answer->status))
-    {
-        note_served(self, request.spec);
-    }
-}
-
 routed_outcome answered_outcome(http::fetch_outcome& answer, routed_try const& ended)
 {
     routed_outcome outcome;
@@ -203,20 +91,13 @@
     case fleet::next_step::give_up:
         break;
     }
-    if (request.failed_answer)
-    {
-        auto answer = std::move(*request.failed_answer);
-        finish(self, request, std::move(answer));
-        return;
-    }
-    finish_without_answer(self, request, outcome_kind::unknown, result_code::outcome_unknown,
-                          "the upstream's answer was lost");
+    finish_with_tries(self, request);
 }
 
 void on_try_ended(gateway& self, std::uint64_t number, std::uint32_t index,
                   http::fetch_outcome answer)
 {
-    auto* const request = find(self, number);
+    auto* const request = find_request(self, number);
     if (request == nullptr)
     {
         return;
@@ -224,18 +105,20 @@
     auto const now = base::mono_now();
     auto node = request->running_tries.extract(index);
     auto const& ended = node.mapped();
-    fleet::note_request_ended(self.pool, ended.upstream);
+    release_try(self, request->spec, ended);
     auto const head = answer ? platform::decode_response_head(answer->status, answer->headers)
                              : platform::response_head{};
     auto const outcome = outcome_of(answer, head, request->spec.request_id);
     update_pool(self, ended, outcome, answer, now);
+    bool const is_full_answer = outcome == fleet::try_outcome::not_run && answer &&
+                                answer->status != http::status::misdirected;
+    measure_try(self, request->spec, ended, outcome, is_full_answer && !ended.withdrawn);
     record_departure(self, ended.incarnation, head, request->spec.request_id);
     if (head.request_id == request->spec.request_id)
     {
         record_rate_limit(self, ended.upstream, head, answer->status, ended.sent_at);
     }
     record_try(self, *request, ended, outcome, answer);
-    note_try(self, *request, ended, outcome, answer);
     if (outcome == fleet::try_outcome::not_run)
     {
         --request->runs;
@@ -263,10 +146,12 @@
 
 bool may_hedge(gateway const& self, routed_request& request)
 {
-    return request.runs < request.spec.max_runs &&
+    return !request.running_tries.empty() && request.runs < request.spec.max_runs &&
            !is_crash_suspect(self, request.spec, base::mono_now());
 }
 
+void hedge(gateway& self, routed_request& request);
+
 void schedule_hedge(gateway& self, routed_request& request)
 {
     if (!request.spec.idempotent || request.runs >= request.spec.max_runs ||
@@ -277,10 +162,10 @@
     request.hedge_timer = base::at(base::mono_now() + request.spec.hedge_delay,
                                    [&self, number = request.number]
                                    {
-                                       auto* const found = find(self, number);
+                                       auto* const found = find_request(self, number);
                                        if (found != nullptr && may_hedge(self, *found))
                                        {
-                                           try_next(self, *found);
+                                           hedge(self, *found);
                                        }
                                    });
 }
@@ -295,7 +180,7 @@
 
 bool may_send_try(gateway& self, std::uint64_t number, std::uint32_t index)
 {
-    auto* const request = find(self, number);
+    auto* const request = find_request(self, number);
     if (request == nullptr)
     {
         return false;
@@ -318,6 +203,7 @@
         chosen.id,         chosen.address,          request.spec.host,
         request.spec.team, request.spec.request_id, request.spec.deadline};
     fleet::note_request_sent(self.pool, chosen.id, now);
+    note_try_sent(self, request.spec);
     auto& started_try = request.running_tries[index];
     started_try.upstream = chosen.id;
     started_try.incarnation = fleet::incarnation_of(chosen);
@@ -342,7 +228,7 @@
     }
     if (request.runs > 0)
     {
-        perform_step(self, request, fleet::next_step::give_up);
+        finish_with_tries(self, request);
         return;
     }
     routed_outcome outcome;
@@ -352,13 +238,13 @@
     finish(self, request, std::move(outcome));
 }
 
-void try_next(gateway& self, routed_request& request)
+send_result send_or_stop(gateway& self, routed_request& request)
 {
     auto const now = base::mono_now();
     if (auto const until = refused_until(self, request.spec, now))
     {
         stop_crashing_request(self, request, *until);
-        return;
+        return send_result::ended;
     }
     fleet::plain_requirements const need{request.spec.service, self.settings.domain,
                                          request.tried_upstreams, request.spec.software_version};
@@ -366,57 +252,32 @@
                             ? fleet::choose_plain(self.pool, *self.configuration, need, now)
                             : std::nullopt;
     request_wanted_permits(self);
-    if (chosen)
+    if (!chosen)
     {
-        send_to(self, request, *chosen, now);
-        return;
+        return send_result::no_upstream;
     }
-    if (!request.running_tries.empty())
-    {
-        return;
-    }
-    if (now < request.spec.dispatch_deadline)
-    {
-        schedule_retry(self, request);
-        return;
-    }
-    // No other upstream takes the request. If it may have run, the tries so far decide the outcome.
-    perform_step(self, request,
-                 request.runs == 0 ? fleet::next_step::refuse : fleet::next_step::give_up);
+    send_to(self, request, *chosen, now);
+    return send_result::sent;
 }
 
-void note_abandoned_tries(gateway& self, routed_request& request)
+/// Sends another try beside those in progress, if an upstream and the budget of the service allow
+/// it. It is not made up for later: the tries in progress may be answered first.
+void hedge(gateway& self, routed_request& request)
 {
-    for (auto const& [index, running] : request.running_tries)
+    if (may_hedge_now(self, request.spec) && send_or_stop(self, request) == send_result::sent)
     {
-        if (http::is_sent(*running.fetch))
-        {
-            note_abandoned_try(self, request.spec, running);
-        }
+        charge_hedge(self, request.spec);
     }
 }
 
-void on_deadline(gateway& self, routed_request& request)
+void try_next(gateway& self, routed_request& request)
 {
-    note_abandoned_tries(self, request);
-    if (request.runs == 0)
-    {
-        finish_without_answer(self, request, outcome_kind::refused, result_code::deadline_passed,
-                              "no upstream was free before the deadline");
-        return;
-    }
-    if (!request.started_at)
-    {
-        // Sent but not answered, so it must count as run.
-        request.started_at = request.running_tries.begin()->second.started_at;
-    }
-    if (request.failed_answer)
+    if (request.running_tries.empty())
     {
-        perform_step(self, request, fleet::next_step::give_up);
+        wait_for_upstream(self, request);
         return;
     }
-    finish_without_answer(self, request, outcome_kind::unknown, result_code::deadline_passed,
-                          "no upstream answered before the deadline");
+    hedge(self, request);
 }
 
 } // namespace
@@ -429,19 +290,20 @@
     request.number = number;
     request.spec = std::move(spec);
     request.done = std::move(done);
+    note_request_arrived(self, request.spec);
     request.deadline_timer = base::at(request.spec.deadline - answer_margin,
                                       [&self, number]
                                       {
-                                          if (auto* const found = find(self, number))
+                                          if (auto* const found = find_request(self, number))
                                           {
-                                              on_deadline(self, *found);
+                                              end_at_deadline(self, *found);
                                           }
                                       });
     // Deferred to the loop, so that the caller has the number before `done` is called.
-    request.retry_timer = base::soon(
+    request.start_soon = base::soon(
         [&self, number]
         {
-            if (auto* const found = find(self, number))
+            if (auto* const found = find_request(self, number))
             {
                 try_next(self, *found);
             }
@@ -449,54 +311,18 @@
     return number;
 }
 
-void end_requests(gateway& self)
+bool may_use_any_upstream(gateway& self, std::uint64_t number)
 {
-    std::vector<std::uint64_t> numbers;
-    for (auto const& [number, request] : self.requests)
-    {
-        numbers.push_back(number);
-    }
-    for (auto const number : numbers)
-    {
-        if (auto* const found = find(self, number))
-        {
-            on_deadline(self, *found);
-        }
-    }
+    auto const* const request = find_request(self, number);
+    return request != nullptr && request->tried_upstreams.empty() &&
+           request->spec.software_version.empty() &&
+           may_be_sent(self, request->spec, base::mono_now());
 }
 
-std::optional<base::wall_time> cancel_request(gateway& self, std::uint64_t number)
+send_result send_request(gateway& self, std::uint64_t number)
 {
-    auto const it = self.requests.find(number);
-    if (it == self.requests.end())
-    {
-        return std::nullopt;
-    }
-    auto started_at = it->second->started_at;
-    note_abandoned_tries(self, *it->second);
-    for (auto const& [index, running] : it->second->running_tries)
-    {
-        fleet::note_request_ended(self.pool, running.upstream);
-        started_at = started_at.value_or(running.started_at);
-    }
-    self.requests.erase(it);
-    return started_at;
-}
-
-void cancel_requests_if(gateway& self, std::function<bool(routed_spec const&)> const& condition)
-{
-    std::vector<std::uint64_t> numbers;
-    for (auto const& [number, request] : self.requests)
-    {
-        if (condition(request->spec))
-        {
-            numbers.push_back(number);
-        }
-    }
-    for (auto const number : numbers)
-    {
-        (void)cancel_request(self, number);
-    }
+    auto* const request = find_request(self, number);
+    return request != nullptr ? send_or_stop(self, *request) : send_result::ended;
 }
 
 void withdraw_unsent_tries(gateway& self)
--- a/src/gateway/route_request.hpp
+++ b/src/gateway/route_request.hpp
@@ -18,6 +18,32 @@
 std::uint64_t start_request(gateway& self, routed_spec spec,
                             std::function<void(routed_outcome)> done);
 
+/// \ingroup gateway
+/// \brief Result of `send_request`.
+enum class send_result : std::uint8_t
+{
+    sent,
+    /// No upstream is free for the request, or it must not be sent now.
+    no_upstream,
+    /// The request has ended without being sent.
+    ended,
+};
+
+/// \ingroup gateway
+/// \brief Whether any upstream of its service may serve a waiting request, so that it finds a free
+/// one exactly if others like it do.
+[[nodiscard]] bool may_use_any_upstream(gateway& self, std::uint64_t number);
+
+/// \ingroup gateway
+/// \brief Sends a waiting request, if an upstream is free for it.
+send_result send_request(gateway& self, std::uint64_t number);
+
+/// \ingroup gateway
+/// \brief Ends a waiting request that was not dispatched in time: as refused, or with the outcome
+/// of its tries if it may have run.
+/// \param retry_at when an upstream is expected to be free, if that is known.
+void end_waiting(gateway& self, std::uint64_t number, std::optional<base::mono_time> retry_at);
+
 /// \ingroup gateway
 /// \brief Ends all requests as their deadlines would: those that may have run without a known
 /// outcome, the others as refused. For the end of the time in which the process must stop.
--- a/src/gateway/routed_request.hpp
+++ b/src/gateway/routed_request.hpp
@@ -56,6 +56,11 @@
     base::mono_time deadline{};
     /// The request is refused when no upstream is free by this time.
     base::mono_time dispatch_deadline{};
+    /// A request that may have run is not tried again when no upstream is free by this time or by
+    /// `dispatch_deadline`.
+    base::mono_time repeat_deadline = base::mono_time::max();
+    /// Priority of the route; 0 is the most urgent.
+    std::uint32_t priority = 0;
     /// When a try is not answered within this time, a second one is started in parallel. Zero
     /// disables hedging.
     base::duration hedge_delay{};
@@ -88,7 +93,8 @@
     std::optional<base::wall_time> started_at;
     /// Set when there is no answer.
     base::error error;
-    /// Set when the request is refused until this time for certain.
+    /// Set when the request is refused and it is known until when: for certain because of crashes,
+    /// or as expected from the rate at which slots become free.
     std::optional<base::mono_time> refused_until;
     std::uint32_t tries = 0;
 };
@@ -128,8 +134,10 @@
     std::optional<base::wall_time> started_at;
     /// Last answer with a server error; delivered if no other try succeeds.
     std::optional<routed_outcome> failed_answer;
+    /// When an upstream is expected to be free for a request that is refused.
+    std::optional<base::mono_time> retry_at;
     base::event_source deadline_timer;
-    base::event_source retry_timer;
+    base::event_source start_soon;
     base::event_source hedge_timer;
 };
 
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -32,6 +32,10 @@
     {
         fleet::note_sample_answered(self.pool, run.upstream);
     }
+    if (auto const* const upstream = fleet::find_upstream(self.pool, run.upstream))
+    {
+        wake_queue(self, upstream->record.service);
+    }
 }
 
 /// Discards the text of a sample unless the upstream of the new run may continue it.
--- a/src/gateway/serve_plain.cpp
+++ b/src/gateway/serve_plain.cpp
@@ -6,6 +6,7 @@
 #include "gateway/crash_watch.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/refresh.hpp"
+#include "gateway/request_queue.hpp"
 #include "gateway/route_request.hpp"
 #include "gateway/stream_origins.hpp"
 #include "http/status.hpp"
@@ -21,12 +22,9 @@
 
 using base::result_code;
 
-// A full service has a free slot again after a few requests.
+// A full service has a free slot again after a few requests. Used while no time is measured.
 constexpr base::duration retry_after_full = std::chrono::milliseconds(100);
 
-// Divisor of the target latency. A request that finds no free upstream within this part of it is
-// refused, so that the caller can still be served in time elsewhere.
-constexpr int dispatch_deadline_divisor = 5;
 // Divisor of the target latency. A second upstream is tried after this part of it.
 constexpr int hedge_delay_divisor = 2;
 
@@ -76,8 +74,9 @@
     }
     case outcome_kind::refused:
         refuse(self, exchange, outcome.error,
-               outcome.refused_until ? *outcome.refused_until - base::mono_now()
-                                     : retry_after_full);
+               outcome.refused_until
+                   ? std::max(*outcome.refused_until - base::mono_now(), base::duration::zero())
+                   : retry_after_full);
         break;
     case outcome_kind::unknown:
         answer_error(self, exchange,
@@ -88,7 +87,7 @@
     }
 }
 
-routed_spec make_spec(plain_request const& request)
+routed_spec make_spec(gateway& self, plain_request const& request)
 {
     auto const& [exchange, head, route, team, now] = request;
     routed_spec spec;
@@ -101,7 +100,9 @@
     spec.max_runs = route.attempts;
     spec.deadline = std::min(now + route.timeout, head.deadline.value_or(base::mono_time::max()));
     spec.dispatch_deadline =
-        std::min(spec.deadline, now + route.target_latency / dispatch_deadline_divisor);
+        std::min(spec.deadline,
+                 caller_dispatch_deadline(self, spec.service, now + route.target_latency, now));
+    spec.priority = route.priority;
     spec.hedge_delay = route.target_latency / hedge_delay_divisor;
     spec.call = {head.method,
                  head.target,
@@ -218,7 +219,7 @@
         refuse_take_up(self, request, "no upstream of the software version that began it serves");
         return;
     }
-    auto spec = make_spec(request);
+    auto spec = make_spec(self, request);
     spec.service = began_by.service;
     spec.software_version = began_by.software_version;
     start(self, request, std::move(spec));
@@ -253,7 +254,7 @@
         take_up_stream(self, request);
         return;
     }
-    start(self, request, make_spec(request));
+    start(self, request, make_spec(self, request));
 }
 
 } // namespace gooseberrywood::gateway
