--- a/src/fleet/pool.cpp
+++ b/src/fleet/pool.cpp
@@ -187,6 +187,15 @@
     }
 }
 
+void note_unanswered(pool& pool, std::string_view id, base::duration waited, base::mono_time now)
+{
+    auto* const found = find_upstream(pool, id);
+    if (found != nullptr && static_cast<double>(waited.count()) > found->answer_time.us)
+    {
+        add_measurement(found->answer_time, waited, now);
+    }
+}
+
 void note_event_interval(pool& pool, std::string_view id, base::duration interval,
                          base::mono_time now)
 {
--- a/src/fleet/pool.hpp
+++ b/src/fleet/pool.hpp
@@ -96,6 +96,12 @@
 void note_answer_time(pool& pool, std::string_view id, base::duration answer_time,
                       base::mono_time now);
 
+/// \ingroup fleet
+/// \brief Records that an upstream has not answered a request within some time. If that is longer
+/// than the mean, it is added as a measurement, so that an upstream that stays silent is avoided
+/// like a slow one and does not need a second try for each request.
+void note_unanswered(pool& pool, std::string_view id, base::duration waited, base::mono_time now);
+
 /// \ingroup fleet
 /// \brief Adds the time between two events of a stream to the mean, and resets the failure count.
 void note_event_interval(pool& pool, std::string_view id, base::duration interval,
--- a/src/fleet/service_load.cpp
+++ b/src/fleet/service_load.cpp
@@ -46,7 +46,8 @@
     service_load load;
     for (auto const& [id, upstream] : pool.upstreams)
     {
-        if (!is_serving(pool, incarnation_of(upstream.record), service))
+        if (upstream.record.service != service ||
+            !is_serving(pool, incarnation_of(upstream.record), service))
         {
             continue;
         }
--- a/src/fleet/service_queue.cpp
+++ b/src/fleet/service_queue.cpp
@@ -3,7 +3,7 @@
 #include "admission/latest_dispatch.hpp"
 
 #include <algorithm>
-#include <limits>
+#include <string_view>
 #include <tuple>
 
 namespace gooseberrywood::fleet
@@ -89,10 +89,13 @@
     }
 }
 
+/// Whether a request of a caller waits that may be refused. One that may have run waits for certain
+/// upstreams only, so that slots that become free meanwhile tell nothing about the others.
 bool has_waiting_caller(service_queue const& queue)
 {
     return std::any_of(queue.waiting.begin(), queue.waiting.end(),
-                       [](auto const& entry) { return !entry.second.is_reward; });
+                       [](auto const& entry)
+                       { return !entry.second.is_reward && entry.second.may_be_refused; });
 }
 
 bool has_interval(service_queue const& queue, base::mono_time now)
--- a/src/fleet/try_budget.hpp
+++ b/src/fleet/try_budget.hpp
@@ -1,7 +1,10 @@
 #ifndef GOOSEBERRYWOOD_FLEET_TRY_BUDGET_HPP
 #define GOOSEBERRYWOOD_FLEET_TRY_BUDGET_HPP
 
+#include "base/time.hpp"
+
 #include <algorithm>
+#include <chrono>
 
 namespace gooseberrywood::fleet
 {
@@ -12,21 +15,27 @@
 
 /// \ingroup fleet
 /// \brief Budget of a service for further tries, that is, hedges and repeats: a tenth of the
-/// requests, and a burst of a few.
+/// requests, and a burst of a few. A process with few requests gets one further try in 5 s, since
+/// it can't learn fast enough which upstreams to avoid.
 ///
 /// Load pattern: half of the upstreams become six times slower. A second try helps against one slow
 /// upstream; when all are slow, it only adds load.
 struct try_budget
 {
     double tokens = try_burst;
+    base::mono_time refilled_at{};
 };
 
 /// \ingroup fleet
 /// \brief Records a new request.
-inline void note_request(try_budget& budget)
+inline void note_request(try_budget& budget, base::mono_time now)
 {
     constexpr double tries_per_request = 0.1;
-    budget.tokens = std::min(try_burst, budget.tokens + tries_per_request);
+    constexpr double tries_per_s = 0.2;
+    auto const elapsed_s = std::chrono::duration<double>(now - budget.refilled_at).count();
+    budget.refilled_at = now;
+    budget.tokens =
+        std::min(try_burst, budget.tokens + tries_per_request + elapsed_s * tries_per_s);
 }
 
 /// \ingroup fleet
--- a/src/gateway/end_request.cpp
+++ b/src/gateway/end_request.cpp
@@ -40,6 +40,11 @@
     outcome.tries = request.tries;
     for (auto const& [number, running] : request.running_tries)
     {
+        if (http::is_sent(*running.fetch))
+        {
+            auto const now = base::mono_now();
+            fleet::note_unanswered(self.pool, running.upstream, now - running.sent_at, now);
+        }
         release_try(self, request.spec, running);
     }
     stop_waiting(self, request);
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -3,6 +3,8 @@
 #include "base/log.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <utility>
 
 namespace gooseberrywood::gateway
@@ -96,6 +98,14 @@
               static_cast<double>(self.requests.size()));
 }
 
+void set_waiting(gateway& self, std::string_view service, std::string_view kind,
+                 std::ptrdiff_t waiting)
+{
+    base::gauge_at(self.metrics, {"gateway_requests_waiting", "plain requests without an upstream"},
+                   {{"service", service}, {"class", kind}})
+        .value = static_cast<double>(waiting);
+}
+
 void update_queue_gauges(gateway& self)
 {
     for (auto const& [service, queue] : self.queues)
@@ -104,15 +114,8 @@
         auto const rewards =
             std::count_if(waiting.begin(), waiting.end(),
                           [](auto const& entry) { return entry.second.is_reward; });
-        auto const set = [&](std::string_view kind, double value)
-        {
-            base::gauge_at(self.metrics,
-                           {"gateway_requests_waiting", "plain requests without an upstream"},
-                           {{"service", service}, {"class", kind}})
-                .value = value;
-        };
-        set("reward", static_cast<double>(rewards));
-        set("caller", static_cast<double>(waiting.size()) - static_cast<double>(rewards));
+        set_waiting(self, service, "reward", rewards);
+        set_waiting(self, service, "caller", std::ssize(waiting) - rewards);
         base::gauge_at(self.metrics,
                        {"gateway_reward_calls", "reward calls in progress at upstreams"},
                        {{"service", service}})
--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -172,11 +172,12 @@
 
 void note_request_arrived(gateway& self, routed_spec const& spec)
 {
+    auto const now = base::mono_now();
     auto& queue = queue_of(self, spec.service);
-    fleet::note_request(queue.budget);
+    fleet::note_request(queue.budget, now);
     if (!spec.sample)
     {
-        queue.rewards.caller_seen_at = base::mono_now();
+        queue.rewards.caller_seen_at = now;
     }
 }
 
--- a/test/fleet_pool_test.cpp
+++ b/test/fleet_pool_test.cpp
@@ -135,3 +135,16 @@
         }
     }
 }
+
+SCENARIO("an upstream leaves a request without an answer")
+{
+    // Guards against a silent upstream that gets its share of the requests, each needing a hedge.
+    fleet::pool pool;
+    fleet::upstream_record record;
+    record.id = "a";
+    (void)fleet::apply_list(pool, {&record, 1}, at_ms(0));
+    fleet::note_unanswered(pool, "a", 200ms, at_ms(200));
+    CHECK(pool.upstreams.at("a").answer_time.us == 200e3);
+    fleet::note_unanswered(pool, "a", 20ms, at_ms(220));
+    CHECK(pool.upstreams.at("a").answer_time.us == 200e3);
+}
