Refuse callers soon when no slot can become free

gateway_leaving_upstream_test failed: with the dispatch deadline from the measured service time, a lookup waited 400 ms at a service that no upstream serves any more; the test allows 200 ms.

The measured deadline applies only while requests run or an upstream opens by then; otherwise the request waits a fifth of its target, as before. The log line of an early refusal names the request.

Unit tests and gateway_leaving_upstream_test pass.

--- a/src/fleet/service_queue.cpp
+++ b/src/fleet/service_queue.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 
-// Divisor of the time until a request is due, for its dispatch deadline without measurements.
+// Divisor of the time until a request is due, for its dispatch deadline when nothing is known about
+// the next free slot.
 constexpr int unmeasured_divisor = 5;
 
 // Fewer intervals are not representative: requests that were sent together end together.
@@ -262,14 +263,14 @@
                             : base::duration::zero();
 }
 
-base::mono_time caller_dispatch_deadline(service_queue const& queue, base::mono_time due,
-                                         base::mono_time now)
+base::mono_time caller_dispatch_deadline(service_queue const& queue, service_load const& load,
+                                         base::mono_time due, base::mono_time now)
 {
-    if (queue.service_time.request_us <= 0)
-    {
-        return now + (due - now) / unmeasured_divisor;
-    }
-    return admission::latest_dispatch(due, now, admission::expected_service(queue.service_time, 1));
+    auto const latest =
+        admission::latest_dispatch(due, now, admission::expected_service(queue.service_time, 1));
+    bool const may_free = load.running > 0 || load.opens_at <= latest;
+    return queue.service_time.request_us > 0 && may_free ? latest
+                                                         : now + (due - now) / unmeasured_divisor;
 }
 
 } // namespace gooseberrywood::fleet
--- a/src/fleet/service_queue.hpp
+++ b/src/fleet/service_queue.hpp
@@ -126,9 +126,11 @@
 
 /// \ingroup fleet
 /// \brief Dispatch deadline of a new request of a caller. At the measured service time, a request
-/// that is dispatched by then is usually answered when it is due. Without measurements it is a
-/// fifth of the time until then, so that the caller can still be served elsewhere.
+/// that is dispatched by then is usually answered when it is due. Without measurements, and while
+/// no slot can become free by then, it is a fifth of the time until then, so that the caller can
+/// still be served elsewhere.
 [[nodiscard]] base::mono_time caller_dispatch_deadline(service_queue const& queue,
+                                                       service_load const& load,
                                                        base::mono_time due, base::mono_time now);
 
 } // namespace gooseberrywood::fleet
--- a/src/gateway/request_queue.cpp
+++ b/src/gateway/request_queue.cpp
@@ -2,6 +2,7 @@
 
 #include "admission/latest_dispatch.hpp"
 #include "base/log.hpp"
+#include "gateway/end_request.hpp"
 #include "gateway/gateway.hpp"
 #include "gateway/measure.hpp"
 #include "gateway/route_request.hpp"
@@ -94,8 +95,10 @@
     for (auto const& refusal : fleet::refuse_unreachable(queue.waiting, load, now))
     {
         count_early_refusal(self, service);
+        auto const* const request = find_request(self, refusal.number);
         base::log_line(base::log_level::info, "request_refused_early",
-                       {{"service", service},
+                       {{"request", request != nullptr ? request->spec.request_id : ""},
+                        {"service", service},
                         {"wait_us", (refusal.retry_at - now).count()},
                         {"waiting", static_cast<std::int64_t>(queue.waiting.waiting.size())}});
         end_waiting(self, refusal.number, refusal.retry_at);
@@ -301,7 +304,8 @@
 base::mono_time caller_dispatch_deadline(gateway& self, std::string const& service,
                                          base::mono_time due, base::mono_time now)
 {
-    return fleet::caller_dispatch_deadline(queue_of(self, service).waiting, due, now);
+    return fleet::caller_dispatch_deadline(queue_of(self, service).waiting,
+                                           load_of(self, service, now), due, now);
 }
 
 base::mono_time reward_dispatch_deadline(gateway& self, std::string const& service,
--- a/test/fleet_service_queue_test.cpp
+++ b/test/fleet_service_queue_test.cpp
@@ -67,6 +67,7 @@
     [[nodiscard]] fleet::service_load load() const
     {
         fleet::service_load load;
+        load.opens_at = ends.size() < slots_each * upstreams.size() ? now : load.opens_at;
         load.slots = slots_each * static_cast<std::uint32_t>(upstreams.size());
         load.running = static_cast<std::uint32_t>(ends.size());
         return load;
@@ -77,7 +78,7 @@
 {
     auto const number = sim.records.size() + 1;
     auto const deadline =
-        fleet::caller_dispatch_deadline(sim.queue, sim.now + lookup_target, sim.now);
+        fleet::caller_dispatch_deadline(sim.queue, sim.load(), sim.now + lookup_target, sim.now);
     sim.records[number].request = make_caller(number, std::move(team), sim.now, deadline);
     sim.rewards.caller_seen_at = sim.now;
     fleet::enter(sim.queue, sim.records[number].request);
@@ -362,6 +363,22 @@
     }
 }
 
+SCENARIO("the dispatch deadline of a caller follows the service time")
+{
+    fleet::service_queue queue;
+    fleet::service_load busy;
+    busy.slots = busy.running = 6;
+    auto const deadline = [&](fleet::service_load const& load)
+    {
+        return fleet::caller_dispatch_deadline(queue, load, at_ms(150), at_ms(0));
+    };
+    CHECK(deadline(busy) == at_ms(30));
+    fleet::note_slot_freed(queue, 10ms, at_ms(0));
+    CHECK(deadline(busy) == at_ms(110));
+    // Guards against callers that wait long at a service that no upstream serves any more.
+    CHECK(deadline({}) == at_ms(30));
+}
+
 SCENARIO("the share of reward calls follows refusals and ends without callers")
 {
     fleet::reward_share rewards;
