--- a/src/fleet.hpp
+++ b/src/fleet.hpp
@@ -15,5 +15,9 @@
 #include "fleet/model_capacity.hpp"
 #include "fleet/permit_bucket.hpp"
 #include "fleet/pool.hpp"
+#include "fleet/reward_share.hpp"
+#include "fleet/service_load.hpp"
+#include "fleet/service_queue.hpp"
+#include "fleet/try_budget.hpp"
 
 #endif
--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -45,9 +45,6 @@
 // free: 43 ms per event were measured with one request and with five.
 constexpr double batch_slowdown = 0.05;
 
-// Plain requests beyond the number of slots are queued at the upstream, so that its slots stay
-// busy.
-constexpr std::uint32_t max_requests_per_slot = 2;
 
 /// \param software_version empty for any.
 bool has_version(upstream const& upstream, std::string_view software_version)
--- a/test/fleet_pool_test.cpp
+++ b/test/fleet_pool_test.cpp
@@ -154,3 +154,16 @@
     pool.domains_out.insert("krapina");
     CHECK(fleet::capacity_for(pool, "engines", "m", at_ms(0)).slots == 0);
 }
+
+SCENARIO("an upstream leaves a request without an answer")
+{
+    // Guards against a silent upstream that gets its share of the requests, each needing a hedge.
+    fleet::pool pool;
+    fleet::upstream_record record;
+    record.id = "a";
+    (void)fleet::apply_list(pool, {&record, 1}, at_ms(0));
+    fleet::note_abandoned(pool, "a", 200ms, at_ms(200), 1);
+    CHECK(pool.upstreams.at("a").answer_time.us == 200e3);
+    fleet::note_abandoned(pool, "a", 20ms, at_ms(220), 1);
+    CHECK(pool.upstreams.at("a").answer_time.us == 200e3);
+}
