--- a/src/rollout/group_plan.cpp
+++ b/src/rollout/group_plan.cpp
@@ -12,7 +12,8 @@
 
 // Share of the slots' time that is promised to groups. The rest is lost between two runs, in slots
 // that are idle while the last samples of a step run, and to samples longer than expected. In
-// replays of a backlog, 0.9 completed fewer groups in time, and 0.6 no more.
+// replays, 0.9 completed fewer groups in time when engines became slow (12 instead of 17 of 39),
+// and 0.6 fewer when the engines are just enough (57 instead of 60 of 65).
 constexpr double usable_slot_share = 0.75;
 
 // Slack that is added for each level by which a route is less urgent.
