Look up the service once per job in a dispatch round

A round has up to 200 waiting samples, and each looked up its route and service to estimate its length. The lookup is now made once per job.

A restarted upstream lost the time since which its requests have had no answer while they stayed counted, so that it counted as slow; the time is kept with them.

Result: unit tests, gateway_test and gateway_failed_sample_test pass.

--- a/src/fleet/pool.cpp
+++ b/src/fleet/pool.cpp
@@ -39,10 +39,12 @@
     {
         auto const running = known.running;
         auto const outstanding = known.outstanding;
+        auto const unanswered_since = known.unanswered_since;
         known = upstream{};
         known.record = listed;
         known.running = running;
         known.outstanding = outstanding;
+        known.unanswered_since = unanswered_since;
         return;
     }
     // Answers show new weights earlier than the list does.
--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/sample_runner.hpp"
 
 #include "fleet/choose_upstream.hpp"
+#include "fleet/cost_estimate.hpp"
 #include "gateway/job_work.hpp"
 #include "gateway/move_runs.hpp"
 #include "gateway/permits.hpp"
@@ -10,9 +11,11 @@
 #include "process/main_loop.hpp"
 #include "rollout/waiting_sample.hpp"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -182,16 +185,24 @@
     }
 }
 
-/// Estimates the events that each waiting sample is expected to produce yet.
+/// Estimates the events that each waiting sample is expected to produce yet. The route and the
+/// service are looked up once for each job, since a round has up to 200 samples.
 void estimate_events(gateway const& self, dispatch_round& round)
 {
+    std::map<std::string_view, std::uint32_t> tokens_by_job;
     round.events_left.reserve(round.waiting.size());
     for (auto const& waiting : round.waiting)
     {
         auto const& job = self.jobs.at(waiting.job_id);
         auto const& spec = job.spec.samples[waiting.index];
-        auto const& service = fleet::service_for_request(*route_of(self, job.record), spec.id);
-        round.events_left.push_back(events_left(self, service, spec, job.samples[waiting.index]));
+        auto const [it, is_new] = tokens_by_job.try_emplace(waiting.job_id, 0);
+        if (is_new)
+        {
+            auto const& route = *route_of(self, job.record);
+            it->second = tokens_per_event(self, fleet::service_for_request(route, spec.id));
+        }
+        round.events_left.push_back(fleet::expected_events_left(spec.expected_tokens, it->second,
+                                                                job.samples[waiting.index].events));
     }
 }
 
--- a/src/gateway/sample_runs.cpp
+++ b/src/gateway/sample_runs.cpp
@@ -110,13 +110,18 @@
     schedule_sample_dispatch(self);
 }
 
-double events_left(gateway const& self, std::string_view service, rollout::sample_spec const& spec,
-                   rollout::sample_progress const& progress)
+std::uint32_t tokens_per_event(gateway const& self, std::string_view service)
 {
     auto const* const found =
         self.configuration ? fleet::find_service(*self.configuration, service) : nullptr;
-    auto const tokens_per_event = (found != nullptr ? *found : fleet::service{}).tokens_per_event;
-    return fleet::expected_events_left(spec.expected_tokens, tokens_per_event, progress.events);
+    return found != nullptr ? found->tokens_per_event : fleet::service{}.tokens_per_event;
+}
+
+double events_left(gateway const& self, std::string_view service, rollout::sample_spec const& spec,
+                   rollout::sample_progress const& progress)
+{
+    return fleet::expected_events_left(spec.expected_tokens, tokens_per_event(self, service),
+                                       progress.events);
 }
 
 sample_run& start_run(gateway& self, owned_job& job, std::size_t index,
--- a/src/gateway/sample_runs.hpp
+++ b/src/gateway/sample_runs.hpp
@@ -28,6 +28,10 @@
 /// \returns nothing if this process no longer runs the job.
 [[nodiscard]] std::optional<run_context> context_of(gateway& self, sample_run const& run);
 
+/// \ingroup gateway
+/// \brief Number of tokens that an event of a service carries.
+[[nodiscard]] std::uint32_t tokens_per_event(gateway const& self, std::string_view service);
+
 /// \ingroup gateway
 /// \brief Number of events that a sample is expected to produce yet.
 /// \param service service that runs it.
