--- a/src/gateway/sample_runner.cpp
+++ b/src/gateway/sample_runner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/sample_runner.hpp"
 
 #include "fleet/choose_upstream.hpp"
+#include "fleet/cost_estimate.hpp"
 #include "gateway/job_work.hpp"
 #include "gateway/move_runs.hpp"
 #include "gateway/permits.hpp"
@@ -10,9 +11,11 @@
 #include "gateway/sample_runs.hpp"
 #include "process/main_loop.hpp"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
