--- a/src/fleet/choose_upstream.cpp
+++ b/src/fleet/choose_upstream.cpp
@@ -30,8 +30,8 @@
 // a refusal by an upstream that other processes have filled.
 constexpr double max_equal_delay_us = 150'000;
 
-// A full batch slows each of its requests by this share. Batch size hardly matters while slots are
-// free: 43 ms per event were measured with one request and with five.
+// A full batch slows each of its requests by this share; while slots are free, its size hardly
+// matters.
 constexpr double batch_slowdown = 0.05;
 
 // Plain requests beyond the number of slots are queued at the upstream, so that its slots stay
--- a/src/fleet/choose_upstream.hpp
+++ b/src/fleet/choose_upstream.hpp
@@ -98,8 +98,8 @@
 /// for those; otherwise it may use any upstream that has the weights.
 ///
 /// Load pattern: a few samples of a step are many times as long as the others, and a step counts
-/// only once they are complete. On an upstream that is 1.3 times slower, a sample of 146 events
-/// takes 1.9 s more, one of 10 events 0.13 s.
+/// only once they are complete. On a slow upstream, a sample loses time in proportion to its
+/// length.
 ///
 /// Load pattern: steps of several trainers arrive at once, each at a different process and each
 /// with several times as many samples as there are free slots, while some upstreams are slow, cold
