--- a/review/standin-2/case_killed_engine.cpp
+++ b/review/standin-2/case_killed_engine.cpp
@@ -102,12 +102,12 @@
     bool const trouble = trouble_text == nullptr || std::string(trouble_text) != "0";
     record out(case_folder + "/record.txt");
     temporary_folder folder;
-    platform store;
+    auto& store = *new platform;
     if (!store.start())
     {
         return not_run;
     }
-    server app;
+    auto& app = *new server;
     app.handle = [&](int fd, message const& request)
     {
         auto const id = request.header("Attempt-Id");
