--- a/review/standin-2/case_client_crowd.cpp
+++ b/review/standin-2/case_client_crowd.cpp
@@ -18,7 +18,8 @@
 constexpr double memory_limit_mb = 260;
 constexpr int callers_count = 24;
 constexpr int pause_ms = 20;
-constexpr int trouble_for_ms = 40'000;
+constexpr int trouble_for_ms = 50'000;
+constexpr int max_kills = 6;
 constexpr int restart_ms = 600;
 constexpr int check_us = 1000;
 // The crowd.
@@ -191,7 +192,7 @@
     double peak = 0;
     int kills = 0;
     auto const end = clock_type::now() + milliseconds(trouble_for_ms);
-    while (clock_type::now() < end && kills < 3)
+    while (clock_type::now() < end && kills < max_kills)
     {
         auto const used = entry.process.memory_mb();
         peak = std::max(peak, used);
