--- a/review/standin-2/common.hpp
+++ b/review/standin-2/common.hpp
@@ -15,6 +15,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <cctype>
 #include <chrono>
@@ -24,6 +25,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -564,8 +566,11 @@
 
     temporary_folder()
     {
-        char name[] = "/tmp/review-2-XXXXXX";
-        path = mkdtemp(name);
+        path = (std::filesystem::temp_directory_path() / "review-2-XXXXXX").string();
+        if (mkdtemp(path.data()) == nullptr)
+        {
+            std::exit(not_run);
+        }
     }
     ~temporary_folder()
     {
