End a call for good when its owner releases it in a handler

Cause: the reading of a call asked by the number of pointers whether its owner had released it. After four reads without a pause it goes on from the main loop, which holds the call once more, so that the answer was always yes, and the handler of a run that was gone was called.

Change: the owner gets a pointer of its own, whose release cancels the call; the end is a state that is asked after each handler. The same guard now covers may_send, which asked nothing. The stand-in can answer without end.

--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -52,7 +52,7 @@
     handlers.on_complete();
 }
 
-/// \returns whether more data may be read immediately.
+/// \returns whether more data may be read immediately. The owner may have ended the call.
 bool read_once(call& c)
 {
     std::array<char, read_bytes> buffer;
@@ -92,17 +92,12 @@
 gboolean on_readable(GObject*, gpointer data)
 {
     auto const keep = static_cast<call*>(data)->shared_from_this();
-    // The owner may release the call in a handler. No handler must be called after that.
-    auto const is_owned = [&]
-    {
-        return keep.use_count() > 1;
-    };
     bool may_read_more = true;
-    for (int i = 0; i < max_reads_per_event && is_owned() && may_read_more; ++i)
+    for (int i = 0; i < max_reads_per_event && may_read_more; ++i)
     {
         may_read_more = read_once(*keep);
     }
-    if (!is_owned() || keep->ended)
+    if (keep->ended)
     {
         return G_SOURCE_REMOVE;
     }
@@ -190,7 +185,7 @@
     }
     g_cancellable_cancel(keep->cancellable.get());
     keep->handlers.on_status(SOUP_STATUS_MISDIRECTED_REQUEST, "application/octet-stream");
-    if (keep.use_count() > 1 && !keep->ended)
+    if (!keep->ended)
     {
         complete(*keep);
     }
@@ -206,36 +201,60 @@
 
 void on_starting(SoupMessage*, gpointer data)
 {
-    auto& c = *static_cast<call*>(data);
-    if (c.handlers.may_send && !c.handlers.may_send())
+    auto const keep = static_cast<call*>(data)->shared_from_this();
+    bool const may_send = !keep->handlers.may_send || keep->handlers.may_send();
+    if (keep->ended)
+    {
+        return;
+    }
+    if (!may_send)
     {
         // libsoup checks this before it writes, and reports the failure.
-        c.withdrawn = true;
-        g_cancellable_cancel(c.cancellable.get());
+        keep->withdrawn = true;
+        g_cancellable_cancel(keep->cancellable.get());
         return;
     }
-    c.sent = true;
-    if (c.handlers.on_sending)
+    keep->sent = true;
+    if (keep->handlers.on_sending)
     {
-        c.handlers.on_sending();
+        keep->handlers.on_sending();
     }
 }
 
-} // namespace
-
-call::~call()
+/// Stops all work for a call, so that no handler is called any more. The handlers themselves are
+/// kept, as one of them may be running.
+void cancel(call& c)
 {
-    ended = true;
-    if (message)
+    c.ended = true;
+    c.readable.reset();
+    c.failure_report.reset();
+    if (c.message)
     {
-        g_signal_handlers_disconnect_by_data(message.get(), this);
+        g_signal_handlers_disconnect_by_data(c.message.get(), &c);
     }
-    if (cancellable)
+    if (c.cancellable)
     {
-        g_cancellable_cancel(cancellable.get());
+        g_cancellable_cancel(c.cancellable.get());
     }
 }
 
+/// Makes the owner's pointer to a call. A handler that runs keeps the call itself alive, so the end
+/// of the call can't depend on the number of pointers to it.
+std::shared_ptr<call> make_owner(std::shared_ptr<call> const& inner)
+{
+    return {inner.get(), [inner](call* released)
+            {
+                cancel(*released);
+            }};
+}
+
+} // namespace
+
+call::~call()
+{
+    cancel(*this);
+}
+
 base::object_ptr<SoupSession> make_session()
 {
     base::object_ptr<SoupSession> session(soup_session_new_with_options(
@@ -265,7 +284,7 @@
                                                  "the URL of the request is not valid"));
                 }
             });
-        return made;
+        return make_owner(made);
     }
     // Without SOUP_MESSAGE_IDEMPOTENT, libsoup opens a new connection for each POST.
     int const flags = SOUP_MESSAGE_NO_REDIRECT |
@@ -294,7 +313,7 @@
     soup_session_send_async(session, made->message.get(), G_PRIORITY_DEFAULT,
                             made->cancellable.get(), on_response,
                             new weak_call(made->weak_from_this()));
-    return made;
+    return make_owner(made);
 }
 
 } // namespace gooseberrywood::http
--- a/src/http/call.hpp
+++ b/src/http/call.hpp
@@ -50,10 +50,13 @@
 };
 
 /// \ingroup http
-/// \brief An HTTP call in progress. Releasing the last shared_ptr cancels it; no handler is called
-/// after that.
+/// \brief An HTTP call in progress. It ends when its owner releases the last pointer to it, which
+/// the owner may do in any handler; no handler is called after that.
 struct call : std::enable_shared_from_this<call>
 {
+    call() = default;
+    call(call const&) = delete;
+    call& operator=(call const&) = delete;
     ~call();
 
     base::object_ptr<SoupMessage> message;
@@ -67,6 +70,8 @@
     bool sent = false;
     /// `may_send` has returned false.
     bool withdrawn = false;
+    /// The call has completed or failed, or its owner has released it. No handler is called any
+    /// more.
     bool ended = false;
 };
 
@@ -76,6 +81,7 @@
 
 /// \ingroup http
 /// \brief Starts a call.
+/// \returns the pointer of the call's owner.
 [[nodiscard]] std::shared_ptr<call> start_call(SoupSession* session, call_request const& request,
                                                call_handlers handlers);
 
--- a/test/standin/site/raw_answer.hpp
+++ b/test/standin/site/raw_answer.hpp
@@ -19,6 +19,9 @@
     bool resets = false;
     /// The connection stays open until the peer closes it.
     bool stays_open = false;
+    /// Text that follows again and again until the peer closes the connection; empty for none.
+    /// `{n}` stands for the number of the repetition, from 1.
+    std::string repeated;
 };
 
 /// Raw answers to the next requests of each service.
--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -182,6 +182,10 @@
     at.caller_ports.insert(g_inet_socket_address_get_port(
         G_INET_SOCKET_ADDRESS(soup_server_message_get_remote_address(message))));
     auto const path = path_of(message);
+    if (path.starts_with("/-/") && send_raw_answer(self.raw, at.service + path, message, ""))
+    {
+        return;
+    }
     if (path == "/-/report")
     {
         answer(message, SOUP_STATUS_OK, {{"seq", at.orders}});
