Bound what a process holds of the responses of upstreams

Each body had a bound of 32 MiB, the sum of all had none, and neither had the text of a sample.

Cause: bounds stood with the readers of single parts. Nothing counted heads, framing and bodies of all calls together.

Change: base::byte_budget, a budget of bytes with shares. Each call has a share of its session's budget, in which http::message_framing, below libsoup, counts every byte of the response; what was fetched keeps its share until it is released, for an answer of a plain route until the caller has it (no copy any more). Texts of samples have shares in the same budget. Where a budget is used up, the largest share is evicted; shares up to 64 KiB never are. Settings: memory_mb (from the deploy file), max_response_mb, max_text_kb. New result code response_too_large. A text that was given up for its size is discarded, as its last events can't belong to it. On the way: heads above 64 KiB were reported by libsoup as broken connections, which counted as crashes of upstreams; the limit of heads is 60 KiB now, and a malformed head on a kept connection is no broken connection either. Large buffers go back to the system when they are released.

--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -113,7 +113,8 @@
     agent.settings = std::move(settings);
     agent.own = make_hello(agent.settings);
     agent.started_at = base::mono_now();
-    agent.session = http::make_session();
+    agent.session = http::make_session(http::make_response_limits(
+        agent.settings.memory.max_response_bytes, agent.settings.memory.memory_bytes));
     make_upstreams(agent);
     agent.self.domain = agent.settings.domain;
     agent.announcements = config::start_announcements(agent.started_at);
--- a/src/base.hpp
+++ b/src/base.hpp
@@ -4,6 +4,7 @@
 /// \defgroup base base
 /// \brief Result codes, time, identifiers, hashes, logging and metrics that all other modules use.
 
+#include "base/byte_budget.hpp"
 #include "base/error.hpp"
 #include "base/hash.hpp"
 #include "base/invariant.hpp"
--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -70,6 +70,8 @@
     result_code_info{rc::key_withdrawn, "key_withdrawn", 401, 77, false,
                      "The key was withdrawn while the request ran."},
     result_code_info{rc::canceled, "canceled", 499, 76, false, "The caller went away."},
+    result_code_info{rc::response_too_large, "response_too_large", 502, 76, false,
+                     "The upstream's response exceeds a size limit."},
     result_code_info{rc::settings_invalid, "settings_invalid", 500, 78, false,
                      "The settings file has errors; nothing was applied."},
     result_code_info{rc::bundle_invalid, "bundle_invalid", 422, 78, false,
--- a/src/base/result_code.hpp
+++ b/src/base/result_code.hpp
@@ -52,6 +52,7 @@
     stream_incomplete = 203,
     key_withdrawn = 204,
     canceled = 205,
+    response_too_large = 206,
 
     // 300-399: settings and bundles.
     settings_invalid = 300,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -159,8 +159,10 @@
     auto& self = *created;
     self.settings = std::move(settings);
     self.started_at = base::mono_now();
-    self.upstream_session = http::make_session();
-    self.control_session = http::make_session();
+    self.response_limits = http::make_response_limits(self.settings.memory.max_response_bytes,
+                                                      self.settings.memory.memory_bytes);
+    self.upstream_session = http::make_session(self.response_limits);
+    self.control_session = http::make_session(self.response_limits);
     self.relay.direct = platform::make_store_transport(self.settings.store);
     self.store = instrument_store(self, platform::make_store_client(make_relayed_transport(self)));
     self.usage.length = self.settings.usage_window;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -23,6 +23,7 @@
 #include "gateway/shared_view.hpp"
 #include "gateway/store_relay.hpp"
 #include "gateway/stream_origins.hpp"
+#include "http/response_limits.hpp"
 #include "http/server.hpp"
 #include "process/main_loop.hpp"
 #include "rollout/member.hpp"
@@ -74,6 +75,8 @@
     bool stopping = false;
     base::event_source stop_timer;
 
+    /// Limits of the responses of upstreams, and of the texts made of them.
+    http::response_limits response_limits;
     // Declared before the members that make calls through them, so that they are destroyed last.
     base::object_ptr<SoupSession> upstream_session;
     base::object_ptr<SoupSession> control_session;
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -295,6 +295,10 @@
     update_job_gauges(self);
     update_upstream_gauges(self, now);
     update_model_gauges(self, now);
+    set_gauge(self, {"gateway_response_bytes", "bytes of upstreams' responses that are held"},
+              static_cast<double>(self.response_limits.budget->used_bytes));
+    set_gauge(self, {"gateway_responses_too_large", "responses and texts given up for their size"},
+              static_cast<double>(self.response_limits.budget->evictions));
     set_gauge(self, {"gateway_leads", "1 while this process leads"}, self.candidate.held ? 1 : 0);
     set_gauge(self, {"gateway_lease_held", "1 while the lease in the store holds"},
               has_lease(self, now) ? 1 : 0);
--- a/src/gateway/result_writer.cpp
+++ b/src/gateway/result_writer.cpp
@@ -90,7 +90,8 @@
     {
         auto& sample = job.samples[job.index_by_id.at(result.id)];
         sample.phase = rollout::sample_phase::listed;
-        sample.text.clear();
+        sample.text = {};
+        sample.text_share.reset();
         count_sample(self, result.done,
                      base::duration((base::wall_now() - job.record.submitted_at).count()));
         base::log_line(base::log_level::info, "sample_listed",
--- a/src/gateway/route_request.cpp
+++ b/src/gateway/route_request.cpp
@@ -35,8 +35,6 @@
 // The answer at the deadline must reach the caller before the caller gives up.
 constexpr base::duration answer_margin = std::chrono::milliseconds(15);
 
-constexpr std::size_t max_answer_bytes = 32 * 1024 * 1024;
-
 routed_request* find(gateway& self, std::uint64_t number)
 {
     auto const it = self.requests.find(number);
@@ -331,7 +329,7 @@
     started_try.started_at = base::wall_now();
     started_try.fetch = http::start_fetch(
         self.upstream_session.get(), platform::encode_plain(target, request.spec.call, now),
-        request.spec.deadline, max_answer_bytes,
+        request.spec.deadline, self.response_limits.max_response_bytes,
         [&self, number = request.number, index](http::fetch_outcome answer)
         { on_try_ended(self, number, index, std::move(answer)); },
         [&self, number = request.number, index] { return may_send_try(self, number, index); });
--- a/src/gateway/sample_run_answers.cpp
+++ b/src/gateway/sample_run_answers.cpp
@@ -8,6 +8,7 @@
 #include "gateway/result_writer.hpp"
 #include "gateway/reward_runner.hpp"
 #include "gateway/sample_runs.hpp"
+#include "gateway/text_limits.hpp"
 #include "gateway/unsent_requests.hpp"
 #include "http/response_watch.hpp"
 #include "http/status.hpp"
@@ -134,9 +135,16 @@
     }
 }
 
-bool apply_event(gateway& self, sample_run& run, run_context const& context,
-                 rollout::stream_event const& event, base::mono_time now)
+/// Appends an event to the text of its sample.
+/// \returns why it can't be appended, or nullptr.
+char const* apply_event(gateway& self, sample_run& run, run_context const& context,
+                        rollout::stream_event const& event, base::mono_time now)
 {
+    if (!count_text_bytes(self, run, context, event.data.size() + 1))
+    {
+        rollout::discard_text(*context.progress);
+        return "the text exceeds the size limit";
+    }
     if (event.version)
     {
         run.version = *event.version;
@@ -144,7 +152,7 @@
     }
     if (!rollout::append_event(*context.progress, event, run.version, run.origin))
     {
-        return false;
+        return "the event ids are missing or not consecutive";
     }
     fleet::note_event(self.pool, run.upstream, run.work);
     if (run.last_event_at != base::mono_time{})
@@ -153,7 +161,7 @@
     }
     run.last_event_at = now;
     run.silence_deadline = now + event_timeout;
-    return true;
+    return nullptr;
 }
 
 bool satisfies_single_version(gateway const& self, run_context const& context)
@@ -173,9 +181,9 @@
     auto const now = base::mono_now();
     for (auto const& event : platform::feed(run.stream, bytes))
     {
-        if (!apply_event(self, run, *context, event, now))
+        if (auto const* const reason = apply_event(self, run, *context, event, now))
         {
-            abort_run(self, run_number, "the event ids are missing or not consecutive");
+            abort_run(self, run_number, reason);
             return;
         }
     }
@@ -228,6 +236,7 @@
     }
     log_run(self, "run_complete", run, *context, "", http::status::ok);
     context->progress->complete = true;
+    retain_text(*context->progress);
     auto const index = run.index;
     auto& job = *context->job;
     end_run(self, run_number, {});
@@ -246,6 +255,15 @@
     return !run.withdrawn;
 }
 
+/// Discards the text of a run that went on without end: its last events can't belong to it.
+void discard_run_text(gateway& self, std::uint64_t run_number)
+{
+    if (auto const context = context_of(self, self.runs.at(run_number)))
+    {
+        rollout::discard_text(*context->progress);
+    }
+}
+
 void on_failed(gateway& self, std::uint64_t run_number, base::error const& cause)
 {
     if (self.runs.at(run_number).withdrawn)
@@ -253,6 +271,10 @@
         withdraw_run(self, run_number);
         return;
     }
+    if (cause.code == base::result_code::response_too_large)
+    {
+        discard_run_text(self, run_number);
+    }
     abort_run(self, run_number, cause.message);
 }
 
--- a/src/gateway/serve_plain.cpp
+++ b/src/gateway/serve_plain.cpp
@@ -11,6 +11,7 @@
 #include "http/status.hpp"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace gooseberrywood::gateway
@@ -62,8 +63,12 @@
                     {"took_us", duration.count()}});
 }
 
-void send_outcome(gateway& self, http::exchange& exchange, routed_outcome const& outcome)
+/// An outcome that is kept, with the bytes that it counts, until the caller has its body.
+using kept_outcome = std::shared_ptr<routed_outcome const>;
+
+void send_outcome(gateway& self, http::exchange& exchange, kept_outcome const& kept)
 {
+    auto const& outcome = *kept;
     switch (outcome.kind)
     {
     case outcome_kind::answered:
@@ -71,7 +76,7 @@
         auto const headers = platform::forwardable_headers(outcome.answer.headers);
         auto const type = http::find_header(headers, "Content-Type");
         http::respond(exchange, outcome.answer.status, type.value_or("application/octet-stream"),
-                      outcome.answer.body, headers);
+                      kept, outcome.answer.body, headers);
         break;
     }
     case outcome_kind::refused:
@@ -129,16 +134,16 @@
            http::status::is_success(outcome.answer.status);
 }
 
-void on_outcome(gateway& self, plain_request const& request, routed_outcome const& outcome)
+void on_outcome(gateway& self, plain_request const& request, kept_outcome const& outcome)
 {
-    record_outcome(self, request, outcome);
-    count_usage(self, request, outcome.started_at);
-    if (!begins_stream(request, outcome))
+    record_outcome(self, request, *outcome);
+    count_usage(self, request, outcome->started_at);
+    if (!begins_stream(request, *outcome))
     {
         send_outcome(self, *request.exchange, outcome);
         return;
     }
-    save_stream_origin(self, request.head.request_id, outcome.origin,
+    save_stream_origin(self, request.head.request_id, outcome->origin,
                        [&self, request, outcome]
                        {
                            if (!request.exchange->disconnected)
@@ -168,8 +173,12 @@
         return;
     }
     auto const number = start_request(self, std::move(spec),
-                                      [&self, request](routed_outcome const& outcome)
-                                      { on_outcome(self, request, outcome); });
+                                      [&self, request](routed_outcome outcome)
+                                      {
+                                          auto const kept = std::make_shared<routed_outcome const>(
+                                              std::move(outcome));
+                                          on_outcome(self, request, kept);
+                                      });
     // The request holds the exchange, so the handler must not hold the request.
     request.exchange->on_disconnected =
         [&self, number, team = request.team, id = request.head.request_id]
--- a/src/http.hpp
+++ b/src/http.hpp
@@ -8,6 +8,7 @@
 #include "http/error_response.hpp"
 #include "http/exchange.hpp"
 #include "http/limits.hpp"
+#include "http/response_limits.hpp"
 #include "http/server.hpp"
 
 #endif
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -1,5 +1,6 @@
 #include "http/call.hpp"
 
+#include "http/message_framing.hpp"
 #include "http/response_watch.hpp"
 
 #include <array>
@@ -21,6 +22,30 @@
 
 using weak_call = std::weak_ptr<call>;
 
+constexpr char const* limits_name = "gooseberrywood-response-limits";
+
+void free_limits(gpointer limits)
+{
+    delete static_cast<response_limits*>(limits);
+}
+
+response_limits const& limits_of(SoupSession* session)
+{
+    return *static_cast<response_limits*>(g_object_get_data(G_OBJECT(session), limits_name));
+}
+
+base::result_code to_result_code(GError const* failure)
+{
+    if (g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_MESSAGE_TOO_LARGE) != 0)
+    {
+        return base::result_code::response_too_large;
+    }
+    bool const is_malformed =
+        g_error_matches(failure, SOUP_SESSION_ERROR, SOUP_SESSION_ERROR_PARSING) != 0 ||
+        g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_INVALID_DATA) != 0;
+    return is_malformed ? base::result_code::upstream_error : base::result_code::connection_lost;
+}
+
 void fail(call& c, GError* failure)
 {
     base::glib_error_ptr const owned(failure);
@@ -30,15 +55,9 @@
     }
     c.ended = true;
     auto const handlers = std::move(c.handlers);
-    bool const is_malformed =
-        g_error_matches(failure, SOUP_SESSION_ERROR, SOUP_SESSION_ERROR_PARSING) != 0 ||
-        g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_INVALID_DATA) != 0;
     auto const* const reason =
         c.withdrawn ? "the request was withdrawn before it was sent" : failure->message;
-    handlers.on_failed(
-        {is_malformed ? base::result_code::upstream_error : base::result_code::connection_lost,
-         reason},
-        c.sent);
+    handlers.on_failed({to_result_code(failure), reason}, c.sent);
 }
 
 void complete(call& c)
@@ -191,12 +210,15 @@
     }
 }
 
-void on_restarted(SoupMessage*, gpointer data)
+void on_restarted(SoupMessage* message, gpointer data)
 {
     auto const keep = static_cast<call*>(data)->shared_from_this();
     g_cancellable_cancel(keep->cancellable.get());
-    fail(*keep, g_error_new_literal(G_IO_ERROR, G_IO_ERROR_CONNECTION_CLOSED,
-                                    "the kept-alive connection was closed before the response"));
+    auto* const fault = find_fault(message);
+    fail(*keep, fault != nullptr ? fault
+                                 : g_error_new_literal(
+                                       G_IO_ERROR, G_IO_ERROR_CONNECTION_CLOSED,
+                                       "the kept-alive connection was closed before the response"));
 }
 
 void on_starting(SoupMessage*, gpointer data)
@@ -238,6 +260,30 @@
     }
 }
 
+/// Fails a call whose response was the largest when all together became too large.
+void on_evicted(call& c)
+{
+    if (c.cancellable)
+    {
+        g_cancellable_cancel(c.cancellable.get());
+    }
+    fail(c, g_error_new_literal(G_IO_ERROR, G_IO_ERROR_MESSAGE_TOO_LARGE,
+                                describe(base::growth::budget_full)));
+}
+
+std::shared_ptr<base::byte_share> open_response_share(call& c, SoupSession* session)
+{
+    auto const& limits = limits_of(session);
+    return base::open_share(limits.budget, limits.max_response_bytes,
+                            [weak = c.weak_from_this()]
+                            {
+                                if (auto const keep = weak.lock())
+                                {
+                                    on_evicted(*keep);
+                                }
+                            });
+}
+
 /// Makes the owner's pointer to a call. A handler that runs keeps the call itself alive, so the end
 /// of the call can't depend on the number of pointers to it.
 std::shared_ptr<call> make_owner(std::shared_ptr<call> const& inner)
@@ -255,12 +301,14 @@
     cancel(*this);
 }
 
-base::object_ptr<SoupSession> make_session()
+base::object_ptr<SoupSession> make_session(response_limits limits)
 {
     base::object_ptr<SoupSession> session(soup_session_new_with_options(
         "max-conns", max_session_connections, "max-conns-per-host", max_session_connections,
         "timeout", 0, "idle-timeout", 30, nullptr));
     watch_connections(session.get());
+    g_object_set_data_full(G_OBJECT(session.get()), limits_name,
+                           new response_limits(std::move(limits)), free_limits);
     soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
     return session;
 }
@@ -306,7 +354,8 @@
         g_bytes_unref(body);
     }
     g_signal_connect(made->message.get(), "starting", G_CALLBACK(on_starting), made.get());
-    watch_response(session, made->message.get());
+    made->share = open_response_share(*made, session);
+    watch_response(session, made->message.get(), made->share);
     g_signal_connect(made->message.get(), "got-headers", G_CALLBACK(on_got_headers), made.get());
     g_signal_connect(made->message.get(), "got-headers", G_CALLBACK(on_misdirected), made.get());
     g_signal_connect(made->message.get(), "restarted", G_CALLBACK(on_restarted), made.get());
--- a/src/http/call.hpp
+++ b/src/http/call.hpp
@@ -1,10 +1,12 @@
 #ifndef GOOSEBERRYWOOD_HTTP_CALL_HPP
 #define GOOSEBERRYWOOD_HTTP_CALL_HPP
 
+#include "base/byte_budget.hpp"
 #include "base/error.hpp"
 #include "base/event_source.hpp"
 #include "base/glib_ptr.hpp"
 #include "http/exchange.hpp"
+#include "http/response_limits.hpp"
 
 #include <libsoup/soup.h>
 
@@ -63,6 +65,8 @@
     base::object_ptr<GCancellable> cancellable;
     base::object_ptr<GInputStream> response_stream;
     call_handlers handlers;
+    /// Counts the bytes of the response.
+    std::shared_ptr<base::byte_share> share;
     /// Reports an invalid URL from the main loop.
     base::event_source failure_report;
     /// The stream is polled, because each asynchronous read of GIO allocates a task object.
@@ -77,7 +81,10 @@
 
 /// \ingroup http
 /// \brief Creates a session for calls without cookies, redirects, proxies or content decoding.
-[[nodiscard]] base::object_ptr<SoupSession> make_session();
+/// \param limits limits of all responses. A call fails with `response_too_large` when its response
+/// exceeds one.
+[[nodiscard]] base::object_ptr<SoupSession>
+make_session(response_limits limits = make_response_limits());
 
 /// \ingroup http
 /// \brief Starts a call.
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <utility>
 
 namespace gooseberrywood::http
 {
@@ -37,6 +38,11 @@
     announce_close_if_due(request);
 }
 
+void release_owner(gpointer owner)
+{
+    delete static_cast<std::shared_ptr<void const>*>(owner);
+}
+
 SoupMessageBody* response_body(exchange& request)
 {
     return soup_server_message_get_response_body(request.message.get());
@@ -92,6 +98,14 @@
 
 void respond(exchange& request, std::uint16_t status, std::string_view content_type,
              std::string_view body, std::span<header const> headers)
+{
+    auto const copy = std::make_shared<std::string const>(body);
+    respond(request, status, content_type, copy, *copy, headers);
+}
+
+void respond(exchange& request, std::uint16_t status, std::string_view content_type,
+             std::shared_ptr<void const> owner, std::string_view body,
+             std::span<header const> headers)
 {
     if (request.answered || request.disconnected)
     {
@@ -104,7 +118,10 @@
     }
     request.answered = true;
     set_headers(request, status, content_type, headers);
-    soup_message_body_append(response_body(request), SOUP_MEMORY_COPY, body.data(), body.size());
+    auto* const bytes = g_bytes_new_with_free_func(
+        body.data(), body.size(), release_owner, new std::shared_ptr<void const>(std::move(owner)));
+    soup_message_body_append_bytes(response_body(request), bytes);
+    g_bytes_unref(bytes);
     soup_message_body_complete(response_body(request));
     soup_server_message_unpause(request.message.get());
 }
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -79,6 +79,13 @@
 void respond(exchange& request, std::uint16_t status, std::string_view content_type,
              std::string_view body, std::span<header const> headers = {});
 
+/// \ingroup http
+/// \brief Sends a response with a complete body, without a copy of it.
+/// \param owner keeps the body; released when the response was written or its connection was lost.
+void respond(exchange& request, std::uint16_t status, std::string_view content_type,
+             std::shared_ptr<void const> owner, std::string_view body,
+             std::span<header const> headers);
+
 /// \ingroup http
 /// \brief Starts a chunked response.
 void begin_stream(exchange& request, std::uint16_t status, std::string_view content_type,
--- a/src/http/fetch.cpp
+++ b/src/http/fetch.cpp
@@ -27,6 +27,7 @@
 void on_failure(fetch& pending, base::error const& error, bool sent, bool timed_out)
 {
     pending.active_call.reset();
+    pending.body = {};
     finish(pending, tl::unexpected(failed_call{error, sent, timed_out}));
 }
 
@@ -34,9 +35,10 @@
 {
     if (pending.body.size() + bytes.size() > pending.max_body_bytes)
     {
-        on_failure(pending,
-                   {base::result_code::upstream_error, "the response body exceeds the size limit"},
-                   true, false);
+        on_failure(
+            pending,
+            {base::result_code::response_too_large, "the response body exceeds the size limit"},
+            true, false);
         return;
     }
     pending.body.append(bytes);
@@ -45,8 +47,10 @@
 void on_complete(fetch& pending)
 {
     auto* const message = pending.active_call->message.get();
+    base::retain(*pending.active_call->share);
     finish(pending, fetched_response{static_cast<std::uint16_t>(soup_message_get_status(message)),
-                                     response_headers(message), std::move(pending.body)});
+                                     response_headers(message), std::move(pending.body),
+                                     std::move(pending.active_call->share)});
 }
 
 std::string describe_timeout(fetch const& pending)
--- a/src/http/fetch.hpp
+++ b/src/http/fetch.hpp
@@ -25,6 +25,8 @@
     std::uint16_t status = 0;
     std::vector<header> headers;
     std::string body;
+    /// Counts the bytes of the response as long as it is held.
+    std::shared_ptr<base::byte_share> share = {};
 };
 
 /// \ingroup http
--- a/src/http/message_framing.cpp
+++ b/src/http/message_framing.cpp
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 namespace gooseberrywood::http
 {
@@ -17,10 +18,11 @@
 constexpr std::string_view version_prefix = "HTTP/1.";
 constexpr std::string_view version_1_0 = "HTTP/1.0";
 
-void break_off(message_framing& framing, char const* reason, bool is_cut = false)
+void break_off(message_framing& framing, char const* reason,
+               fault_kind kind = fault_kind::malformed)
 {
     framing.part = message_part::broken;
-    framing.fault = {reason, is_cut};
+    framing.fault = {reason, kind};
 }
 
 bool is_digit(char byte)
@@ -28,6 +30,17 @@
     return byte >= '0' && byte <= '9';
 }
 
+/// Counts received bytes, and breaks off if the response becomes too large.
+void count_bytes(message_framing& framing, std::size_t bytes)
+{
+    auto const share = framing.share.lock();
+    auto const outcome = share ? base::grow(*share, bytes) : base::growth::granted;
+    if (outcome != base::growth::granted)
+    {
+        break_off(framing, describe(outcome), fault_kind::too_large);
+    }
+}
+
 /// Reads "HTTP/1.x NNN".
 /// \returns nothing if the line is no status line.
 std::optional<std::uint16_t> read_status(std::string_view line)
@@ -140,7 +153,7 @@
     auto const count = read_head_line(framing.head, bytes, fault);
     if (fault.reason != nullptr)
     {
-        break_off(framing, fault.reason);
+        break_off(framing, fault.reason, fault.kind);
         return count;
     }
     bool const has_unread_status = framing.kind == message_kind::responses && framing.status == 0 &&
@@ -250,8 +263,17 @@
     begin_message(framing, 0);
 }
 
-void expect_response(message_framing& framing, bool is_answer_to_head)
+char const* describe(base::growth outcome)
+{
+    return outcome == base::growth::share_full
+               ? "the response exceeds the size limit"
+               : "the responses of all upstreams use up the memory for them";
+}
+
+void expect_response(message_framing& framing, bool is_answer_to_head,
+                     std::weak_ptr<base::byte_share> share)
 {
+    framing.share = std::move(share);
     if (framing.part == message_part::broken)
     {
         return;
@@ -267,6 +289,7 @@
 
 std::size_t check_received(message_framing& framing, std::span<char> bytes)
 {
+    count_bytes(framing, bytes.size());
     std::size_t kept = 0;
     std::size_t taken = 0;
     while (taken < bytes.size() && framing.part != message_part::broken)
@@ -283,7 +306,7 @@
 {
     if (framing.part == message_part::head && framing.head.bytes > 0)
     {
-        break_off(framing, "the connection was closed within a head", true);
+        break_off(framing, "the connection was closed within a head", fault_kind::cut);
         return;
     }
     if (framing.part != message_part::body)
@@ -299,7 +322,7 @@
               framing.end == body_end::chunks
                   ? "the connection was closed before the last chunk"
                   : "the connection was closed before the end of a body",
-              true);
+              fault_kind::cut);
 }
 
 } // namespace gooseberrywood::http
--- a/src/http/message_framing.hpp
+++ b/src/http/message_framing.hpp
@@ -1,11 +1,13 @@
 #ifndef GOOSEBERRYWOOD_HTTP_MESSAGE_FRAMING_HPP
 #define GOOSEBERRYWOOD_HTTP_MESSAGE_FRAMING_HPP
 
+#include "base/byte_budget.hpp"
 #include "http/chunk_reader.hpp"
 #include "http/message_head.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <span>
 
 namespace gooseberrywood::http
@@ -63,6 +65,8 @@
     /// Of a response; 0 before its status line was read.
     std::uint16_t status = 0;
     bool is_answer_to_head = false;
+    /// Counts the bytes of the response; expired when nothing of it is held any more.
+    std::weak_ptr<base::byte_share> share;
     /// Another response followed the complete one. The connection must not be used again.
     bool has_surplus = false;
 };
@@ -73,7 +77,14 @@
 
 /// \ingroup http
 /// \brief Prepares for the response to a request that is about to be sent.
-void expect_response(message_framing& framing, bool is_answer_to_head);
+/// \param share counts the bytes of the response. Reading fails where it can't grow.
+void expect_response(message_framing& framing, bool is_answer_to_head,
+                     std::weak_ptr<base::byte_share> share = {});
+
+/// \ingroup http
+/// \brief Why a response is not read on when its share can't grow.
+/// \param outcome any but `granted`.
+[[nodiscard]] char const* describe(base::growth outcome);
 
 /// \ingroup http
 /// \brief Checks received bytes. What differs among readers of chunks is removed from them in
--- a/src/http/message_head.cpp
+++ b/src/http/message_head.cpp
@@ -136,7 +136,7 @@
     head.bytes += count;
     if (head.bytes > max_head_bytes)
     {
-        fault.reason = "a head exceeds the size limit";
+        fault = {"a head exceeds the size limit", fault_kind::too_large};
         return count;
     }
     head.partial_line += text.substr(0, line_feed);
--- a/src/http/message_head.hpp
+++ b/src/http/message_head.hpp
@@ -11,8 +11,22 @@
 {
 
 /// \ingroup http
-/// \brief Maximum size of the heads before one body, those of interim responses included.
-inline constexpr std::size_t max_head_bytes = 128 * 1024;
+/// \brief Maximum size of the heads before one body, those of interim responses included. It is
+/// below the limit of libsoup (64 KiB), which reports a longer head as a connection that was cut
+/// off.
+inline constexpr std::size_t max_head_bytes = 60 * 1024;
+
+/// \ingroup http
+/// \brief What made the input of a connection unusable.
+enum class fault_kind : std::uint8_t
+{
+    /// The peer sent what is not HTTP/1.1.
+    malformed,
+    /// The peer closed the connection too early.
+    cut,
+    /// The peer sent more than may be held.
+    too_large,
+};
 
 /// \ingroup http
 /// \brief Why the input of a connection can't be used any more.
@@ -20,8 +34,7 @@
 {
     /// Null without a fault.
     char const* reason = nullptr;
-    /// The peer closed the connection too early. Otherwise it sent what is not HTTP/1.1.
-    bool is_cut = false;
+    fault_kind kind = fault_kind::malformed;
 };
 
 /// \ingroup http
--- a/src/http/response_watch.cpp
+++ b/src/http/response_watch.cpp
@@ -21,6 +21,7 @@
 constexpr char const* proxy_scheme = "gooseberrywood-watched";
 constexpr char const* framings_name = "gooseberrywood-response-framings";
 constexpr char const* framing_name = "gooseberrywood-response-framing";
+constexpr char const* share_name = "gooseberrywood-response-share";
 
 /// Framing of the open connections of a session, by the number that libsoup gives a connection.
 using framing_map = std::map<guint64, std::weak_ptr<message_framing>>;
@@ -174,6 +175,13 @@
                               : nullptr;
 }
 
+using weak_share = std::weak_ptr<base::byte_share>;
+
+void free_share(gpointer share)
+{
+    delete static_cast<weak_share*>(share);
+}
+
 /// Assigns a new connection to the number that its message has for it.
 void on_network_event(SoupMessage* message, GSocketClientEvent, GIOStream* connection, gpointer)
 {
@@ -195,7 +203,9 @@
     {
         return;
     }
-    expect_response(*framing, std::string_view(soup_message_get_method(message)) == "HEAD");
+    auto const* const share = g_object_get_data(G_OBJECT(message), share_name);
+    expect_response(*framing, std::string_view(soup_message_get_method(message)) == "HEAD",
+                    *static_cast<weak_share const*>(share));
     g_object_set_data_full(G_OBJECT(message), framing_name,
                            new std::shared_ptr<message_framing>(std::move(framing)), free_framing);
 }
@@ -237,9 +247,11 @@
     g_object_set(session, "proxy-resolver", resolver.get(), nullptr);
 }
 
-void watch_response(SoupSession* session, SoupMessage* message)
+void watch_response(SoupSession* session, SoupMessage* message,
+                    std::shared_ptr<base::byte_share> const& share)
 {
     set_framings(message, framings_of(session));
+    g_object_set_data_full(G_OBJECT(message), share_name, new weak_share(share), free_share);
     g_signal_connect(message, "network-event", G_CALLBACK(on_network_event), nullptr);
     g_signal_connect(message, "starting", G_CALLBACK(on_starting), nullptr);
 }
@@ -258,6 +270,15 @@
                : "the length is unreadable or contradictory";
 }
 
+GError* find_fault(SoupMessage* message)
+{
+    auto const* const framing = framing_of(message);
+    return framing != nullptr && framing->fault.reason != nullptr
+               ? g_error_new_literal(G_IO_ERROR, to_error(framing->fault.kind),
+                                     framing->fault.reason)
+               : nullptr;
+}
+
 bool is_response_whole(SoupMessage* message)
 {
     auto const* const framing = framing_of(message);
--- a/src/http/response_watch.hpp
+++ b/src/http/response_watch.hpp
@@ -1,8 +1,12 @@
 #ifndef GOOSEBERRYWOOD_HTTP_RESPONSE_WATCH_HPP
 #define GOOSEBERRYWOOD_HTTP_RESPONSE_WATCH_HPP
 
+#include "base/byte_budget.hpp"
+
 #include <libsoup/soup.h>
 
+#include <memory>
+
 namespace gooseberrywood::http
 {
 
@@ -16,7 +20,9 @@
 /// \ingroup http
 /// \brief Prepares a message for the functions below. To be called before it is sent.
 /// \param session a session of `watch_connections`.
-void watch_response(SoupSession* session, SoupMessage* message);
+/// \param share counts the bytes of the response. Reading fails where it can't grow.
+void watch_response(SoupSession* session, SoupMessage* message,
+                    std::shared_ptr<base::byte_share> const& share);
 
 /// \ingroup http
 /// \brief Whether libsoup reads the headers of a response alike. To be called when it has just read
@@ -24,6 +30,11 @@
 /// \returns why its length is ambiguous, or nullptr.
 [[nodiscard]] char const* find_ambiguity(SoupMessage* message);
 
+/// \ingroup http
+/// \brief Why reading the response to a message has failed, if its framing was at fault.
+/// \returns the error, owned by the caller; nullptr if there was no such fault.
+[[nodiscard]] GError* find_fault(SoupMessage* message);
+
 /// \ingroup http
 /// \brief Whether the response to a message was received to its end.
 [[nodiscard]] bool is_response_whole(SoupMessage* message);
--- a/src/http/watched_input.cpp
+++ b/src/http/watched_input.cpp
@@ -49,13 +49,12 @@
     {
         return true;
     }
-    if (auto const report = std::exchange(*stream.on_malformed, nullptr); report && !fault.is_cut)
+    if (auto const report = std::exchange(*stream.on_malformed, nullptr);
+        report && fault.kind != fault_kind::cut)
     {
         report(fault.reason);
     }
-    g_set_error_literal(failure, G_IO_ERROR,
-                        fault.is_cut ? G_IO_ERROR_PARTIAL_INPUT : G_IO_ERROR_INVALID_DATA,
-                        fault.reason);
+    g_set_error_literal(failure, G_IO_ERROR, to_error(fault.kind), fault.reason);
     return false;
 }
 
@@ -182,6 +181,20 @@
 
 } // namespace
 
+GIOErrorEnum to_error(fault_kind kind)
+{
+    switch (kind)
+    {
+    case fault_kind::cut:
+        return G_IO_ERROR_PARTIAL_INPUT;
+    case fault_kind::too_large:
+        return G_IO_ERROR_MESSAGE_TOO_LARGE;
+    case fault_kind::malformed:
+        break;
+    }
+    return G_IO_ERROR_INVALID_DATA;
+}
+
 base::object_ptr<GInputStream> make_watched_input(GInputStream* socket_input, message_kind kind,
                                                   std::function<void(char const*)> on_malformed)
 {
--- a/src/http/watched_input.hpp
+++ b/src/http/watched_input.hpp
@@ -12,11 +12,16 @@
 namespace gooseberrywood::http
 {
 
+/// \ingroup http
+/// \brief The error with which reading fails.
+[[nodiscard]] GIOErrorEnum to_error(fault_kind kind);
+
 /// \ingroup http
 /// \brief Makes a stream that reads from a socket's stream and checks the framing of the messages.
-/// Reading fails at the first byte that breaks it: G_IO_ERROR_INVALID_DATA if the peer sent what is
-/// not HTTP/1.1, G_IO_ERROR_PARTIAL_INPUT if it closed the connection too early.
-/// \param on_malformed called once, before reading fails with the former; may be empty.
+/// Reading fails at the first byte that breaks it.
+/// \param on_malformed called once, before reading fails for any other reason than that the peer
+/// closed the connection too early; may be empty.
+/// \sa to_error
 [[nodiscard]] base::object_ptr<GInputStream>
 make_watched_input(GInputStream* socket_input, message_kind kind,
                    std::function<void(char const* reason)> on_malformed = {});
--- a/src/rollout/sample_progress.cpp
+++ b/src/rollout/sample_progress.cpp
@@ -37,7 +37,8 @@
 
 void discard_text(sample_progress& progress)
 {
-    progress.text.clear();
+    progress.text = {};
+    progress.text_share.reset();
     progress.events = 0;
     progress.last_event_id.reset();
     progress.origin.reset();
--- a/src/rollout/sample_progress.hpp
+++ b/src/rollout/sample_progress.hpp
@@ -1,11 +1,13 @@
 #ifndef GOOSEBERRYWOOD_ROLLOUT_SAMPLE_PROGRESS_HPP
 #define GOOSEBERRYWOOD_ROLLOUT_SAMPLE_PROGRESS_HPP
 
+#include "base/byte_budget.hpp"
 #include "base/time.hpp"
 #include "rollout/stream_event.hpp"
 #include "rollout/text_origin.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -35,6 +37,8 @@
 {
     sample_phase phase = sample_phase::waiting;
     std::string text;
+    /// Counts the bytes of the text; absent without text.
+    std::shared_ptr<base::byte_share> text_share;
     /// Number of events in the text.
     std::size_t events = 0;
     /// Id of the last event in the text.
--- a/src/routing/attempt_log.cpp
+++ b/src/routing/attempt_log.cpp
@@ -248,6 +248,7 @@
     case rc::canceled:
         return fail(log, code, false);
     case rc::upstream_error:
+    case rc::response_too_large:
         return retry_or_fail(log, code, false, now, context);
     default:
         return retry_or_fail(log, rc::outcome_unknown, false, now, context);
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -2,7 +2,9 @@
 #define GOOSEBERRYWOOD_SETTINGS_GATEWAY_SETTINGS_HPP
 
 #include "base/time.hpp"
+#include "settings/memory_limits.hpp"
 
+#include <cstddef>
 #include <string>
 
 namespace gooseberrywood::settings
@@ -45,6 +47,9 @@
     /// with a higher product of the two own more jobs.
     double processor_share = 1;
     double processor_cores = 1;
+    memory_limits memory;
+    /// Maximum of the text of one sample. A result must fit into one value of the store.
+    std::size_t max_text_bytes = std::size_t{768} * 1024;
 };
 
 } // namespace gooseberrywood::settings
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -134,6 +134,7 @@
         read_log_level(reader, settings.log_level);
         base::read_seconds(reader, "claim_horizon_s", {}, max_claim_horizon,
                            settings.claim_horizon);
+        read_memory_limits(reader, settings.memory);
         read_agents(reader, settings.agents);
         read_upstreams(reader, settings.upstreams);
         check_unknown_keys(reader);
--- a/src/settings/process_settings.hpp
+++ b/src/settings/process_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "base/time.hpp"
 #include "settings/agent_address.hpp"
+#include "settings/memory_limits.hpp"
 #include "settings/upstream_settings.hpp"
 
 #include <string>
@@ -36,6 +37,7 @@
     /// default is the longest route timeout of a usual bundle, 10 min, plus the ledger's margin of
     /// 60 s. A lower value is safe only if no request was sent before this agent started.
     base::duration claim_horizon = std::chrono::seconds(660);
+    memory_limits memory;
     std::vector<agent_address> agents;
     std::vector<upstream_settings> upstreams;
 };
--- a/test/gateway_settings_test.cpp
+++ b/test/gateway_settings_test.cpp
@@ -25,6 +25,9 @@
 departure_in_effect_ms = 1700
 processor_share = 0.19
 processor_cores = 2
+memory_mb = 112
+max_response_mb = 8
+max_text_kb = 500
 )";
     GIVEN("valid settings")
     {
@@ -39,6 +42,9 @@
         CHECK(read->departure_in_effect == 1700ms);
         CHECK(read->processor_share == 0.19);
         CHECK(read->processor_cores == 2);
+        CHECK(read->memory.memory_bytes == 112 * 1024 * 1024);
+        CHECK(read->memory.max_response_bytes == 8 * 1024 * 1024);
+        CHECK(read->max_text_bytes == 500 * 1024);
     }
     GIVEN("an unknown key and a value of the wrong type")
     {
--- a/test/process/support/process.cpp
+++ b/test/process/support/process.cpp
@@ -20,6 +20,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <stdexcept>
+#include <string>
 #include <utility>
 
 namespace gooseberrywood::test
@@ -201,6 +202,36 @@
                                { return line.value("event", "") == event; });
 }
 
+namespace
+{
+
+/// A value that the system tells of a program in kilobytes.
+std::size_t status_bytes(process const& of, std::string const& name)
+{
+    constexpr std::size_t kilobyte = 1024;
+    std::ifstream file(fmt::format("/proc/{}/status", of.pid));
+    for (std::string line; std::getline(file, line);)
+    {
+        if (line.starts_with(name + ":"))
+        {
+            return std::stoul(line.substr(name.size() + 1)) * kilobyte;
+        }
+    }
+    throw std::runtime_error("no " + name + " of " + of.program);
+}
+
+} // namespace
+
+std::size_t resident_bytes(process const& of)
+{
+    return status_bytes(of, "VmRSS");
+}
+
+std::size_t most_resident_bytes(process const& of)
+{
+    return status_bytes(of, "VmHWM");
+}
+
 void send_signal(process const& to, int number)
 {
     // The descriptor, unlike the id, can't come to mean another process.
--- a/test/process/support/process.hpp
+++ b/test/process/support/process.hpp
@@ -9,6 +9,7 @@
 #include <sys/types.h>
 
 #include <condition_variable>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -72,6 +73,10 @@
 /// True when a JSON line with this event has been written so far.
 [[nodiscard]] bool has_event(process& from, std::string_view event);
 
+/// Memory of a program in bytes: what it uses now, or the most that it has used.
+[[nodiscard]] std::size_t resident_bytes(process const& of);
+[[nodiscard]] std::size_t most_resident_bytes(process const& of);
+
 /// Sends a signal: SIGKILL, SIGSTOP, SIGCONT, SIGTERM. Does nothing once the program has ended.
 void send_signal(process const& to, int number);
 
--- a/test/process/support/site_service.cpp
+++ b/test/process/support/site_service.cpp
@@ -59,15 +59,17 @@
 usage_window_s = 1
 stop_grace_s = 8
 processor_share = {}
+{}
 )",
-                       number, store_port, of.site_port, processors);
+                       number, store_port, of.site_port, processors, of.more_settings);
 }
 
 } // namespace
 
-site_service::site_service(int count, int desks)
+site_service::site_service(int count, int desks, std::string settings)
     : site(std::make_unique<process>("standin_site",
-                                     std::vector<std::string>{fmt::format("--desks={}", desks)}))
+                                     std::vector<std::string>{fmt::format("--desks={}", desks)})),
+      more_settings(std::move(settings))
 {
     site_port = wait_listening(*site);
     side_door_port = site_state(*this).at("side_door_port").get<std::uint16_t>();
--- a/test/process/support/site_service.hpp
+++ b/test/process/support/site_service.hpp
@@ -27,12 +27,14 @@
 struct site_service
 {
     /// The first gateway is the strongest one, so that it gets the jobs while it lives.
-    explicit site_service(int gateways, int desks = 2);
+    /// \param more_settings further lines of the settings of each gateway.
+    explicit site_service(int gateways, int desks = 2, std::string more_settings = {});
 
     std::unique_ptr<process> site;
     std::uint16_t site_port = 0;
     /// Port of the store that the first gateway uses, so that it can be turned away alone.
     std::uint16_t side_door_port = 0;
+    std::string more_settings;
     std::vector<gateway_under_test> gateways;
 };
 
--- a/test/standin/site/raw_answer.cpp
+++ b/test/standin/site/raw_answer.cpp
@@ -114,8 +114,7 @@
         start_without_end(message, bytes, answer.repeated);
         return true;
     }
-    (void)send(g_socket_get_fd(soup_server_message_get_socket(message)), bytes.data(), bytes.size(),
-               MSG_NOSIGNAL);
+    (void)send_all(g_socket_get_fd(soup_server_message_get_socket(message)), bytes);
     if (answer.stays_open)
     {
         soup_server_message_pause(message);
