Close a connection whose send queue is full from the main loop

Callers saw, by reading: where an entry reads too slowly, an agent that passes tokens on may end (use of a released execution).

Cause: wire::send closed the connection itself when its queue was full. The handler of the close ends the executions of that entry, one of which was just sending. The handlers of a connection were destroyed in its close, also while one of them ran.

Change: send marks the connection and the main loop closes it; the handlers live as long as the connection.

--- a/src/agent/replies.cpp
+++ b/src/agent/replies.cpp
@@ -14,16 +14,9 @@
 
 void send_to_all(agent_process& agent, wire::message const& body)
 {
-    // Sending may close a connection whose peer reads too slowly, which removes the peer.
-    std::vector<std::shared_ptr<wire::connection>> connections;
-    connections.reserve(agent.peers.size());
     for (auto const& [number, peer] : agent.peers)
     {
-        connections.push_back(peer.connection);
-    }
-    for (auto const& connection : connections)
-    {
-        (void)wire::send(*connection, body);
+        (void)wire::send(*peer.connection, body);
     }
 }
 
--- a/src/gateway/peer_connections.cpp
+++ b/src/gateway/peer_connections.cpp
@@ -73,7 +73,7 @@
     }
 }
 
-/// Sends on an open connection. A failure may close the connection and remove its link.
+/// Sends on an open connection.
 void send(peer_connections& self, std::string const& address, std::uint64_t number,
           wire::message message)
 {
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -203,9 +203,30 @@
     return made;
 }
 
+namespace
+{
+
+/// Closes a connection from the main loop, since whoever sends may still use what `on_closed`
+/// removes.
+void close_soon(connection& c, base::error const& reason)
+{
+    c.overflowed = true;
+    c.flush = base::soon(
+        [weak = c.weak_from_this(), reason]
+        {
+            if (auto const keep = weak.lock())
+            {
+                close(*keep, reason);
+            }
+        });
+    g_source_set_priority(c.flush.get(), G_PRIORITY_DEFAULT);
+}
+
+} // namespace
+
 base::result<void> send(connection& target, message body)
 {
-    if (target.closed)
+    if (target.closed || target.overflowed)
     {
         return base::fail(base::result_code::connection_lost, "the connection is closed");
     }
@@ -220,7 +241,7 @@
     {
         base::error const reason{base::result_code::connection_lost,
                                  "peer reads too slowly: the send queue is full"};
-        close(target, reason);
+        close_soon(target, reason);
         return tl::unexpected(reason);
     }
     target.unsent += *bytes;
@@ -253,12 +274,10 @@
     closing.flush.reset();
     closing.liveness.reset();
     g_socket_close(closing.socket.get(), nullptr);
+    // Kept, so that no handler is destroyed while it runs if the owner releases the connection in
+    // one.
     auto const keep = closing.weak_from_this().lock();
-    // Moved out, so that the handler is not destroyed while it runs if the owner releases the
-    // connection in it.
-    auto const handlers = std::move(closing.handlers);
-    closing.handlers = {};
-    handlers.on_closed(reason);
+    closing.handlers.on_closed(reason);
 }
 
 base::mono_time to_local(connection const& source, base::wall_time peer_time)
--- a/src/wire/connection.hpp
+++ b/src/wire/connection.hpp
@@ -70,6 +70,8 @@
     base::wall_clock::duration clock_offset{};
     /// Lower bound for the send times of received frames.
     send_times times;
+    /// The send queue was full. The main loop closes the connection.
+    bool overflowed = false;
     bool closed = false;
 };
 
@@ -82,7 +84,8 @@
 /// \brief Queues a message. The main loop writes it before it sleeps again, unless the socket's
 /// send buffer is full.
 /// \returns `connection_lost` if the connection is closed or the peer reads too slowly,
-/// `frame_too_large` if the message exceeds the frame limit.
+/// `frame_too_large` if the message exceeds the frame limit. No handler is called before it
+/// returns.
 base::result<void> send(connection& target, message body);
 
 /// \ingroup wire
