Bound the answers that an entry holds

Callers saw, by reading: an engine whose events go on without end fills the memory of the entry, which keeps all passed tokens to answer as a whole or to resume elsewhere.

Cause: nothing bounded these bytes but the deadline of the request.

Change: each request has a share of the entry's budget; where it can't grow, or is evicted, the request fails with response_too_large and is not resumed.

--- a/src/entry/agents.cpp
+++ b/src/entry/agents.cpp
@@ -49,6 +49,31 @@
     }
 }
 
+void fail_too_large(entry_process& entry, request& which)
+{
+    which.refusal_message = "the answer exceeds the size limit";
+    carry_out(entry, which, routing::on_answer_too_large(which.log));
+}
+
+/// Counts bytes that are about to be held for a request.
+/// \returns whether they may be held.
+bool count_passed(entry_process& entry, request& which, std::size_t bytes)
+{
+    if (!which.passed_share)
+    {
+        auto const& limits = entry.response_limits;
+        which.passed_share = base::open_share(limits.budget, limits.max_response_bytes,
+                                              [&entry, id = which.id]
+                                              {
+                                                  if (auto* const evicted = find_request(entry, id))
+                                                  {
+                                                      fail_too_large(entry, *evicted);
+                                                  }
+                                              });
+    }
+    return base::grow(*which.passed_share, bytes) == base::growth::granted;
+}
+
 void handle(entry_process& entry, agent_link&, wire::chunk& message)
 {
     auto* const which = find_request(entry, message.id);
@@ -58,7 +83,13 @@
     }
     auto const decided = routing::on_chunk(which->log, message.attempt, message.first_token,
                                            message.tokens, mono_now(), retry_means_of(entry));
-    if (decided.kind == routing::decision_kind::forward && !pass_tokens(*which, message.bytes))
+    bool const is_forwarded = decided.kind == routing::decision_kind::forward;
+    if (is_forwarded && !count_passed(entry, *which, message.bytes.size()))
+    {
+        fail_too_large(entry, *which);
+        return;
+    }
+    if (is_forwarded && !pass_tokens(*which, message.bytes))
     {
         which->refusal_message = "the caller reads too slowly";
         carry_out(entry, *which, routing::on_canceled(which->log));
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -64,6 +64,8 @@
     auto made = std::make_unique<entry_process>();
     auto& entry = *made;
     entry.settings = std::move(settings);
+    entry.response_limits = http::make_response_limits(entry.settings.memory.max_response_bytes,
+                                                       entry.settings.memory.memory_bytes);
     entry.own.role = wire::peer_role::entry;
     entry.own.host = entry.settings.host;
     entry.own.domain = entry.settings.domain;
--- a/src/entry/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -10,6 +10,7 @@
 #include "entry/agent_link.hpp"
 #include "entry/queued_request.hpp"
 #include "entry/request.hpp"
+#include "http/response_limits.hpp"
 #include "http/server.hpp"
 #include "process/configuration.hpp"
 #include "process/main_loop.hpp"
@@ -50,6 +51,8 @@
     routing::suspects suspects;
     std::mt19937_64 random;
 
+    /// Limits of the answers of upstreams that requests hold.
+    http::response_limits response_limits;
     std::unordered_map<base::request_id, request> requests;
     admission::fair_queue<queued_request> queue;
     /// Set while a run over the queue is due.
--- a/src/entry/request.hpp
+++ b/src/entry/request.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYWOOD_ENTRY_REQUEST_HPP
 #define GOOSEBERRYWOOD_ENTRY_REQUEST_HPP
 
+#include "base/byte_budget.hpp"
 #include "base/event_source.hpp"
 #include "base/request_id.hpp"
 #include "base/time.hpp"
@@ -43,6 +44,8 @@
     /// Bytes of all passed tokens, kept to answer as a whole or to resume elsewhere: events of a
     /// streamed answer, else text.
     std::string passed;
+    /// Counts the bytes of `passed`; absent while it is empty.
+    std::shared_ptr<base::byte_share> passed_share;
     /// The end of the answer, once it has arrived.
     wire::finished end;
     std::string refusal_message;
--- a/src/routing/attempt_log.cpp
+++ b/src/routing/attempt_log.cpp
@@ -325,6 +325,13 @@
                                             : fail(log, rc::canceled, has_attempt_in_flight(log));
 }
 
+decision on_answer_too_large(attempt_log& log)
+{
+    return log.phase == request_phase::done
+               ? decision{}
+               : fail(log, rc::response_too_large, has_attempt_in_flight(log));
+}
+
 decision on_key_withdrawn(attempt_log& log)
 {
     return log.phase == request_phase::done
--- a/src/routing/attempt_log.hpp
+++ b/src/routing/attempt_log.hpp
@@ -133,6 +133,10 @@
 /// \brief Handles the disconnection of the caller.
 decision on_canceled(attempt_log& log);
 
+/// \brief Handles an answer that exceeds a size limit. It goes on without end, or its caller asked
+/// for too much; another attempt would not help.
+decision on_answer_too_large(attempt_log& log);
+
 /// \brief Handles the revocation of the caller's key.
 decision on_key_withdrawn(attempt_log& log);
 
--- a/test/routing_attempt_test.cpp
+++ b/test/routing_attempt_test.cpp
@@ -550,3 +550,22 @@
     CHECK(routing::on_finished(log, first, 4, start, context).kind == decision_kind::ignore);
     CHECK(log.passed_tokens == 4);
 }
+
+SCENARIO("an answer goes on without end at the entry")
+{
+    // Guards against an answer that is resumed again and again where it became too large.
+    auto const now = base::mono_now();
+    for (bool const idempotent : {false, true})
+    {
+        CAPTURE(idempotent);
+        auto log = routing::start_log(idempotent, true, now + std::chrono::seconds(9));
+        (void)routing::on_sent(log, routing::upstream_id{});
+        (void)routing::on_started(log, 1);
+        auto const decided = routing::on_answer_too_large(log);
+        CHECK(decided.kind == routing::decision_kind::fail);
+        CHECK(decided.code == base::result_code::response_too_large);
+        CHECK(decided.cancel_attempt);
+        CHECK_FALSE(decided.not_run);
+        CHECK(routing::on_answer_too_large(log).kind == routing::decision_kind::ignore);
+    }
+}
