--- a/test/process/support/endless_answers.hpp
+++ b/test/process/support/endless_answers.hpp
@@ -51,7 +51,8 @@
     std::size_t bytes_before = 0;
 };
 
-/// Fails unless the gateway has stayed within its memory and serves an ordinary request.
+/// Fails unless the gateway has stayed within its memory, serves an ordinary request and then holds
+/// nothing of any response.
 void check_sound(small_machine const& machine, std::string const& id);
 
 } // namespace gooseberrywood::test
