Return buffers from 128 KiB on to the system

Forty bodies that grow by doubling leave their released buffers of up to 1 MiB in the heap, about once more what they hold. Change: the threshold from which buffers are mapped on their own is 128 KiB instead of 1 MiB.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,9 +12,10 @@
 /// stay in the heap, so that one long response would take several times its size.
 void return_large_buffers()
 {
-    constexpr int large_bytes = 1024 * 1024;
+    constexpr int large_bytes = 128 * 1024;
     mallopt(M_MMAP_THRESHOLD, large_bytes);
-    mallopt(M_TRIM_THRESHOLD, 2 * large_bytes);
+    constexpr int kept_bytes = 2 * 1024 * 1024;
+    mallopt(M_TRIM_THRESHOLD, kept_bytes);
 }
 
 } // namespace
