--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -48,6 +48,8 @@
     double processor_share = 1;
     double processor_cores = 1;
     memory_limits memory;
+    /// Number of descriptors that the process may open; 0 for what the system allows it.
+    std::size_t max_descriptors = 0;
     /// Maximum of the text of one sample. A result must fit into one value of the store.
     std::size_t max_text_bytes = std::size_t{768} * 1024;
 };
--- a/src/settings/load_gateway.cpp
+++ b/src/settings/load_gateway.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t kilobyte = 1024;
 constexpr std::int64_t max_text_kb = 900;
 
+constexpr std::int64_t min_descriptors = 64;
+constexpr std::int64_t max_descriptors = 1'048'576;
+
 void read_address(toml_reader& reader, std::string_view key, std::string& value,
                   presence requirement)
 {
@@ -77,6 +80,8 @@
         base::read_decimal(reader, "processor_cores", min_processors, max_processors,
                            settings.processor_cores);
         read_memory_limits(reader, settings.memory);
+        read_size(reader, "max_descriptors", min_descriptors, max_descriptors, 1,
+                  settings.max_descriptors);
         read_size(reader, "max_text_kb", 1, max_text_kb, kilobyte, settings.max_text_bytes);
         base::check_unknown_keys(reader);
     }
--- a/test/gateway_settings_test.cpp
+++ b/test/gateway_settings_test.cpp
@@ -28,6 +28,7 @@
 memory_mb = 112
 max_response_mb = 8
 max_text_kb = 500
+max_descriptors = 2870
 )";
     GIVEN("valid settings")
     {
@@ -45,6 +46,7 @@
         CHECK(read->memory.memory_bytes == 112 * 1024 * 1024);
         CHECK(read->memory.max_response_bytes == 8 * 1024 * 1024);
         CHECK(read->max_text_bytes == 500 * 1024);
+        CHECK(read->max_descriptors == 2870);
     }
     GIVEN("an unknown key and a value of the wrong type")
     {
--- a/test/process/support/site_service.hpp
+++ b/test/process/support/site_service.hpp
@@ -36,6 +36,8 @@
     std::uint16_t side_door_port = 0;
     std::string more_settings;
     std::vector<gateway_under_test> gateways;
+    /// Version of the configuration that was written last.
+    mutable int configuration_version = 2;
 };
 
 /// Starts another gateway and waits until callers may use it.
@@ -51,6 +53,10 @@
 /// have applied it.
 void change_route(site_service const& of, std::string const& name, nlohmann::json const& fields);
 
+/// Writes the next configuration with other limits of callers, and waits until the gateways have
+/// applied it.
+void change_limits(site_service const& of, nlohmann::json const& limits);
+
 /// Sends a request of the team, or with another key.
 [[nodiscard]] http_response
 call_gateway(gateway_under_test const& at, std::string const& method, std::string const& target,
--- a/test/standin/site/control.cpp
+++ b/test/standin/site/control.cpp
@@ -43,6 +43,7 @@
            {{"upstreams", upstreams},
             {"runs", self.runs},
             {"teams", self.teams},
+            {"digests", self.digests},
             {"headers", self.headers},
             {"resumed", self.resumed},
             {"reports", self.reports},
--- a/test/standin/site/site.hpp
+++ b/test/standin/site/site.hpp
@@ -120,6 +120,8 @@
     /// How often each request id was run, and with which team.
     std::map<std::string, std::uint32_t> runs;
     std::map<std::string, std::string> teams;
+    /// SHA-256 of the body of the last run of each request id.
+    std::map<std::string, std::string> digests;
     /// Headers of the last run of each request id, by their names in lower case.
     std::map<std::string, std::map<std::string, std::string>> headers;
     /// Ids whose runs went on after an event.
--- a/test/standin/site/upstream.cpp
+++ b/test/standin/site/upstream.cpp
@@ -44,6 +44,13 @@
     }
 }
 
+std::string digest_of(std::string const& body)
+{
+    std::unique_ptr<char, base::glib_free> const digest(g_compute_checksum_for_data(
+        G_CHECKSUM_SHA256, reinterpret_cast<guchar const*>(body.data()), body.size()));
+    return digest.get();
+}
+
 /// A running stream; owns itself through its timer.
 struct event_run
 {
@@ -235,6 +242,7 @@
     ++self.runs[id];
     self.teams[id] = header(message, "Tenant");
     record_headers(self, id, message);
+    self.digests[id] = digest_of(body_of(message));
     if (body_of(message) == crashing_body)
     {
         crash(self, at);
