Close the connections that clients have closed

Callers saw: nothing at first; a gateway ran out of descriptors and accepted nobody any more. Cause: libsoup 3.2.3 forgets a kept connection without closing it when it ends or fails between two requests, and it never looks at a connection whose request stays paused, as those of callers that had left did. Change: the stream below libsoup shows such an end as one within a head, which libsoup handles; a request that is given up ends by closing its connection. Why it works: libsoup 3.2.3 releases a connection that ends within a head (measured with a server of libsoup alone).

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -48,6 +48,26 @@
     return soup_server_message_get_response_body(request.message.get());
 }
 
+/// Ends a request by closing its connection. libsoup notices that when it writes, so there must be
+/// something to write. Without the last, empty chunk, the caller's HTTP library reports an
+/// incomplete body.
+void abort_response(exchange& request)
+{
+    auto* const message = request.message.get();
+    if (auto* const socket = socket_of(message))
+    {
+        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    }
+    if (soup_server_message_get_status(message) == SOUP_STATUS_NONE)
+    {
+        soup_server_message_set_status(message, SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
+    }
+    auto* const body = response_body(request);
+    soup_message_body_append(body, SOUP_MEMORY_STATIC, "\n", 1);
+    soup_message_body_complete(body);
+    soup_server_message_unpause(message);
+}
+
 } // namespace
 
 exchange::~exchange()
@@ -57,12 +77,18 @@
         return;
     }
     g_signal_handlers_disconnect_by_data(message.get(), this);
-    if (!answered && !disconnected)
+    if (answered || finished)
     {
-        soup_server_message_set_status(message.get(), SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
-        announce_close_if_due(*this);
-        soup_server_message_unpause(message.get());
+        return;
+    }
+    if (streaming || disconnected)
+    {
+        abort_response(*this);
+        return;
     }
+    soup_server_message_set_status(message.get(), SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
+    announce_close_if_due(*this);
+    soup_server_message_unpause(message.get());
 }
 
 GSocket* socket_of(SoupServerMessage* message)
@@ -172,12 +198,7 @@
         return;
     }
     request.answered = true;
-    // Without the last, empty chunk, the caller's HTTP library reports an incomplete body.
-    if (auto* const socket = socket_of(request.message.get()))
-    {
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-    }
-    soup_server_message_unpause(request.message.get());
+    abort_response(request);
 }
 
 bool is_caller_disconnected(exchange const& request)
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -53,7 +53,10 @@
     std::size_t queued_response_bytes = 0;
     bool answered = false;
     bool streaming = false;
+    /// The caller has closed its connection.
     bool disconnected = false;
+    /// libsoup has ended the request.
+    bool finished = false;
 };
 
 /// \ingroup http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -112,6 +112,7 @@
 {
     auto const request = static_cast<exchange*>(data)->shared_from_this();
     bool const complete = request->answered;
+    request->finished = true;
     request->disconnected = true;
     if (!complete && request->on_disconnected)
     {
--- a/src/http/watched_input.cpp
+++ b/src/http/watched_input.cpp
@@ -18,6 +18,10 @@
     std::function<void(char const*)>* on_malformed;
     /// The connection that ends when this stream is closed, or nullptr.
     GIOStream* connection;
+    /// A body was being read at the last read.
+    bool is_in_body;
+    /// The end of the connection was shown as the begin of a head.
+    bool has_shown_end;
 };
 
 struct watched_input_class
@@ -58,16 +62,42 @@
     return false;
 }
 
-/// Checks the outcome of a read.
-/// \returns the number of bytes to pass on, or nothing if the read has to be repeated.
-std::optional<gssize> check_read(gpointer stream, void* buffer, gssize count, GError** failure)
+/// Shows the end of a connection, or a failure of it, as an end within a head. libsoup 3.2.3 keeps
+/// a connection with its descriptor for good if it ends, or fails, before the next request has
+/// begun.
+gssize show_end(watched_input& stream, void* buffer, GError** failure)
+{
+    g_clear_error(failure);
+    if (std::exchange(stream.has_shown_end, true))
+    {
+        return 0;
+    }
+    if (stream.connection != nullptr && G_IS_SOCKET_CONNECTION(stream.connection))
+    {
+        // libsoup must not answer what looks like an unfinished request.
+        g_socket_shutdown(g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream.connection)),
+                          TRUE, TRUE, nullptr);
+    }
+    *static_cast<char*>(buffer) = 'G';
+    return 1;
+}
+
+bool would_block(gssize count, GError** failure)
+{
+    return count < 0 && failure != nullptr &&
+           g_error_matches(*failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != 0;
+}
+
+/// Checks received bytes, or the end of the connection.
+/// \returns as `check_read`.
+std::optional<gssize> check_bytes(watched_input const& watched, void* buffer, gssize count,
+                                  GError** failure)
 {
+    auto& framing = **watched.framing;
     if (count < 0)
     {
         return count;
     }
-    auto const& watched = *as_watched(stream);
-    auto& framing = **watched.framing;
     if (count == 0)
     {
         check_end(framing);
@@ -75,11 +105,32 @@
     }
     auto const kept =
         check_received(framing, {static_cast<char*>(buffer), static_cast<std::size_t>(count)});
-    if (!is_usable(watched, failure))
+    if (is_usable(watched, failure))
+    {
+        return kept > 0 ? std::optional(static_cast<gssize>(kept)) : std::nullopt;
+    }
+    return -1;
+}
+
+/// Checks the outcome of a read.
+/// \returns the number of bytes to pass on, or nothing if the read has to be repeated.
+std::optional<gssize> check_read(gpointer stream, void* buffer, gssize count, GError** failure)
+{
+    auto& watched = *as_watched(stream);
+    auto const& framing = **watched.framing;
+    if (would_block(count, failure))
+    {
+        return count;
+    }
+    if (framing.part != message_part::broken)
     {
-        return -1;
+        watched.is_in_body = framing.part == message_part::body;
     }
-    return kept > 0 ? std::optional(static_cast<gssize>(kept)) : std::nullopt;
+    auto const checked = check_bytes(watched, buffer, count, failure);
+    bool const is_over = checked && *checked <= 0;
+    return is_over && framing.kind == message_kind::requests && !watched.is_in_body
+               ? show_end(watched, buffer, failure)
+               : checked;
 }
 
 gssize read_watched(GInputStream* stream, void* buffer, gsize size, GCancellable* cancellable,
