Wait before accepting again when no descriptor is free

Callers saw: a gateway that used all of its processor time while it had no free descriptor. Cause: the listening socket stays readable when accepting fails, so that the loop tried again and logged without a pause. Change: accepting is tried again after 100 ms.

--- a/src/wire/listener.cpp
+++ b/src/wire/listener.cpp
@@ -15,22 +15,40 @@
 
 constexpr int backlog = 1024;
 
+// Without a free descriptor, accepting fails until one is closed.
+constexpr base::duration accept_retry_delay = std::chrono::milliseconds(100);
+
+void wait_acceptable(listener& waiting);
+
 gboolean on_acceptable(GSocket* socket, GIOCondition, gpointer data)
 {
+    auto& accepting = *static_cast<listener*>(data);
     GError* failure = nullptr;
     base::object_ptr<GSocket> accepted(g_socket_accept(socket, nullptr, &failure));
-    if (!accepted)
+    if (accepted)
     {
-        base::glib_error_ptr const owned(failure);
-        if (g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) == 0)
-        {
-            base::log_line(base::log_level::warning, "accept_failed",
-                           {{"message", std::string_view(failure->message)}});
-        }
+        accepting.on_accepted(std::move(accepted));
         return G_SOURCE_CONTINUE;
     }
-    static_cast<listener*>(data)->on_accepted(std::move(accepted));
-    return G_SOURCE_CONTINUE;
+    base::glib_error_ptr const owned(failure);
+    if (g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != 0)
+    {
+        return G_SOURCE_CONTINUE;
+    }
+    base::log_line(base::log_level::warning, "accept_failed",
+                   {{"message", std::string_view(failure->message)}});
+    accepting.retry = base::at(base::mono_now() + accept_retry_delay,
+                               [&accepting] { wait_acceptable(accepting); });
+    return G_SOURCE_REMOVE;
+}
+
+void wait_acceptable(listener& waiting)
+{
+    GSource* const source = g_socket_create_source(waiting.socket.get(), G_IO_IN, nullptr);
+    GSocketSourceFunc const call = on_acceptable;
+    g_source_set_callback(source, G_SOURCE_FUNC(call), &waiting, nullptr);
+    g_source_attach(source, nullptr);
+    waiting.acceptable.reset(source);
 }
 
 base::result<std::unique_ptr<listener>> listen_error(std::string_view address, GError* failure)
@@ -77,11 +95,7 @@
     base::object_ptr<GSocketAddress> const bound(
         g_socket_get_local_address(made->socket.get(), nullptr));
     made->port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound.get()));
-    GSource* const source = g_socket_create_source(made->socket.get(), G_IO_IN, nullptr);
-    GSocketSourceFunc const call = on_acceptable;
-    g_source_set_callback(source, G_SOURCE_FUNC(call), made.get(), nullptr);
-    g_source_attach(source, nullptr);
-    made->acceptable.reset(source);
+    wait_acceptable(*made);
     return made;
 }
 
--- a/src/wire/listener.hpp
+++ b/src/wire/listener.hpp
@@ -22,6 +22,8 @@
     base::object_ptr<GSocket> socket;
     std::function<void(base::object_ptr<GSocket>)> on_accepted;
     base::event_source acceptable;
+    /// Fires when accepting is tried again after it failed.
+    base::event_source retry;
     std::uint16_t port = 0;
 };
 
