--- a/src/base/byte_budget.cpp
+++ b/src/base/byte_budget.cpp
@@ -11,7 +11,7 @@
 
 void return_bytes(byte_share& share)
 {
-    share.budget->used_bytes -= std::exchange(share.bytes, 0);
+    remove_bytes(*share.budget, std::exchange(share.bytes, 0));
     share.budget->evictable.erase(&share);
 }
 
@@ -50,13 +50,56 @@
 
 } // namespace
 
-std::shared_ptr<byte_budget> make_byte_budget(std::size_t max_bytes)
+std::shared_ptr<byte_budget> make_byte_budget(std::size_t max_bytes,
+                                              std::shared_ptr<byte_budget> within)
 {
     auto made = std::make_shared<byte_budget>();
     made->max_bytes = max_bytes;
+    made->within = std::move(within);
     return made;
 }
 
+void add_bytes(byte_budget& budget, std::size_t bytes)
+{
+    for (auto* each = &budget; each != nullptr; each = each->within.get())
+    {
+        each->used_bytes += bytes;
+    }
+}
+
+void remove_bytes(byte_budget& budget, std::size_t bytes)
+{
+    for (auto* each = &budget; each != nullptr; each = each->within.get())
+    {
+        each->used_bytes -= bytes;
+        each->released_bytes += bytes;
+    }
+}
+
+bool has_room(byte_budget const& budget, std::size_t bytes)
+{
+    for (auto const* each = &budget; each != nullptr; each = each->within.get())
+    {
+        if (each->used_bytes + bytes > each->max_bytes)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool reclaim_bytes(byte_budget& budget)
+{
+    for (auto* each = &budget; each != nullptr; each = each->within.get())
+    {
+        if (each->reclaim && each->reclaim())
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 byte_share::~byte_share()
 {
     if (budget)
@@ -83,11 +126,14 @@
     }
     auto& budget = *share.budget;
     share.bytes += bytes;
-    budget.used_bytes += bytes;
+    add_bytes(budget, bytes);
     if (share.bytes > share.max_bytes)
     {
         return refuse(share, growth::share_full);
     }
+    while (!has_room(budget, 0) && reclaim_bytes(budget))
+    {
+    }
     if (share.bytes <= min_evicted_bytes)
     {
         return growth::granted;
@@ -96,7 +142,7 @@
     {
         budget.evictable.insert(&share);
     }
-    while (budget.used_bytes > budget.max_bytes)
+    while (!has_room(budget, 0))
     {
         auto* const largest = find_largest(budget);
         if (largest == nullptr || largest == &share)
@@ -114,4 +160,10 @@
     share.on_evicted = nullptr;
 }
 
+void give_up(byte_share& share)
+{
+    share.is_evicted = true;
+    return_bytes(share);
+}
+
 } // namespace gooseberrywood::base
--- a/src/base/byte_budget.hpp
+++ b/src/base/byte_budget.hpp
@@ -24,10 +24,17 @@
     /// Maximum of all shares together.
     std::size_t max_bytes = 0;
     std::size_t used_bytes = 0;
+    /// Bytes that were returned since the holder of the budget last set this to zero.
+    std::size_t released_bytes = 0;
     /// Number of shares that were evicted or refused since the start.
     std::uint64_t evictions = 0;
     /// Shares that are large enough to be worth an eviction.
     std::set<byte_share*> evictable;
+    /// A larger budget in which the bytes count as well; null for none.
+    std::shared_ptr<byte_budget> within;
+    /// Makes one holder that has stalled release its bytes; empty if none can.
+    /// \returns false if no holder has stalled.
+    std::function<bool()> reclaim;
 };
 
 /// \ingroup base
@@ -36,7 +43,26 @@
 
 /// \ingroup base
 /// \brief Creates a budget.
-[[nodiscard]] std::shared_ptr<byte_budget> make_byte_budget(std::size_t max_bytes);
+/// \param within see `byte_budget::within`.
+[[nodiscard]] std::shared_ptr<byte_budget>
+make_byte_budget(std::size_t max_bytes, std::shared_ptr<byte_budget> within = nullptr);
+
+/// \ingroup base
+/// \brief Counts bytes in a budget and in those around it, even if they exceed a limit.
+void add_bytes(byte_budget& budget, std::size_t bytes);
+
+/// \ingroup base
+/// \brief Returns bytes that were counted.
+void remove_bytes(byte_budget& budget, std::size_t bytes);
+
+/// \ingroup base
+/// \brief Whether this many more bytes fit into a budget and those around it.
+[[nodiscard]] bool has_room(byte_budget const& budget, std::size_t bytes);
+
+/// \ingroup base
+/// \brief Makes one stalled holder of a budget, or of one around it, release its bytes.
+/// \returns false if none has stalled.
+[[nodiscard]] bool reclaim_bytes(byte_budget& budget);
 
 /// \ingroup base
 /// \brief The bytes that one holder has of a budget. They are returned when it is destroyed.
@@ -84,6 +110,10 @@
 /// \brief Excludes a share from eviction. Its bytes count as before.
 void retain(byte_share& share);
 
+/// \ingroup base
+/// \brief Returns the bytes of a share whose holder is about to release them.
+void give_up(byte_share& share);
+
 } // namespace gooseberrywood::base
 
 #endif
--- a/src/base/result_code.cpp
+++ b/src/base/result_code.cpp
@@ -59,6 +59,8 @@
                      "What began the stream is unknown, or nothing of that version serves."},
     result_code_info{rc::crashing_request, "crashing_request", 503, 75, true,
                      "Equal requests crashed three upstreams; this one was not run."},
+    result_code_info{rc::request_timeout, "request_timeout", 408, 75, true,
+                     "The request did not arrive completely in time."},
     result_code_info{rc::outcome_unknown, "outcome_unknown", 502, 76, false,
                      "The request may have run; its answer is lost."},
     result_code_info{rc::upstream_error, "upstream_error", 502, 76, false,
--- a/src/base/result_code.hpp
+++ b/src/base/result_code.hpp
@@ -44,6 +44,7 @@
     retry_budget_spent = 117,
     stream_not_resumable = 118,
     crashing_request = 119,
+    request_timeout = 120,
 
     // 200-299: the request ran, or may have run.
     outcome_unknown = 200,
--- a/src/entry/dump.cpp
+++ b/src/entry/dump.cpp
@@ -94,7 +94,7 @@
     out["store_answers"] = entry.store_answers;
     out["hosts_leaving"] = entry.hosts_leaving;
     out["stopping"] = entry.stopping;
-    out["connections"] = entry.callers->connections->size();
+    out["connections"] = entry.callers->connections->open.size();
     out["retry_tokens"] = entry.retries.tokens;
     out["suspects"] = entry.suspects.marks.size();
     out["agents"] = json::object();
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -24,12 +24,14 @@
 base::result<void> open_ports(entry_process& entry)
 {
     auto callers = http::serve(entry.settings.listen_http,
-                               [&entry](auto const& exchange) { handle_caller(entry, exchange); });
+                               [&entry](auto const& exchange) { handle_caller(entry, exchange); },
+                               {{}, entry.budgets, {}});
     if (!callers)
     {
         return tl::unexpected(callers.error());
     }
     entry.callers = std::move(*callers);
+    http::shed_when_full(*entry.callers);
     auto admin =
         process::serve_admin(entry.settings.listen_admin, {[&entry] { return dump(entry); },
                                                            [&entry] { return exposition(entry); },
@@ -64,8 +66,9 @@
     auto made = std::make_unique<entry_process>();
     auto& entry = *made;
     entry.settings = std::move(settings);
+    entry.budgets = http::make_memory_budgets(entry.settings.memory.memory_bytes);
     entry.response_limits = http::make_response_limits(entry.settings.memory.max_response_bytes,
-                                                       entry.settings.memory.memory_bytes);
+                                                       entry.budgets.responses);
     entry.own.role = wire::peer_role::entry;
     entry.own.host = entry.settings.host;
     entry.own.domain = entry.settings.domain;
--- a/src/entry/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -10,6 +10,7 @@
 #include "entry/agent_link.hpp"
 #include "entry/queued_request.hpp"
 #include "entry/request.hpp"
+#include "http/memory_budgets.hpp"
 #include "http/response_limits.hpp"
 #include "http/server.hpp"
 #include "process/configuration.hpp"
@@ -51,6 +52,8 @@
     routing::suspects suspects;
     std::mt19937_64 random;
 
+    /// What this process may hold of what callers and agents send.
+    http::memory_budgets budgets = http::make_memory_budgets(http::default_memory_bytes);
     /// Limits of the answers of upstreams that requests hold.
     http::response_limits response_limits;
     std::unordered_map<base::request_id, request> requests;
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -3,11 +3,13 @@
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
 #include "gateway/end_job.hpp"
+#include "gateway/measure.hpp"
 #include "gateway/read_job.hpp"
 #include "gateway/refresh.hpp"
 #include "gateway/route_request.hpp"
 #include "gateway/serve_plain.hpp"
 #include "gateway/submit_job.hpp"
+#include "http/rejection.hpp"
 #include "http/status.hpp"
 #include "platform/batch_calls.hpp"
 #include "platform/caller_head.hpp"
@@ -28,28 +30,45 @@
 // The load balancer sends new connections to other gateways by then.
 constexpr base::duration retry_after_stop = std::chrono::milliseconds(50);
 
-/// Rejects a request that the configuration does not allow. While a newer configuration may allow
-/// it, the request is refused with a retry delay instead.
-void deny(gateway& self, http::exchange& exchange, std::uint16_t status, base::error const& error,
-          base::mono_time now)
+void answer(gateway& self, http::exchange& exchange, http::rejection const& denial)
 {
-    if (!has_current_configuration(self, now))
+    if (denial.status == http::status::unavailable)
     {
-        refuse(self, exchange,
-               {result_code::configuration_stale,
-                "the known configuration is too old to deny the request"},
-               retry_after_stale);
+        refuse(self, exchange, denial.error, denial.retry_after);
         return;
     }
-    answer_error(self, exchange, status, error);
+    answer_error(self, exchange, denial.status, denial.error);
+}
+
+http::rejection refuse_as_stale(std::string reason)
+{
+    return {http::status::unavailable,
+            {result_code::configuration_stale, std::move(reason)},
+            retry_after_stale};
+}
+
+/// Denies a request that the configuration does not allow. While a newer configuration may allow
+/// it, the request is refused with a retry delay instead.
+http::rejection deny(gateway const& self, std::uint16_t status, base::error error,
+                     base::mono_time now)
+{
+    return has_current_configuration(self, now)
+               ? http::rejection{status, std::move(error), {}}
+               : refuse_as_stale("the known configuration is too old to deny the request");
 }
 
-/// Authenticates the caller by its key.
-/// \returns the team; empty when the route or the configuration requires no key; nothing when the
-/// request was answered with an error.
-std::optional<std::string> authorize(gateway& self, http::exchange& exchange,
-                                     platform::caller_head const& head, fleet::route const* route,
-                                     base::mono_time now)
+http::rejection deny_unknown_route(gateway const& self, base::mono_time now)
+{
+    return deny(self, http::status::not_found,
+                {result_code::unknown_route, "no route for this host and path"}, now);
+}
+
+/// Authenticates a caller by its key.
+/// \returns the team; empty when the route or the configuration requires no key; or why the request
+/// is not allowed.
+tl::expected<std::string, http::rejection> authorize(gateway const& self,
+                                                     std::optional<std::string> const& api_key,
+                                                     fleet::route const* route, base::mono_time now)
 {
     auto const& configuration = *self.configuration;
     if (!configuration.teams || (route != nullptr && route->open))
@@ -58,21 +77,15 @@
     }
     if (!has_current_keys(self, now))
     {
-        refuse(
-            self, exchange,
-            {result_code::configuration_stale, "the known configuration is too old to check keys"},
-            retry_after_stale);
-        return std::nullopt;
+        return tl::unexpected(refuse_as_stale("the known configuration is too old to check keys"));
     }
-    auto const* const team =
-        head.api_key ? fleet::find_team(configuration, *head.api_key) : nullptr;
+    auto const* const team = api_key ? fleet::find_team(configuration, *api_key) : nullptr;
     if (team == nullptr)
     {
-        deny(self, exchange, http::status::unauthorized,
-             {head.api_key ? result_code::key_unknown : result_code::key_missing,
-              "the request carries no known key"},
-             now);
-        return std::nullopt;
+        return tl::unexpected(deny(self, http::status::unauthorized,
+                                   {api_key ? result_code::key_unknown : result_code::key_missing,
+                                    "the request carries no known key"},
+                                   now));
     }
     return *team;
 }
@@ -83,13 +96,13 @@
     auto const* const route = fleet::find_route(*self.configuration, head.host, exchange->path);
     if (route == nullptr)
     {
-        deny(self, *exchange, http::status::not_found,
-             {result_code::unknown_route, "no route for this host and path"}, now);
+        answer(self, *exchange, deny_unknown_route(self, now));
         return;
     }
-    auto const team = authorize(self, *exchange, head, route, now);
+    auto const team = authorize(self, head.api_key, route, now);
     if (!team)
     {
+        answer(self, *exchange, team.error());
         return;
     }
     if (route->kind == fleet::route_kind::rollout)
@@ -144,10 +157,35 @@
         serve_request(self, exchange, head, now);
         return;
     }
-    if (auto const team = authorize(self, *exchange, head, nullptr, now))
+    auto const team = authorize(self, head.api_key, nullptr, now);
+    if (!team)
+    {
+        answer(self, *exchange, team.error());
+        return;
+    }
+    handle_batch_call(self, exchange, *call, *team);
+}
+
+std::optional<http::rejection> check_claim(gateway& self, SoupServerMessage* message)
+{
+    if (!self.configuration)
+    {
+        return refuse_as_stale("no configuration has been read yet");
+    }
+    auto const now = base::mono_now();
+    auto const claim = platform::read_request_claim(message);
+    auto const* const route = fleet::find_route(*self.configuration, claim.host, claim.path);
+    if (route == nullptr)
+    {
+        return deny_unknown_route(self, now);
+    }
+    auto const team = authorize(self, claim.api_key, route, now);
+    if (!team)
     {
-        handle_batch_call(self, exchange, *call, *team);
+        count_error(self, info(team.error().error.code).name);
+        return team.error();
     }
+    return std::nullopt;
 }
 
 void end_callers(gateway& self)
--- a/src/gateway/callers.hpp
+++ b/src/gateway/callers.hpp
@@ -4,6 +4,7 @@
 #include "gateway/gateway.hpp"
 
 #include <memory>
+#include <optional>
 
 namespace gooseberrywood::gateway
 {
@@ -12,6 +13,11 @@
 /// \brief Handles a request from a caller.
 void handle_caller(gateway& self, std::shared_ptr<http::exchange> const& exchange);
 
+/// \ingroup gateway
+/// \brief Checks by its head whether a request with a long body is allowed, before the body is
+/// held. \returns the answer if it is not.
+[[nodiscard]] std::optional<http::rejection> check_claim(gateway& self, SoupServerMessage* message);
+
 /// \ingroup gateway
 /// \brief Answers all callers that still wait and refuses new requests from now on. For the end of
 /// the time in which the process must stop.
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -40,7 +40,7 @@
     for (std::string_view const part :
          {std::string_view(spec.team), std::string_view(spec.host),
           std::string_view(spec.call.method), std::string_view(spec.call.path),
-          std::string_view(spec.call.body)})
+          http::view_of(spec.call.body)})
     {
         fingerprint = base::hash64(part, fingerprint);
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "base/log.hpp"
+#include "gateway/caller_limits.hpp"
 #include "gateway/callers.hpp"
 #include "gateway/dump.hpp"
 #include "gateway/hand_over.hpp"
@@ -44,20 +45,24 @@
 
 base::result<void> open_caller_ports(gateway& self)
 {
-    auto callers = http::serve(self.settings.listen_callers,
-                               [&self](auto const& exchange) { handle_caller(self, exchange); });
+    auto callers = http::serve(
+        self.settings.listen_callers,
+        [&self](auto const& exchange) { handle_caller(self, exchange); }, caller_options(self));
     if (!callers)
     {
         return tl::unexpected(callers.error());
     }
     self.callers = std::move(*callers);
-    auto ready = http::serve(self.settings.listen_ready,
-                             [&self](auto const& exchange)
-                             {
-                                 bool const is_up = is_ready(self, base::mono_now());
-                                 http::respond(*exchange, is_up ? 200 : 503, "text/plain",
-                                               is_up ? "ready\n" : "not ready\n");
-                             });
+    http::shed_when_full(*self.callers);
+    auto ready = http::serve(
+        self.settings.listen_ready,
+        [&self](auto const& exchange)
+        {
+            bool const is_up = is_ready(self, base::mono_now());
+            http::respond(*exchange, is_up ? 200 : 503, "text/plain",
+                          is_up ? "ready\n" : "not ready\n");
+        },
+        service_options(self));
     if (!ready)
     {
         return tl::unexpected(ready.error());
@@ -81,7 +86,8 @@
                               [&self]
                               {
                                   return is_ready(self, base::mono_now());
-                              }});
+                              }},
+                             service_options(self));
     if (!admin)
     {
         return tl::unexpected(admin.error());
@@ -94,7 +100,7 @@
 /// one.
 bool has_work(gateway const& self)
 {
-    return !self.requests.empty() || !self.callers->connections->empty();
+    return !self.requests.empty() || !self.callers->connections->open.empty();
 }
 
 /// Stops the process once no caller waits for an answer. Callers that still wait at the end are
@@ -159,9 +165,11 @@
     auto& self = *created;
     self.settings = std::move(settings);
     self.started_at = base::mono_now();
-    self.response_limits = http::make_response_limits(self.settings.memory.max_response_bytes,
-                                                      self.settings.memory.memory_bytes);
-    self.upstream_session = http::make_session(self.response_limits);
+    self.budgets = http::make_memory_budgets(self.settings.memory.memory_bytes);
+    self.response_limits =
+        http::make_response_limits(self.settings.memory.max_response_bytes, self.budgets.responses);
+    self.upstream_session =
+        http::make_session(self.response_limits, max_upstream_connections(self));
     self.control_session = http::make_session(self.response_limits);
     self.relay.direct = platform::make_store_transport(self.settings.store);
     self.store = instrument_store(self, platform::make_store_client(make_relayed_transport(self)));
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -23,6 +23,7 @@
 #include "gateway/shared_view.hpp"
 #include "gateway/store_relay.hpp"
 #include "gateway/stream_origins.hpp"
+#include "http/memory_budgets.hpp"
 #include "http/response_limits.hpp"
 #include "http/server.hpp"
 #include "process/main_loop.hpp"
@@ -75,6 +76,8 @@
     bool stopping = false;
     base::event_source stop_timer;
 
+    /// What this process may hold of what callers and upstreams send.
+    http::memory_budgets budgets = http::make_memory_budgets(http::default_memory_bytes);
     /// Limits of the responses of upstreams, and of the texts made of them.
     http::response_limits response_limits;
     // Declared before the members that make calls through them, so that they are destroyed last.
--- a/src/gateway/measure.cpp
+++ b/src/gateway/measure.cpp
@@ -172,6 +172,49 @@
     }
 }
 
+void set_refusal_gauge(gateway& self, std::string_view reason, std::uint64_t count)
+{
+    base::gauge_at(self.metrics,
+                   {"gateway_callers_refused",
+                    "connections that were shed or not accepted, and answers without room"},
+                   {{"reason", reason}})
+        .value = static_cast<double>(count);
+}
+
+void update_budget_gauges(gateway& self)
+{
+    set_gauge(self, {"gateway_held_bytes", "bytes of callers and upstreams that are held"},
+              static_cast<double>(self.budgets.process->used_bytes));
+    set_gauge(self, {"gateway_held_bytes_limit", "maximum of gateway_held_bytes"},
+              static_cast<double>(self.budgets.process->max_bytes));
+    set_gauge(self, {"gateway_large_request_bytes", "part of it that long requests hold"},
+              static_cast<double>(self.budgets.large_requests->used_bytes));
+    set_gauge(self, {"gateway_job_bytes", "part of it that running batch jobs hold"},
+              static_cast<double>(self.budgets.jobs->used_bytes));
+}
+
+void update_caller_gauges(gateway& self)
+{
+    if (!self.callers)
+    {
+        return;
+    }
+    auto const& table = *self.callers->connections;
+    set_gauge(self, {"gateway_caller_connections", "open connections of callers"},
+              static_cast<double>(table.open.size()));
+    for (auto const& [status, count] : table.refused.rejected)
+    {
+        base::gauge_at(self.metrics,
+                       {"gateway_requests_rejected",
+                        "requests that were answered before they were read to their end"},
+                       {{"status", std::to_string(status)}})
+            .value = static_cast<double>(count);
+    }
+    set_refusal_gauge(self, "shed", table.refused.shed);
+    set_refusal_gauge(self, "not_accepted", table.refused.not_accepted);
+    set_refusal_gauge(self, "dropped_answer", table.refused.dropped_responses);
+}
+
 } // namespace
 
 void count_answer(gateway& self, std::string_view route, std::string_view outcome,
@@ -299,6 +342,8 @@
               static_cast<double>(self.response_limits.budget->used_bytes));
     set_gauge(self, {"gateway_responses_too_large", "responses and texts given up for their size"},
               static_cast<double>(self.response_limits.budget->evictions));
+    update_budget_gauges(self);
+    update_caller_gauges(self);
     set_gauge(self, {"gateway_leads", "1 while this process leads"}, self.candidate.held ? 1 : 0);
     set_gauge(self, {"gateway_lease_held", "1 while the lease in the store holds"},
               has_lease(self, now) ? 1 : 0);
--- a/src/gateway/request_costs.cpp
+++ b/src/gateway/request_costs.cpp
@@ -20,13 +20,13 @@
 double expected_cost(gateway const& self, routed_spec const& spec)
 {
     return fleet::expected_work(self.costs, spec.service, route_name(self, spec),
-                                spec.call.body.size());
+                                http::view_of(spec.call.body).size());
 }
 
 void note_answered_cost(gateway& self, routed_spec const& spec, base::duration response_time)
 {
-    fleet::note_cost(self.costs, spec.service, route_name(self, spec), spec.call.body.size(),
-                     response_time);
+    fleet::note_cost(self.costs, spec.service, route_name(self, spec),
+                     http::view_of(spec.call.body).size(), response_time);
 }
 
 void note_abandoned_cost(gateway& self, routed_try const& abandoned, base::mono_time now)
--- a/src/gateway/reward_runner.cpp
+++ b/src/gateway/reward_runner.cpp
@@ -114,7 +114,8 @@
     // A later call may use the upstreams again on which this one broke off.
     spec.dispatch_deadline = std::min(spec.deadline, now + route->target_latency);
     spec.hedge_delay = route->target_latency;
-    spec.call = {"POST", call.path, "application/octet-stream", call.body, {}, true};
+    spec.call = {"POST", call.path, "application/octet-stream", http::copy_bytes(call.body),
+                 {},     true};
     start_request(self, std::move(spec),
                   [&self, id = job.record.id, index](routed_outcome const& outcome)
                   { on_reward(self, id, index, outcome); });
--- a/src/gateway/serve_plain.cpp
+++ b/src/gateway/serve_plain.cpp
@@ -76,7 +76,7 @@
         auto const headers = platform::forwardable_headers(outcome.answer.headers);
         auto const type = http::find_header(headers, "Content-Type");
         http::respond(exchange, outcome.answer.status, type.value_or("application/octet-stream"),
-                      kept, outcome.answer.body, headers);
+                      kept, outcome.answer.body, headers, outcome.answer.share);
         break;
     }
     case outcome_kind::refused:
@@ -111,7 +111,7 @@
     spec.call = {head.method,
                  head.target,
                  head.content_type,
-                 std::string(exchange->body),
+                 exchange->body_bytes,
                  head.forwarded_headers,
                  spec.idempotent};
     return spec;
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -17,9 +17,6 @@
 // Maximum number of consecutive reads, so that one fast response can't starve the others.
 constexpr int max_reads_per_event = 4;
 
-// Maximum number of connections of a session: well above the concurrency limit of any upstream.
-constexpr int max_session_connections = 4096;
-
 using weak_call = std::weak_ptr<call>;
 
 constexpr char const* limits_name = "gooseberrywood-response-limits";
@@ -301,11 +298,12 @@
     cancel(*this);
 }
 
-base::object_ptr<SoupSession> make_session(response_limits limits)
+base::object_ptr<SoupSession> make_session(response_limits limits, std::size_t max_connections)
 {
-    base::object_ptr<SoupSession> session(soup_session_new_with_options(
-        "max-conns", max_session_connections, "max-conns-per-host", max_session_connections,
-        "timeout", 0, "idle-timeout", 30, nullptr));
+    auto const count = static_cast<int>(max_connections);
+    base::object_ptr<SoupSession> session(
+        soup_session_new_with_options("max-conns", count, "max-conns-per-host", count, "timeout", 0,
+                                      "idle-timeout", 30, nullptr));
     watch_connections(session.get());
     g_object_set_data_full(G_OBJECT(session.get()), limits_name,
                            new response_limits(std::move(limits)), free_limits);
@@ -343,15 +341,14 @@
     {
         soup_message_headers_replace(headers, name.c_str(), value.c_str());
     }
-    if (!request.body.empty() || !request.content_type.empty())
+    auto const body = request.shared_body ? request.shared_body : copy_bytes(request.body);
+    if (!view_of(body).empty() || !request.content_type.empty())
     {
-        GBytes* const body = g_bytes_new(request.body.data(), request.body.size());
         soup_message_set_request_body_from_bytes(made->message.get(),
                                                  request.content_type.empty()
                                                      ? "application/octet-stream"
                                                      : request.content_type.c_str(),
-                                                 body);
-        g_bytes_unref(body);
+                                                 body.get());
     }
     g_signal_connect(made->message.get(), "starting", G_CALLBACK(on_starting), made.get());
     made->share = open_response_share(*made, session);
--- a/src/http/call.hpp
+++ b/src/http/call.hpp
@@ -28,6 +28,8 @@
     std::string url;
     std::string content_type;
     std::string body;
+    /// Body that others hold as well; used instead of `body` if it is not null.
+    shared_bytes shared_body = {};
     std::vector<header> headers;
     /// Whether the request may be executed twice. If not, it is sent on a new connection: on a
     /// kept-alive one it would be unknown whether a request without a response was executed.
@@ -79,12 +81,19 @@
     bool ended = false;
 };
 
+/// \ingroup http
+/// \brief Default maximum number of connections of a session: well above the concurrency limit of
+/// any upstream.
+inline constexpr std::size_t default_session_connections = 4096;
+
 /// \ingroup http
 /// \brief Creates a session for calls without cookies, redirects, proxies or content decoding.
 /// \param limits limits of all responses. A call fails with `response_too_large` when its response
 /// exceeds one.
+/// \param max_connections maximum number of open connections; further calls wait for one.
 [[nodiscard]] base::object_ptr<SoupSession>
-make_session(response_limits limits = make_response_limits());
+make_session(response_limits limits = make_response_limits(),
+             std::size_t max_connections = default_session_connections);
 
 /// \ingroup http
 /// \brief Starts a call.
--- /dev/null
+++ b/src/http/connection_check.cpp
@@ -0,0 +1,148 @@
+#include "http/connection_check.hpp"
+
+#include "http/status.hpp"
+
+#include <malloc.h>
+#include <sys/ioctl.h>
+
+namespace gooseberrywood::http
+{
+
+namespace
+{
+
+using base::result_code;
+
+// Part of a budget that must have been released before free memory is returned to the system.
+constexpr std::size_t trim_divisor = 4;
+// libsoup's buffer of an unfinished head doubles when it is full.
+constexpr std::size_t head_buffer_factor = 2;
+
+bool is_reading_head(open_connection const& connection)
+{
+    return connection.input && connection.input->part == message_part::head &&
+           connection.input->head.bytes > 0;
+}
+
+void note_head(open_connection& connection, base::mono_time now)
+{
+    if (!is_reading_head(connection))
+    {
+        connection.head_since = {};
+    }
+    else if (connection.head_since == base::mono_time{})
+    {
+        connection.head_since = now;
+    }
+}
+
+std::size_t unread_bytes(open_connection const& connection)
+{
+    int count = 0;
+    bool const is_known =
+        ioctl(g_socket_get_fd(connection.socket.get()), FIONREAD, &count) == 0 && count > 0;
+    return is_known ? static_cast<std::size_t>(count) : 0;
+}
+
+/// Counts what the connection holds besides its current request.
+void observe(connection_table& table, open_connection& connection)
+{
+    std::size_t bytes = 0;
+    if (connection.is_being_answered)
+    {
+        bytes = unread_bytes(connection);
+    }
+    else if (is_reading_head(connection))
+    {
+        bytes = connection.input->head.bytes * head_buffer_factor;
+    }
+    release_from(table, connection, connection.observed_bytes);
+    count_held(table.budgets, connection.share, bytes);
+    connection.observed_bytes = bytes;
+}
+
+void time_out(connection_table& table, open_connection& connection, char const* reason,
+              base::mono_time now)
+{
+    reject_request(table, connection,
+                   {status::request_timeout, {result_code::request_timeout, reason}}, now);
+}
+
+/// Whether only the client can end what the connection waits for.
+bool waits_for_client(open_connection const& connection)
+{
+    return !connection.is_being_answered || connection.queued_response_bytes > 0;
+}
+
+void check_times(connection_table& table, open_connection& connection, base::mono_time now)
+{
+    note_head(connection, now);
+    auto const& limits = table.limits;
+    if (is_reading_head(connection))
+    {
+        if (now >= connection.head_since + limits.head_timeout)
+        {
+            time_out(table, connection, "the head did not arrive in time", now);
+        }
+        return;
+    }
+    if (!waits_for_client(connection) || now < connection.active_at + limits.idle_timeout)
+    {
+        return;
+    }
+    if (connection.is_in_use && !connection.is_being_answered)
+    {
+        time_out(table, connection, "the body did not arrive in time", now);
+        return;
+    }
+    close_connection(connection);
+}
+
+void check_connection(connection_table& table, open_connection& connection, base::mono_time now)
+{
+    if (connection.is_closed)
+    {
+        return;
+    }
+    if (connection.is_ending)
+    {
+        if (now >= connection.close_at)
+        {
+            close_connection(connection);
+        }
+        return;
+    }
+    check_times(table, connection, now);
+    if (!connection.is_ending && !connection.is_closed)
+    {
+        observe(table, connection);
+    }
+}
+
+/// Returns free memory to the system. The allocator keeps short blocks that lie between others, so
+/// that later long ones, which lie elsewhere, would come on top of them.
+void return_free_memory(base::byte_budget& budget)
+{
+    if (budget.released_bytes > budget.max_bytes / trim_divisor)
+    {
+        budget.released_bytes = 0;
+        malloc_trim(0);
+    }
+}
+
+} // namespace
+
+void check_connections(connection_table& table, base::mono_time now)
+{
+    for (auto& [key, connection] : table.open)
+    {
+        check_connection(table, connection, now);
+    }
+    while (!base::has_room(*table.budgets.large_requests, 0) &&
+           shed_stalled(table, nullptr, "the requests hold too much memory", now))
+    {
+    }
+    return_free_memory(*table.budgets.process);
+}
+
+} // namespace gooseberrywood::http
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,8 +1,12 @@
 #include "http/exchange.hpp"
 
+#include "base/log.hpp"
+#include "http/error_response.hpp"
 #include "http/header_list.hpp"
 #include "http/limits.hpp"
+#include "http/status.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -48,15 +52,42 @@
     return soup_server_message_get_response_body(request.message.get());
 }
 
+open_connection* connection_of(exchange const& request)
+{
+    return request.connections
+               ? find_connection(*request.connections, socket_of(request.message.get()))
+               : nullptr;
+}
+
+void release_request_body(exchange& request)
+{
+    request.body = {};
+    request.body_bytes.reset();
+    if (auto* const connection = connection_of(request))
+    {
+        release_body(*request.connections, *connection);
+    }
+}
+
+/// Queues a part of the response.
+/// \param counted whether the connection must hold memory for it.
+/// \returns false if there is no memory for it.
+bool queue(exchange const& request, std::size_t bytes, bool counted)
+{
+    auto* const connection = connection_of(request);
+    return connection == nullptr ||
+           queue_response(*request.connections, *connection, bytes, counted, base::mono_now());
+}
+
 /// Ends a request by closing its connection. libsoup notices that when it writes, so there must be
 /// something to write. Without the last, empty chunk, the caller's HTTP library reports an
 /// incomplete body.
 void abort_response(exchange& request)
 {
     auto* const message = request.message.get();
-    if (auto* const socket = socket_of(message))
+    if (auto* const connection = connection_of(request))
     {
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+        close_connection(*connection);
     }
     if (soup_server_message_get_status(message) == SOUP_STATUS_NONE)
     {
@@ -68,6 +99,19 @@
     soup_server_message_unpause(message);
 }
 
+/// Answers with an error where there is no memory for the response. The request may have run.
+void drop_response(exchange& request, std::uint16_t status, std::size_t bytes)
+{
+    base::log_line(base::log_level::info, "response_dropped",
+                   {{"status", std::int64_t{status}}, {"bytes", static_cast<std::int64_t>(bytes)}});
+    auto const error =
+        error_json({base::result_code::outcome_unknown, "there is no memory for the response now"});
+    set_headers(request, status::bad_gateway, "application/json", {});
+    soup_message_body_append(response_body(request), SOUP_MEMORY_COPY, error.data(), error.size());
+    soup_message_body_complete(response_body(request));
+    soup_server_message_unpause(request.message.get());
+}
+
 } // namespace
 
 exchange::~exchange()
@@ -126,12 +170,12 @@
              std::string_view body, std::span<header const> headers)
 {
     auto const copy = std::make_shared<std::string const>(body);
-    respond(request, status, content_type, copy, *copy, headers);
+    respond(request, status, content_type, copy, *copy, headers, {});
 }
 
 void respond(exchange& request, std::uint16_t status, std::string_view content_type,
              std::shared_ptr<void const> owner, std::string_view body,
-             std::span<header const> headers)
+             std::span<header const> headers, std::weak_ptr<base::byte_share> share)
 {
     if (request.answered || request.disconnected)
     {
@@ -143,6 +187,17 @@
         return;
     }
     request.answered = true;
+    release_request_body(request);
+    bool const is_counted = share.expired();
+    if (!queue(request, body.size(), is_counted))
+    {
+        drop_response(request, status, body.size());
+        return;
+    }
+    if (auto* const connection = connection_of(request))
+    {
+        connection->response_share = std::move(share);
+    }
     set_headers(request, status, content_type, headers);
     auto* const bytes = g_bytes_new_with_free_func(
         body.data(), body.size(), release_owner, new std::shared_ptr<void const>(std::move(owner)));
@@ -152,6 +207,13 @@
     soup_server_message_unpause(request.message.get());
 }
 
+bool reserve_memory(exchange& request, std::size_t bytes)
+{
+    auto* const connection = connection_of(request);
+    return connection == nullptr ||
+           reserve_for(*request.connections, *connection, bytes, base::mono_now());
+}
+
 void begin_stream(exchange& request, std::uint16_t status, std::string_view content_type,
                   std::span<header const> headers)
 {
@@ -170,7 +232,8 @@
 bool append_stream(exchange& request, std::string_view bytes)
 {
     if (request.disconnected ||
-        request.queued_response_bytes + bytes.size() > max_queued_response_bytes)
+        request.queued_response_bytes + bytes.size() > max_queued_response_bytes ||
+        !queue(request, bytes.size(), true))
     {
         return false;
     }
@@ -208,9 +271,16 @@
     {
         return true;
     }
+    auto const descriptor = g_socket_get_fd(socket);
     char byte = 0;
-    auto const count = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+    auto const count = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0)
+    {
+        // Requests that were sent ahead hide the end of the connection.
+        pollfd ended{descriptor, POLLRDHUP, 0};
+        return poll(&ended, 1, 0) == 1;
+    }
+    return count == 0 || (errno != EAGAIN && errno != EINTR);
 }
 
 } // namespace gooseberrywood::http
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -1,7 +1,10 @@
 #ifndef GOOSEBERRYWOOD_HTTP_EXCHANGE_HPP
 #define GOOSEBERRYWOOD_HTTP_EXCHANGE_HPP
 
+#include "base/byte_budget.hpp"
 #include "base/glib_ptr.hpp"
+#include "http/connection_table.hpp"
+#include "http/shared_bytes.hpp"
 
 #include <libsoup/soup.h>
 
@@ -41,11 +44,15 @@
     std::string path;
     /// Query including the `?`, or empty.
     std::string query;
-    /// Request body; valid until the response is sent.
+    /// Request body; released when the response is sent.
+    shared_bytes body_bytes;
+    /// View of `body_bytes`.
     std::string_view body;
     /// Called if the caller's connection is lost before the response is complete.
     std::function<void()> on_disconnected;
 
+    /// Table of the connection, which holds memory for the request and the response.
+    std::shared_ptr<connection_table> connections;
     /// Whether the answer must announce that its connection is closed.
     std::shared_ptr<bool const> closes_connection;
 
@@ -85,9 +92,16 @@
 /// \ingroup http
 /// \brief Sends a response with a complete body, without a copy of it.
 /// \param owner keeps the body; released when the response was written or its connection was lost.
+/// \param share counts the body; null if nothing does.
 void respond(exchange& request, std::uint16_t status, std::string_view content_type,
              std::shared_ptr<void const> owner, std::string_view body,
-             std::span<header const> headers);
+             std::span<header const> headers, std::weak_ptr<base::byte_share> share);
+
+/// \ingroup http
+/// \brief Reserves further memory for a request that was read to its end, in bytes. It is returned
+/// when the request has ended.
+/// \returns false if there is no room for it.
+[[nodiscard]] bool reserve_memory(exchange& request, std::size_t bytes);
 
 /// \ingroup http
 /// \brief Starts a chunked response.
--- a/src/http/limits.hpp
+++ b/src/http/limits.hpp
@@ -9,7 +9,8 @@
 {
 
 /// \ingroup http
-/// \brief Maximum size of a request body. A frame (2 MiB) can hold it together with a resumed text.
+/// \brief Default maximum size of a request body. A frame (2 MiB) can hold it together with a
+/// resumed text.
 inline constexpr std::size_t max_body_bytes = 1024 * 1024;
 
 /// \ingroup http
@@ -17,13 +18,9 @@
 inline constexpr std::size_t max_queued_response_bytes = 8 * 1024 * 1024;
 
 /// \ingroup http
-/// \brief Maximum number of open connections of a server.
+/// \brief Default maximum number of open connections of a server.
 inline constexpr std::size_t max_connections = 16 * 1024;
 
-/// \ingroup http
-/// \brief Time without any read or write by the peer after which a connection is closed.
-inline constexpr unsigned idle_timeout_s = 30;
-
 /// \ingroup http
 /// \brief Interval at which open requests are checked for callers that have disconnected.
 inline constexpr base::duration caller_check_interval = std::chrono::seconds(1);
--- a/src/http/message_framing.cpp
+++ b/src/http/message_framing.cpp
@@ -150,7 +150,7 @@
 std::size_t read_head(message_framing& framing, std::span<char const> bytes)
 {
     framing_fault fault;
-    auto const count = read_head_line(framing.head, bytes, fault);
+    auto const count = read_head_line(framing.head, bytes, framing.max_head_bytes, fault);
     if (fault.reason != nullptr)
     {
         break_off(framing, fault.reason, fault.kind);
--- a/src/http/message_framing.hpp
+++ b/src/http/message_framing.hpp
@@ -67,6 +67,10 @@
     bool is_answer_to_head = false;
     /// Counts the bytes of the response; expired when nothing of it is held any more.
     std::weak_ptr<base::byte_share> share;
+    /// Limit of the heads before one body, in bytes.
+    std::size_t max_head_bytes = http::max_head_bytes;
+    /// What is received is read, and neither checked nor passed on.
+    bool discards = false;
     /// Another response followed the complete one. The connection must not be used again.
     bool has_surplus = false;
 };
--- a/src/http/message_head.cpp
+++ b/src/http/message_head.cpp
@@ -123,18 +123,20 @@
     head.transfer_codings.reset();
     head.is_complete = false;
     head.bytes = bytes_before;
+    head.lines = 0;
     head.partial_line.clear();
     head.folded = nullptr;
 }
 
-std::size_t read_head_line(message_head& head, std::span<char const> bytes, framing_fault& fault)
+std::size_t read_head_line(message_head& head, std::span<char const> bytes, std::size_t max_bytes,
+                           framing_fault& fault)
 {
     std::string_view const text(bytes.data(), bytes.size());
     auto const line_feed = text.find('\n');
     bool const is_whole_line = line_feed != std::string_view::npos;
     auto const count = is_whole_line ? line_feed + 1 : text.size();
     head.bytes += count;
-    if (head.bytes > max_head_bytes)
+    if (head.bytes > max_bytes)
     {
         fault = {"a head exceeds the size limit", fault_kind::too_large};
         return count;
@@ -142,6 +144,7 @@
     head.partial_line += text.substr(0, line_feed);
     if (is_whole_line)
     {
+        ++head.lines;
         read_line(head, std::exchange(head.partial_line, {}), fault);
     }
     return count;
--- a/src/http/message_head.hpp
+++ b/src/http/message_head.hpp
@@ -49,6 +49,8 @@
     bool is_complete = false;
     /// Bytes read, those of earlier heads before the same body included.
     std::size_t bytes = 0;
+    /// Lines read of this head.
+    std::size_t lines = 0;
     /// Begin of a line whose end was not received.
     std::string partial_line;
     /// The value that a folded line continues, if it is one of those above.
@@ -67,10 +69,11 @@
 
 /// \ingroup http
 /// \brief Reads the bytes up to the next end of a line.
+/// \param max_bytes maximum of the head, and of those before the same body.
 /// \param fault set if they are no part of a head.
 /// \returns the number of bytes read.
 [[nodiscard]] std::size_t read_head_line(message_head& head, std::span<char const> bytes,
-                                         framing_fault& fault);
+                                         std::size_t max_bytes, framing_fault& fault);
 
 /// \ingroup http
 /// \brief How the headers of a complete head frame the body.
--- a/src/http/response_limits.hpp
+++ b/src/http/response_limits.hpp
@@ -37,6 +37,11 @@
 make_response_limits(std::size_t max_response_bytes = default_max_response_bytes,
                      std::size_t memory_bytes = default_memory_bytes);
 
+/// \ingroup http
+/// \brief As above, with a budget that others count in as well.
+[[nodiscard]] response_limits make_response_limits(std::size_t max_response_bytes,
+                                                   std::shared_ptr<base::byte_budget> budget);
+
 } // namespace gooseberrywood::http
 
 #endif
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,8 +1,10 @@
 #include "http/server.hpp"
 
 #include "base/log.hpp"
+#include "http/connection_check.hpp"
 #include "http/error_response.hpp"
-#include "http/limits.hpp"
+#include "http/response_limits.hpp"
+#include "http/status.hpp"
 #include "http/watched_input.hpp"
 
 #include <fmt/format.h>
@@ -19,86 +21,152 @@
 namespace
 {
 
-void reject_large_body(SoupServerMessage* message)
+// Longest part of a request, or of requests that are sent ahead, that waits unread. With a delay of
+// 3 ms each way, a client can still send 5 MB a second.
+constexpr int receive_buffer_bytes = 32 * 1024;
+
+open_connection* connection_of(server& owner, SoupServerMessage* message)
 {
-    base::error const error{
-        base::result_code::request_too_large,
-        fmt::format("the request body exceeds the limit of {} bytes", max_body_bytes)};
-    auto const body = error_json(error);
-    soup_server_message_set_status(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, nullptr);
-    soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, body.data(),
-                                     body.size());
-    // The rest of the body is not read, so the connection can't be reused.
-    soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection",
-                                 "close");
+    return find_connection(*owner.connections, socket_of(message));
 }
 
-bool is_body_too_large(SoupServerMessage* message)
+bool waits_for_continue(SoupServerMessage* message)
 {
     auto* const headers = soup_server_message_get_request_headers(message);
-    return soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH &&
-           static_cast<std::size_t>(soup_message_headers_get_content_length(headers)) >
-               max_body_bytes;
+    return (soup_message_headers_get_expectations(headers) & SOUP_EXPECTATION_CONTINUE) != 0;
 }
 
-open_connection* connection_of(server& owner, SoupServerMessage* message)
+/// Answers instead of asking for the body, as libsoup does if the answer is set with the head.
+void reject_expectation(SoupServerMessage* message, rejection const& answer)
 {
-    auto const it = owner.connections->find(socket_of(message));
-    return it != owner.connections->end() ? &it->second : nullptr;
+    auto const body = error_json(answer.error);
+    soup_server_message_set_status(message, answer.status, nullptr);
+    soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, body.data(),
+                                     body.size());
+    auto* const headers = soup_server_message_get_response_headers(message);
+    soup_message_headers_replace(headers, "Connection", "close");
+    if (answer.retry_after > base::duration{})
+    {
+        auto const seconds = std::chrono::duration<double>(answer.retry_after).count();
+        soup_message_headers_replace(headers, "Retry-After",
+                                     fmt::format("{:.3f}", seconds).c_str());
+    }
 }
 
-void mark_in_use(server& owner, SoupServerMessage* message, bool is_in_use)
+void reject_head(server& owner, SoupServerMessage* message, open_connection& connection,
+                 rejection const& answer)
 {
-    if (auto* const connection = connection_of(owner, message))
+    if (!waits_for_continue(message))
     {
-        connection->is_in_use = is_in_use;
+        reject_request(*owner.connections, connection, answer, base::mono_now());
+        return;
     }
+    begin_rejection(*owner.connections, connection, answer, base::mono_now());
+    reject_expectation(message, answer);
 }
 
-void mark_being_answered(server& owner, SoupServerMessage* message, bool is_being_answered)
+/// Asks whether the request may have a body that is not short.
+/// \returns an answer if it may not.
+std::optional<rejection> admit(server& owner, SoupServerMessage* message,
+                               open_connection& connection)
 {
-    if (auto* const connection = connection_of(owner, message))
+    if (connection.is_admitted || !owner.admit)
+    {
+        return std::nullopt;
+    }
+    connection.is_admitted = true;
+    return owner.admit(message);
+}
+
+/// Length of the body as the head tells it; 0 if it does not.
+std::size_t announced_length(SoupServerMessage* message)
+{
+    auto* const headers = soup_server_message_get_request_headers(message);
+    return soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH
+               ? static_cast<std::size_t>(soup_message_headers_get_content_length(headers))
+               : 0;
+}
+
+/// \returns an answer if the request can be rejected by its head.
+std::optional<rejection> check_head(server& owner, SoupServerMessage* message,
+                                    open_connection& connection)
+{
+    auto& table = *owner.connections;
+    if (!reserve_head(table, connection, base::mono_now()))
+    {
+        return no_room_for_request();
+    }
+    auto const length = announced_length(message);
+    if (length > max_body(table))
     {
-        connection->is_being_answered = is_being_answered;
+        return reject_large_body(table);
     }
+    return length > short_request_bytes ? admit(owner, message, connection) : std::nullopt;
 }
 
 void on_got_headers(SoupServerMessage* message, gpointer data)
 {
-    mark_in_use(*static_cast<server*>(data), message, true);
-    if (is_body_too_large(message))
+    auto& owner = *static_cast<server*>(data);
+    // The chunks are joined by this server. libsoup would keep each as an object of its own.
+    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    auto* const connection = connection_of(owner, message);
+    if (connection == nullptr || connection->is_ending)
     {
-        reject_large_body(message);
+        return;
+    }
+    connection->is_in_use = true;
+    connection->progress_at = base::mono_now();
+    connection->active_at = connection->progress_at;
+    if (auto const answer = check_head(owner, message, *connection))
+    {
+        reject_head(owner, message, *connection, *answer);
     }
 }
 
-// Enforces the size limit for bodies without an announced length.
-void on_got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer)
+void on_got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer data)
 {
-    auto* const object = G_OBJECT(message);
-    auto const before = GPOINTER_TO_SIZE(g_object_get_data(object, "received-bytes"));
-    auto const total = before + g_bytes_get_size(chunk);
-    g_object_set_data(object, "received-bytes", GSIZE_TO_POINTER(total));
-    if (total > max_body_bytes)
+    auto& owner = *static_cast<server*>(data);
+    auto* const connection = connection_of(owner, message);
+    if (connection == nullptr || connection->is_ending)
     {
-        if (auto* const socket = socket_of(message))
-        {
-            g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-        }
+        return;
+    }
+    gsize size = 0;
+    auto const* const bytes = static_cast<char const*>(g_bytes_get_data(chunk, &size));
+    auto const length = (connection->body ? connection->body->len : 0) + size;
+    auto const answer =
+        length > short_request_bytes ? admit(owner, message, *connection) : std::nullopt;
+    if (answer)
+    {
+        reject_request(*owner.connections, *connection, *answer, base::mono_now());
+        return;
+    }
+    receive_body(*owner.connections, *connection, {bytes, size}, base::mono_now());
+}
+
+void on_wrote_response(SoupServerMessage* message, guint size, gpointer data)
+{
+    auto& owner = *static_cast<server*>(data);
+    if (auto* const connection = connection_of(owner, message))
+    {
+        note_written(*owner.connections, *connection, size, base::mono_now());
     }
 }
 
 void on_request_ended(SoupServerMessage* message, gpointer data)
 {
     auto& owner = *static_cast<server*>(data);
-    mark_in_use(owner, message, false);
-    mark_being_answered(owner, message, false);
+    if (auto* const connection = connection_of(owner, message))
+    {
+        end_request(*owner.connections, *connection, base::mono_now());
+    }
 }
 
 void on_request_started(SoupServer*, SoupServerMessage* message, gpointer data)
 {
     g_signal_connect(message, "got-headers", G_CALLBACK(on_got_headers), data);
-    g_signal_connect(message, "got-chunk", G_CALLBACK(on_got_chunk), nullptr);
+    g_signal_connect(message, "got-chunk", G_CALLBACK(on_got_chunk), data);
+    g_signal_connect(message, "wrote-body-data", G_CALLBACK(on_wrote_response), data);
     g_signal_connect(message, "finished", G_CALLBACK(on_request_ended), data);
 }
 
@@ -144,20 +212,28 @@
         soup_server_message_set_status(message, SOUP_STATUS_FORBIDDEN, nullptr);
         return;
     }
+    auto* const connection = connection_of(owner, message);
+    if (connection == nullptr || connection->is_ending)
+    {
+        // The request was rejected; the rest of it was read in one piece with its begin.
+        soup_server_message_set_status(message, SOUP_STATUS_BAD_REQUEST, nullptr);
+        return;
+    }
     auto const made = std::make_shared<exchange>();
     made->message = base::share(message);
+    made->connections = owner.connections;
     made->closes_connection = owner.is_closing;
     made->method = soup_server_message_get_method(message);
     made->path = path != nullptr ? path : "/";
     char const* const query = g_uri_get_query(soup_server_message_get_uri(message));
     made->query = query != nullptr ? fmt::format("?{}", query) : std::string{};
-    auto* const body = soup_server_message_get_request_body(message);
-    made->body = {body->data != nullptr ? body->data : "", static_cast<std::size_t>(body->length)};
+    made->body_bytes = take_body(*connection);
+    made->body = view_of(made->body_bytes);
     g_signal_connect(message, "wrote-body-data", G_CALLBACK(on_wrote_data), made.get());
     g_signal_connect(message, "finished", G_CALLBACK(on_finished), made.get());
     g_signal_connect(message, "finished", G_CALLBACK(count_finished_response), &owner);
     ++owner.open_responses;
-    mark_being_answered(owner, message, true);
+    connection->is_being_answered = true;
     soup_server_message_pause(message);
     owner.handle(made);
 }
@@ -165,7 +241,7 @@
 /// Names a connection to the handler of its end. The server may be gone by then.
 struct connection_end
 {
-    std::weak_ptr<connection_map> connections;
+    std::weak_ptr<connection_table> connections;
     GSocket* socket = nullptr;
 };
 
@@ -174,7 +250,7 @@
     std::unique_ptr<connection_end> const ended(static_cast<connection_end*>(data));
     if (auto const connections = ended->connections.lock())
     {
-        connections->erase(ended->socket);
+        remove_connection(*connections, ended->socket);
     }
 }
 
@@ -184,52 +260,58 @@
     return recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-/// Answers a request that is not HTTP/1.1 before its connection is closed. libsoup closes it
-/// without an answer.
-void reject_malformed_request(GSocket* socket, char const* reason)
+/// Answers a request that is not HTTP/1.1, or whose head is too large. libsoup would close the
+/// connection without an answer.
+void reject_malformed_request(connection_table& table, GSocket* socket, framing_fault const& fault)
 {
-    base::log_line(base::log_level::info, "malformed_request", {{"reason", reason}});
-    auto const body = error_json({base::result_code::bad_request, reason});
-    auto const response =
-        fmt::format("HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\n"
-                    "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
-                    body.size(), body);
-    (void)send(g_socket_get_fd(socket), response.data(), response.size(),
-               MSG_DONTWAIT | MSG_NOSIGNAL);
+    auto* const connection = find_connection(table, socket);
+    if (connection == nullptr || connection->is_ending)
+    {
+        return;
+    }
+    bool const is_large = fault.kind == fault_kind::too_large;
+    reject_request(
+        table, *connection,
+        {is_large ? status::head_too_large : status::bad_request,
+         {is_large ? base::result_code::request_too_large : base::result_code::bad_request,
+          fault.reason}},
+        base::mono_now());
 }
 
 void accept_connection(server& owner, base::object_ptr<GSocket> socket)
 {
-    if (owner.connections->size() >= max_connections)
-    {
-        return;
-    }
-    g_socket_set_timeout(socket.get(), idle_timeout_s);
     // libsoup writes the headers and the body of a response separately. With Nagle's algorithm, the
     // body would wait for the caller's delayed acknowledgment, 40 ms, on each kept-alive
     // connection.
     g_socket_set_option(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
     base::object_ptr<GSocketAddress> const local(g_socket_get_local_address(socket.get(), nullptr));
-    base::object_ptr<GSocketAddress> const remote(
-        g_socket_get_remote_address(socket.get(), nullptr));
+    base::object_ptr<GSocketAddress> remote(g_socket_get_remote_address(socket.get(), nullptr));
     if (!local || !remote)
     {
         // The peer reset the connection before it was accepted.
         base::log_line(base::log_level::info, "connection_reset_before_accept", {});
         return;
     }
-    g_object_set_data_full(G_OBJECT(remote.get()), socket_data_name, g_object_ref(socket.get()),
-                           g_object_unref);
-    base::object_ptr<GSocketConnection> const stream(
-        g_socket_connection_factory_create_connection(socket.get()));
-    // libsoup reads a request that has arrived before it returns.
     auto* const key = socket.get();
-    (*owner.connections)[key].socket = std::move(socket);
+    auto* const added = add_connection(*owner.connections, std::move(socket), base::mono_now());
+    if (added == nullptr)
+    {
+        base::log_line(base::log_level::info, "connection_not_accepted", {});
+        return;
+    }
+    attach_socket(remote.get(), key);
+    added->remote = base::share(remote.get());
+    base::object_ptr<GSocketConnection> const stream(
+        g_socket_connection_factory_create_connection(key));
     auto ended = std::make_unique<connection_end>(connection_end{owner.connections, key});
     g_object_weak_ref(G_OBJECT(stream.get()), forget_connection, ended.release());
-    auto const watched = make_watched_connection(G_IO_STREAM(stream.get()), message_kind::requests,
-                                                 [key](char const* reason)
-                                                 { reject_malformed_request(key, reason); });
+    auto const watched =
+        make_watched_connection(G_IO_STREAM(stream.get()), message_kind::requests,
+                                [table = owner.connections.get(), key](framing_fault const& fault)
+                                { reject_malformed_request(*table, key, fault); });
+    added->input = find_framing(g_io_stream_get_input_stream(watched.get()));
+    added->input->max_head_bytes = owner.connections->limits.max_head_bytes;
+    // libsoup reads a request that has arrived before it returns.
     soup_server_accept_iostream(owner.soup.get(), watched.get(), local.get(), remote.get(),
                                 nullptr);
 }
@@ -262,10 +344,19 @@
 }
 
 base::result<std::unique_ptr<server>>
-serve(std::string_view address, std::function<void(std::shared_ptr<exchange> const&)> handle)
+serve(std::string_view address, std::function<void(std::shared_ptr<exchange> const&)> handle,
+      server_options options)
 {
     auto made = std::make_unique<server>();
     made->handle = std::move(handle);
+    made->admit = std::move(options.admit);
+    made->connections->budgets = options.budgets.process
+                                     ? std::move(options.budgets)
+                                     : make_memory_budgets(default_memory_bytes);
+    set_limits(*made->connections, options.limits);
+    made->connection_check =
+        base::every(connection_check_interval, [table = made->connections.get()]
+                    { check_connections(*table, base::mono_now()); });
     made->soup.reset(
         SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, "server-header", "gooseberrywood", nullptr)));
     g_signal_connect(made->soup.get(), "request-started", G_CALLBACK(on_request_started),
@@ -282,9 +373,23 @@
         return tl::unexpected(listening.error());
     }
     made->listening = std::move(*listening);
+    // What waits unread in sockets is memory, too. Connections take the size over with their first
+    // packet, so that it would be late to set it after they were accepted.
+    g_socket_set_option(made->listening->socket.get(), SOL_SOCKET, SO_RCVBUF, receive_buffer_bytes,
+                        nullptr);
     return made;
 }
 
+void shed_when_full(server& shedding)
+{
+    shedding.connections->budgets.process->reclaim =
+        [weak = std::weak_ptr<connection_table>(shedding.connections)]
+    {
+        auto const table = weak.lock();
+        return table && shed_stalled(*table, nullptr, "no memory for a response", base::mono_now());
+    };
+}
+
 void stop_listening(server& stopped)
 {
     stopped.listening.reset();
@@ -297,7 +402,7 @@
 
 void close_idle_connections(server& closing)
 {
-    for (auto const& [key, connection] : *closing.connections)
+    for (auto const& [key, connection] : closing.connections->open)
     {
         if (!connection.is_in_use && !has_unread_bytes(key))
         {
@@ -309,7 +414,7 @@
 
 void close_unanswered_connections(server& closing)
 {
-    for (auto const& [key, connection] : *closing.connections)
+    for (auto const& [key, connection] : closing.connections->open)
     {
         if (!connection.is_being_answered)
         {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -4,36 +4,33 @@
 #include "base/event_source.hpp"
 #include "base/glib_ptr.hpp"
 #include "base/result.hpp"
+#include "http/connection_table.hpp"
 #include "http/exchange.hpp"
 #include "wire/listener.hpp"
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace gooseberrywood::http
 {
 
 /// \ingroup http
-/// \brief An open connection of a server.
-struct open_connection
+/// \brief What a server takes from its clients.
+struct server_options
 {
-    base::object_ptr<GSocket> socket;
-    /// A request is being read or answered.
-    bool is_in_use = false;
-    /// A request was read to its end and is being answered.
-    bool is_being_answered = false;
+    server_limits limits;
+    /// Budgets of the process; by default those of a process with `default_memory_bytes`.
+    memory_budgets budgets;
+    /// Asked when the head of a request was read whose body is not short, and before more of it is
+    /// held. \returns an answer if the request can't be allowed whatever its body is.
+    std::function<std::optional<rejection>(SoupServerMessage*)> admit;
 };
 
 /// \ingroup http
-/// \brief Open connections of a server by their sockets.
-using connection_map = std::map<GSocket*, open_connection>;
-
-/// \ingroup http
-/// \brief An HTTP server on the main loop. It rejects bodies larger than `max_body_bytes` while
-/// they are received.
+/// \brief An HTTP server on the main loop. It enforces its limits while requests are received.
 struct server
 {
     ~server();
@@ -41,7 +38,9 @@
     base::object_ptr<SoupServer> soup;
     std::unique_ptr<wire::listener> listening;
     std::function<void(std::shared_ptr<exchange> const&)> handle;
-    std::shared_ptr<connection_map> const connections = std::make_shared<connection_map>();
+    std::function<std::optional<rejection>(SoupServerMessage*)> admit;
+    std::shared_ptr<connection_table> const connections = std::make_shared<connection_table>();
+    base::event_source connection_check;
     /// Number of requests whose responses are not completely written.
     std::size_t open_responses = 0;
     /// Set once each answer announces that its connection is closed.
@@ -54,7 +53,13 @@
 /// \param handle called for each request; it may respond later.
 /// \returns `io_error` if the address can't be used.
 [[nodiscard]] base::result<std::unique_ptr<server>>
-serve(std::string_view address, std::function<void(std::shared_ptr<exchange> const&)> handle);
+serve(std::string_view address, std::function<void(std::shared_ptr<exchange> const&)> handle,
+      server_options options = {});
+
+/// \ingroup http
+/// \brief Closes stalled connections of this server when there is no room for responses of
+/// upstreams.
+void shed_when_full(server& shedding);
 
 /// \ingroup http
 /// \brief Stops accepting connections; open connections are kept.
--- a/src/http/watched_input.cpp
+++ b/src/http/watched_input.cpp
@@ -15,7 +15,7 @@
     GFilterInputStream parent;
     /// Owned; GObject instances have no constructors.
     std::shared_ptr<message_framing>* framing;
-    std::function<void(char const*)>* on_malformed;
+    std::function<void(framing_fault const&)>* on_malformed;
     /// The connection that ends when this stream is closed, or nullptr.
     GIOStream* connection;
     /// A body was being read at the last read.
@@ -29,6 +29,9 @@
     GFilterInputStreamClass parent;
 };
 
+// Bounds the reads of one event, so that a client that sends without end can't starve the others.
+constexpr int max_discarded_reads = 16;
+
 gpointer parent_class = nullptr;
 
 GType watched_input_type();
@@ -56,7 +59,7 @@
     if (auto const report = std::exchange(*stream.on_malformed, nullptr);
         report && fault.kind != fault_kind::cut)
     {
-        report(fault.reason);
+        report(fault);
     }
     g_set_error_literal(failure, G_IO_ERROR, to_error(fault.kind), fault.reason);
     return false;
@@ -103,12 +106,22 @@
         check_end(framing);
         return is_usable(watched, failure) ? 0 : -1;
     }
+    if (framing.discards)
+    {
+        return std::nullopt;
+    }
     auto const kept =
         check_received(framing, {static_cast<char*>(buffer), static_cast<std::size_t>(count)});
     if (is_usable(watched, failure))
     {
         return kept > 0 ? std::optional(static_cast<gssize>(kept)) : std::nullopt;
     }
+    // What was rejected is read on, so that the client can read the answer.
+    if (framing.discards)
+    {
+        g_clear_error(failure);
+        return std::nullopt;
+    }
     return -1;
 }
 
@@ -148,7 +161,7 @@
 
 gssize read_nonblocking(GPollableInputStream* stream, void* buffer, gsize size, GError** failure)
 {
-    for (;;)
+    for (int reads = 0; reads < max_discarded_reads; ++reads)
     {
         auto const count = g_pollable_input_stream_read_nonblocking(
             G_POLLABLE_INPUT_STREAM(base_of(stream)), buffer, size, nullptr, failure);
@@ -157,6 +170,8 @@
             return *checked;
         }
     }
+    g_set_error_literal(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK, "the input is discarded");
+    return -1;
 }
 
 gboolean is_readable(GPollableInputStream* stream)
@@ -203,7 +218,7 @@
 {
     auto* const watched = reinterpret_cast<watched_input*>(made);
     watched->framing = new std::shared_ptr<message_framing>(std::make_shared<message_framing>());
-    watched->on_malformed = new std::function<void(char const*)>();
+    watched->on_malformed = new std::function<void(framing_fault const&)>();
 }
 
 void init_pollable(gpointer made, gpointer)
@@ -246,8 +261,9 @@
     return G_IO_ERROR_INVALID_DATA;
 }
 
-base::object_ptr<GInputStream> make_watched_input(GInputStream* socket_input, message_kind kind,
-                                                  std::function<void(char const*)> on_malformed)
+base::object_ptr<GInputStream>
+make_watched_input(GInputStream* socket_input, message_kind kind,
+                   std::function<void(framing_fault const&)> on_malformed)
 {
     base::object_ptr<GInputStream> made(
         G_INPUT_STREAM(g_object_new(watched_input_type(), "base-stream", socket_input, nullptr)));
@@ -260,8 +276,9 @@
     return made;
 }
 
-base::object_ptr<GIOStream> make_watched_connection(GIOStream* connection, message_kind kind,
-                                                    std::function<void(char const*)> on_malformed)
+base::object_ptr<GIOStream>
+make_watched_connection(GIOStream* connection, message_kind kind,
+                        std::function<void(framing_fault const&)> on_malformed)
 {
     auto const input =
         make_watched_input(g_io_stream_get_input_stream(connection), kind, std::move(on_malformed));
--- a/src/http/watched_input.hpp
+++ b/src/http/watched_input.hpp
@@ -24,13 +24,13 @@
 /// \sa to_error
 [[nodiscard]] base::object_ptr<GInputStream>
 make_watched_input(GInputStream* socket_input, message_kind kind,
-                   std::function<void(char const* reason)> on_malformed = {});
+                   std::function<void(framing_fault const&)> on_malformed = {});
 
 /// \ingroup http
 /// \brief As above, for the input of a connection. The connection is closed with the result.
 [[nodiscard]] base::object_ptr<GIOStream>
 make_watched_connection(GIOStream* connection, message_kind kind,
-                        std::function<void(char const* reason)> on_malformed = {});
+                        std::function<void(framing_fault const&)> on_malformed = {});
 
 /// \ingroup http
 /// \brief The framing that a stream checks.
--- a/src/process/admin.cpp
+++ b/src/process/admin.cpp
@@ -46,10 +46,12 @@
 
 } // namespace
 
-base::result<std::unique_ptr<http::server>> serve_admin(std::string_view address, admin_views views)
+base::result<std::unique_ptr<http::server>> serve_admin(std::string_view address, admin_views views,
+                                                        http::server_options options)
 {
-    return http::serve(address, [views = std::move(views)](auto const& exchange)
-                       { answer(views, *exchange); });
+    return http::serve(
+        address, [views = std::move(views)](auto const& exchange) { answer(views, *exchange); },
+        std::move(options));
 }
 
 } // namespace gooseberrywood::process
--- a/src/process/admin.hpp
+++ b/src/process/admin.hpp
@@ -26,8 +26,8 @@
 /// \ingroup process
 /// \brief Serves `/state`, `/metrics`, `/healthz` and `/readyz`.
 /// \param address listen address, `IP:port`.
-[[nodiscard]] base::result<std::unique_ptr<http::server>> serve_admin(std::string_view address,
-                                                                      admin_views views);
+[[nodiscard]] base::result<std::unique_ptr<http::server>>
+serve_admin(std::string_view address, admin_views views, http::server_options options = {});
 
 } // namespace gooseberrywood::process
 
--- a/test/platform_adapter_test.cpp
+++ b/test/platform_adapter_test.cpp
@@ -182,7 +182,9 @@
         return std::string(http::find_header(request.headers, name).value_or(""));
     };
     auto const plain = platform::encode_plain(
-        target, {"POST", "/p/1?q=%2F", "text/plain", "x", {{"Model", "m"}}, true}, at_ms(400));
+        target, {"POST", "/p/1?q=%2F", "text/plain", http::copy_bytes("x"), {{"Model", "m"}}, true},
+        at_ms(400));
+    CHECK(http::view_of(plain.shared_body) == "x");
     CHECK(plain.url == "http://10.0.0.9:80/p/1?q=%2F");
     CHECK(header_value(plain, "Deadline-Ms") == "600");
     CHECK(header_value(plain, "Tenant") == "team");
