Enforce the limits of the configuration

Callers saw: a closed connection, or a refusal, for a body above 1 MiB that the configuration allows, and none of the other limits. Cause: the gateway did not read limits. Change: max_header_bytes (431 above it), max_body_bytes (413), header_timeout_ms (408) and idle_timeout_ms (408 within a request) are enforced from the configuration that is in effect, also on open connections; heads above 60 KiB are refused as before.

--- a/src/fleet/configuration.hpp
+++ b/src/fleet/configuration.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYWOOD_FLEET_CONFIGURATION_HPP
 #define GOOSEBERRYWOOD_FLEET_CONFIGURATION_HPP
 
+#include "fleet/client_limits.hpp"
 #include "fleet/route.hpp"
 #include "fleet/service.hpp"
 #include "fleet/team.hpp"
@@ -24,6 +25,7 @@
     std::vector<service> services;
     /// Absent when no request needs a key.
     std::optional<std::vector<team>> teams;
+    client_limits limits;
 
     /// Indices into `routes` by host, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host;
--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -1,6 +1,7 @@
 #include "gateway/refresh.hpp"
 
 #include "base/log.hpp"
+#include "gateway/caller_limits.hpp"
 #include "gateway/crash_watch.hpp"
 #include "gateway/list_exchange.hpp"
 #include "gateway/list_polling.hpp"
@@ -78,6 +79,7 @@
                     {"routes", static_cast<std::int64_t>(decoded->routes.size())}});
     self.configuration = std::move(*decoded);
     self.configuration_revision = state.configuration_revision;
+    apply_client_limits(self, self.configuration->limits);
 }
 
 void apply_operator_state(gateway& self, items const& read)
