Count batch jobs while they are submitted and run

Callers saw: a gateway over its memory while clients submitted batch jobs of 960 KiB (209 and 282 MB of 64). Cause: decoding, storing and running a job take many times its size, and nothing counted them. Change: a submission reserves eight times its body and 224 bytes for each value that its JSON may have; one that can't fit is refused with 413, one that does not fit now with 503. Jobs that run may hold a quarter of the budget; beyond it, submissions that this gateway would run get 503. Reading the body of a sample of another gateway's job reserves 4 MB. Result: gateway_crowd_jobs_test failed before and passes.

--- a/src/base/json_fields.cpp
+++ b/src/base/json_fields.cpp
@@ -2,6 +2,8 @@
 
 #include <sodium.h>
 
+#include <algorithm>
+
 namespace gooseberrywood::base
 {
 
@@ -56,6 +58,15 @@
     return parsed;
 }
 
+std::size_t max_json_values(std::string_view text)
+{
+    // Each value but the first follows one of these; inside of strings they count as well.
+    auto const separators =
+        std::count_if(text.begin(), text.end(),
+                      [](char c) { return c == ',' || c == ':' || c == '[' || c == '{'; });
+    return static_cast<std::size_t>(separators) + 1;
+}
+
 std::optional<std::string> read_text(nlohmann::json const& from, char const* name)
 {
     auto const* const found = field(from, name);
--- a/src/base/json_fields.hpp
+++ b/src/base/json_fields.hpp
@@ -22,6 +22,10 @@
 /// \brief Parses a JSON object; nothing when the text is anything else or nested too deeply.
 [[nodiscard]] std::optional<nlohmann::json> parse_object(std::string_view text);
 
+/// \ingroup base
+/// \brief Upper bound of the number of values and keys in a JSON text, counted without parsing it.
+[[nodiscard]] std::size_t max_json_values(std::string_view text);
+
 /// \ingroup base
 /// \brief Each reads one field; nothing when it is missing or has another type.
 [[nodiscard]] std::optional<std::string> read_text(nlohmann::json const& from, char const* name);
--- a/src/gateway/job_running.cpp
+++ b/src/gateway/job_running.cpp
@@ -1,6 +1,7 @@
 #include "gateway/job_running.hpp"
 
 #include "base/log.hpp"
+#include "gateway/job_memory.hpp"
 #include "gateway/job_store.hpp"
 #include "gateway/job_work.hpp"
 #include "gateway/measure.hpp"
@@ -40,6 +41,7 @@
     owned_job job;
     job.record = record;
     job.spec = std::move(spec);
+    job.memory = count_job(self, job.spec);
     job.samples.resize(job.spec.samples.size());
     for (std::size_t i = 0; i < job.spec.samples.size(); ++i)
     {
--- a/src/gateway/owned_job.hpp
+++ b/src/gateway/owned_job.hpp
@@ -1,6 +1,7 @@
 #ifndef GOOSEBERRYWOOD_GATEWAY_OWNED_JOB_HPP
 #define GOOSEBERRYWOOD_GATEWAY_OWNED_JOB_HPP
 
+#include "base/byte_budget.hpp"
 #include "base/event_source.hpp"
 #include "base/time.hpp"
 #include "rollout/batch_job.hpp"
@@ -11,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,8 @@
 {
     rollout::job_record record;
     rollout::batch_job spec;
+    /// Counts the memory of the job.
+    std::shared_ptr<base::byte_share> memory;
     /// Progress of each sample, in the order of `spec.samples`.
     std::vector<rollout::sample_progress> samples;
     /// Index of a sample by its id.
--- a/src/gateway/read_job.cpp
+++ b/src/gateway/read_job.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
+#include "gateway/job_memory.hpp"
 #include "gateway/job_running.hpp"
 #include "gateway/job_store.hpp"
 #include "gateway/list_exchange.hpp"
@@ -252,6 +253,10 @@
     with_job_record(self, exchange, call.job_id, team,
                     [&self, exchange, call](stored_record const&)
                     {
+                        if (!reserve_job_read(self, *exchange))
+                        {
+                            return;
+                        }
                         load_job(self, call.job_id,
                                  [&self, exchange, call](base::result<stored_job> const& stored)
                                  {
--- a/src/gateway/submit_job.cpp
+++ b/src/gateway/submit_job.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "gateway/answer_caller.hpp"
 #include "gateway/choose_owner.hpp"
+#include "gateway/job_memory.hpp"
 #include "gateway/job_notices.hpp"
 #include "gateway/job_running.hpp"
 #include "http/status.hpp"
@@ -24,6 +25,9 @@
 // The store limits values to less than 1 MiB.
 constexpr std::size_t spec_part_bytes = 900'000;
 
+// Trainers end a job within seconds.
+constexpr base::duration retry_after_jobs_full = std::chrono::seconds(1);
+
 /// A submitted job, until its caller is answered.
 struct pending_submission
 {
@@ -168,6 +172,10 @@
 void submit_job(gateway& self, shared_exchange const& exchange, platform::caller_head const& head,
                 fleet::route const& route, std::string const& team)
 {
+    if (!reserve_submission(self, *exchange))
+    {
+        return;
+    }
     auto spec = platform::decode_batch_job(exchange->body);
     if (!spec || !rollout::is_valid_job_id(head.request_id))
     {
@@ -202,6 +210,13 @@
         head.request_id,      team,  head.host,       exchange->path,      base::wall_now(),
         spec->samples.size(), false, model_of(*spec), spec->least_version, expected_tokens(*spec)};
     submission->owner = choose_owner(self, submission->record);
+    if (submission->owner.host == self.settings.host && !has_room_for_job(self, *spec))
+    {
+        refuse(self, *exchange,
+               {result_code::overloaded, "the open batch jobs use up the memory for them"},
+               retry_after_jobs_full);
+        return;
+    }
     submission->write =
         submission_transaction(submission->record, submission->owner, exchange->body);
     submission->spec = std::move(*spec);
