--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -157,7 +157,7 @@
     {
         return;
     }
-    if (level == log_level::info)
+    if (level == log_level::info || level == log_level::warning)
     {
         auto const left_out = admit(event);
         if (!left_out)
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -7,6 +7,7 @@
 #include "entry/dump.hpp"
 #include "entry/measure.hpp"
 #include "entry/platform_watch.hpp"
+#include "http/descriptor_limits.hpp"
 #include "http/limits.hpp"
 #include "process/admin.hpp"
 
@@ -21,11 +22,19 @@
 namespace
 {
 
+http::server_options caller_options(entry_process const& entry)
+{
+    http::server_options options;
+    options.limits.max_connections = http::divide_descriptors().callers;
+    options.budgets = entry.budgets;
+    return options;
+}
+
 base::result<void> open_ports(entry_process& entry)
 {
-    auto callers = http::serve(entry.settings.listen_http,
-                               [&entry](auto const& exchange) { handle_caller(entry, exchange); },
-                               {{}, entry.budgets, {}});
+    auto callers = http::serve(
+        entry.settings.listen_http,
+        [&entry](auto const& exchange) { handle_caller(entry, exchange); }, caller_options(entry));
     if (!callers)
     {
         return tl::unexpected(callers.error());
--- a/src/gateway/caller_limits.hpp
+++ b/src/gateway/caller_limits.hpp
@@ -5,28 +5,17 @@
 #include "gateway/gateway.hpp"
 #include "http/server.hpp"
 
-#include <cstddef>
-
 namespace gooseberrywood::gateway
 {
 
 /// \ingroup gateway
-/// \brief Number of descriptors that this process may open.
-[[nodiscard]] std::size_t max_descriptors(gateway const& self);
-
-/// \ingroup gateway
-/// \brief Options of the server of callers. They get three tenths of the descriptors, since each
-/// request may need connections to two upstreams.
+/// \brief Options of the server of callers.
 [[nodiscard]] http::server_options caller_options(gateway& self);
 
 /// \ingroup gateway
 /// \brief Options of the servers that only the platform and operators call.
 [[nodiscard]] http::server_options service_options(gateway const& self);
 
-/// \ingroup gateway
-/// \brief Maximum number of connections to upstreams: half of the descriptors.
-[[nodiscard]] std::size_t max_upstream_connections(gateway const& self);
-
 /// \ingroup gateway
 /// \brief Enforces the limits of a configuration from now on, also on open connections.
 void apply_client_limits(gateway& self, fleet::client_limits const& limits);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -165,11 +165,11 @@
     auto& self = *created;
     self.settings = std::move(settings);
     self.started_at = base::mono_now();
+    self.descriptors = http::divide_descriptors(self.settings.max_descriptors);
     self.budgets = http::make_memory_budgets(self.settings.memory.memory_bytes);
     self.response_limits =
         http::make_response_limits(self.settings.memory.max_response_bytes, self.budgets.responses);
-    self.upstream_session =
-        http::make_session(self.response_limits, max_upstream_connections(self));
+    self.upstream_session = http::make_session(self.response_limits, self.descriptors.upstreams);
     self.control_session = http::make_session(self.response_limits);
     self.relay.direct = platform::make_store_transport(self.settings.store);
     self.store = instrument_store(self, platform::make_store_client(make_relayed_transport(self)));
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -23,6 +23,7 @@
 #include "gateway/shared_view.hpp"
 #include "gateway/store_relay.hpp"
 #include "gateway/stream_origins.hpp"
+#include "http/descriptor_limits.hpp"
 #include "http/memory_budgets.hpp"
 #include "http/response_limits.hpp"
 #include "http/server.hpp"
@@ -76,6 +77,7 @@
     bool stopping = false;
     base::event_source stop_timer;
 
+    http::descriptor_limits descriptors;
     /// What this process may hold of what callers and upstreams send.
     http::memory_budgets budgets = http::make_memory_budgets(http::default_memory_bytes);
     /// Limits of the responses of upstreams, and of the texts made of them.
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -46,7 +46,7 @@
 
 bool fits_in_frame(http::call_request const& request)
 {
-    return request.body.size() < max_relayed_bytes;
+    return http::body_of(request).size() < max_relayed_bytes;
 }
 
 /// Chooses the gateway to relay through: the next one in turn after each failed call.
@@ -101,9 +101,9 @@
     self.relay.pending[number] = {
         relay_address, std::move(done),
         base::at(until, [&self, number] { complete_relayed_call(self, number, no_answer(true)); })};
-    send_to_peer(
-        self.peers, relay_address,
-        wire::store_call{number, wire::to_wall(until), request.method, request.url, request.body});
+    send_to_peer(self.peers, relay_address,
+                 wire::store_call{number, wire::to_wall(until), request.method, request.url,
+                                  std::string(http::body_of(request))});
 }
 
 void record_direct_outcome(gateway& self, http::fetch_outcome const& outcome)
--- a/src/http/call.hpp
+++ b/src/http/call.hpp
@@ -36,6 +36,13 @@
     bool may_repeat = false;
 };
 
+/// \ingroup http
+/// \brief The body of a request, whichever of its members holds it.
+[[nodiscard]] inline std::string_view body_of(call_request const& request)
+{
+    return request.shared_body ? view_of(request.shared_body) : std::string_view(request.body);
+}
+
 /// \ingroup http
 /// \brief Callbacks of the owner of a call.
 struct call_handlers
--- a/src/http/connection_check.hpp
+++ b/src/http/connection_check.hpp
@@ -12,6 +12,10 @@
 /// sends ahead is bounded by the receive buffer of its socket only.
 inline constexpr base::duration connection_check_interval = std::chrono::milliseconds(250);
 
+/// \ingroup http
+/// \brief The same for servers that only the platform and operators call.
+inline constexpr base::duration service_check_interval = std::chrono::seconds(2);
+
 /// \ingroup http
 /// \brief Ends what exceeds its time: heads, bodies, answers that are not read and idle
 /// connections. Counts unfinished heads and what waits unread in the sockets, and closes stalled
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -354,9 +354,8 @@
                                      ? std::move(options.budgets)
                                      : make_memory_budgets(default_memory_bytes);
     set_limits(*made->connections, options.limits);
-    made->connection_check =
-        base::every(connection_check_interval, [table = made->connections.get()]
-                    { check_connections(*table, base::mono_now()); });
+    made->connection_check = base::every(options.check_interval, [table = made->connections.get()]
+                                         { check_connections(*table, base::mono_now()); });
     made->soup.reset(
         SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, "server-header", "gooseberrywood", nullptr)));
     g_signal_connect(made->soup.get(), "request-started", G_CALLBACK(on_request_started),
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -4,6 +4,7 @@
 #include "base/event_source.hpp"
 #include "base/glib_ptr.hpp"
 #include "base/result.hpp"
+#include "http/connection_check.hpp"
 #include "http/connection_table.hpp"
 #include "http/exchange.hpp"
 #include "wire/listener.hpp"
@@ -27,6 +28,7 @@
     /// Asked when the head of a request was read whose body is not short, and before more of it is
     /// held. \returns an answer if the request can't be allowed whatever its body is.
     std::function<std::optional<rejection>(SoupServerMessage*)> admit;
+    base::duration check_interval = connection_check_interval;
 };
 
 /// \ingroup http
--- a/test/process/gateway_crowd_requests_test.cpp
+++ b/test/process/gateway_crowd_requests_test.cpp
@@ -17,10 +17,9 @@
 {
     for (int i = 0; i < 2; ++i)
     {
-        set_site(*gateway.service, "upstream",
-                 {{"id", fmt::format("desk-{}", i)},
-                  {"silent", is_silent},
-                  {"drops_held", !is_silent}});
+        set_site(
+            *gateway.service, "upstream",
+            {{"id", fmt::format("desk-{}", i)}, {"silent", is_silent}, {"drops_held", !is_silent}});
     }
 }
 
--- a/test/process/gateway_crowd_test.cpp
+++ b/test/process/gateway_crowd_test.cpp
@@ -43,8 +43,8 @@
 {
     // Guards against connections that use up the descriptors of the process.
     small_gateway const gateway(descriptor_bound);
-    auto const held = make_crowd(gateway.port(), 2 * crowd_size,
-                                 "POST /q/1 HTTP/1.1\r\nHost: desk.example\r\n");
+    auto const held =
+        make_crowd(gateway.port(), 2 * crowd_size, "POST /q/1 HTTP/1.1\r\nHost: desk.example\r\n");
     check_bounds_and_service(gateway);
 }
 
