--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -35,8 +35,8 @@
 [[nodiscard]] std::uint64_t dropped_log_lines();
 
 /// \ingroup base
-/// \brief Most lines a second of one event at the levels `info` and `warning`; further ones are left out, and the next
-/// one that is written tells how many were.
+/// \brief Most lines a second of one event at the levels `info` and `warning`; further ones are
+/// left out, and the next one that is written tells how many were.
 inline constexpr std::uint32_t max_lines_per_event = 100;
 
 /// \ingroup base
