Test of request framing: a comment that no longer holds

Cause: the comment took the fault of closed connections for a property of libsoup. Change: it says why the close is announced. Result: a comment only; formatter clean.

--- a/test/http_request_framing_test.cpp
+++ b/test/http_request_framing_test.cpp
@@ -65,8 +65,7 @@
     return answer;
 }
 
-/// libsoup does not notice that a caller half-closes a kept connection, so the last request on a
-/// connection announces its close.
+/// The last request on a connection announces its close, so that the answer ends with it.
 std::string const closing_head =
     "POST /p HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
 
