Log each close of a client's connection with its reason

Change: all closes of a client's connection go through http::close_connection, which names the reason, how long the connection was idle and how many bytes waited unread; configuration_applied names the limit of idle time. What is closed, and when, is unchanged, but for a second shutdown of a connection that is closed already. The test client of http_closed_connection_test moves to a header of its own.

--- a/src/gateway/refresh.cpp
+++ b/src/gateway/refresh.cpp
@@ -76,7 +76,8 @@
     base::log_line(base::log_level::info, "configuration_applied",
                    {{"version", static_cast<std::int64_t>(decoded->version)},
                     {"revision", static_cast<std::int64_t>(state.configuration_revision)},
-                    {"routes", static_cast<std::int64_t>(decoded->routes.size())}});
+                    {"routes", static_cast<std::int64_t>(decoded->routes.size())},
+                    {"idle_timeout_us", decoded->limits.idle_timeout.count()}});
     self.configuration = std::move(*decoded);
     self.configuration_revision = state.configuration_revision;
     apply_client_limits(self, self.configuration->limits);
--- a/src/http/connection_check.cpp
+++ b/src/http/connection_check.cpp
@@ -1,9 +1,9 @@
 #include "http/connection_check.hpp"
 
+#include "http/connection_close.hpp"
 #include "http/status.hpp"
 
 #include <malloc.h>
-#include <sys/ioctl.h>
 
 namespace gooseberrywood::http
 {
@@ -36,14 +36,6 @@
     }
 }
 
-std::size_t unread_bytes(open_connection const& connection)
-{
-    int count = 0;
-    bool const is_known =
-        ioctl(g_socket_get_fd(connection.socket.get()), FIONREAD, &count) == 0 && count > 0;
-    return is_known ? static_cast<std::size_t>(count) : 0;
-}
-
 /// Counts what the connection holds besides its current request.
 void observe(connection_table& table, open_connection& connection)
 {
@@ -95,7 +87,7 @@
         time_out(table, connection, "the body did not arrive in time", now);
         return;
     }
-    close_connection(connection);
+    close_connection(connection, close_reason::idle);
 }
 
 void check_connection(connection_table& table, open_connection& connection, base::mono_time now)
@@ -108,7 +100,7 @@
     {
         if (now >= connection.close_at)
         {
-            close_connection(connection);
+            close_connection(connection, close_reason::rejected);
         }
         return;
     }
--- /dev/null
+++ b/src/http/connection_close.cpp
@@ -0,0 +1,45 @@
+#include "http/connection_close.hpp"
+
+#include "base/log.hpp"
+
+#include <sys/ioctl.h>
+
+#include <array>
+#include <string_view>
+
+namespace gooseberrywood::http
+{
+
+namespace
+{
+
+std::string_view name_of(close_reason reason)
+{
+    constexpr std::array<std::string_view, 6> names = {"idle",     "rejected", "no_room",
+                                                       "given_up", "stopping", "grace_over"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+} // namespace
+
+std::size_t unread_bytes(open_connection const& connection)
+{
+    int count = 0;
+    bool const is_known =
+        ioctl(g_socket_get_fd(connection.socket.get()), FIONREAD, &count) == 0 && count > 0;
+    return is_known ? static_cast<std::size_t>(count) : 0;
+}
+
+void close_connection(open_connection& connection, close_reason reason)
+{
+    base::log_line(base::log_level::info, "connection_closed",
+                   {{"reason", name_of(reason)},
+                    {"idle_us", (base::mono_now() - connection.active_at).count()},
+                    {"in_use", std::int64_t{connection.is_in_use}},
+                    {"unread", static_cast<std::int64_t>(unread_bytes(connection))}});
+    connection.is_closed = true;
+    // libsoup reads the end of the connection, or fails to write, and closes it.
+    g_socket_shutdown(connection.socket.get(), TRUE, TRUE, nullptr);
+}
+
+} // namespace gooseberrywood::http
--- /dev/null
+++ b/src/http/connection_close.hpp
@@ -0,0 +1,40 @@
+#ifndef GOOSEBERRYWOOD_HTTP_CONNECTION_CLOSE_HPP
+#define GOOSEBERRYWOOD_HTTP_CONNECTION_CLOSE_HPP
+
+#include "http/connection_table.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace gooseberrywood::http
+{
+
+/// \ingroup http
+/// \brief Why this process closes a connection of a client.
+enum class close_reason : std::uint8_t
+{
+    /// The client was silent, or did not read its answer, for the idle time.
+    idle,
+    /// The request was rejected, and the client had time to read the answer.
+    rejected,
+    /// The connection had stalled while there was no room for others.
+    no_room,
+    /// The request was given up: its client had left, or its answer broke off.
+    given_up,
+    /// The process stops.
+    stopping,
+    /// The grace time of the stop is over.
+    grace_over,
+};
+
+/// \ingroup http
+/// \brief Number of bytes that have arrived and wait in the socket.
+[[nodiscard]] std::size_t unread_bytes(open_connection const& connection);
+
+/// \ingroup http
+/// \brief Closes a connection from the side of this process, and logs why.
+void close_connection(open_connection& connection, close_reason reason);
+
+} // namespace gooseberrywood::http
+
+#endif
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -1,6 +1,7 @@
 #include "http/connection_table.hpp"
 
 #include "base/log.hpp"
+#include "http/connection_close.hpp"
 #include "http/status.hpp"
 
 #include <fmt/format.h>
@@ -84,7 +85,7 @@
         base::give_up(*response);
     }
     begin_end(table, connection, now);
-    close_connection(connection);
+    close_connection(connection, close_reason::no_room);
 }
 
 std::size_t count_open(connection_table const& table)
@@ -365,11 +366,4 @@
     g_socket_shutdown(connection.socket.get(), FALSE, TRUE, nullptr);
 }
 
-void close_connection(open_connection& connection)
-{
-    connection.is_closed = true;
-    // libsoup reads the end of the connection, or fails to write, and closes it.
-    g_socket_shutdown(connection.socket.get(), TRUE, TRUE, nullptr);
-}
-
 } // namespace gooseberrywood::http
--- a/src/http/connection_table.hpp
+++ b/src/http/connection_table.hpp
@@ -207,9 +207,6 @@
 void reject_request(connection_table& table, open_connection& connection, rejection const& answer,
                     base::mono_time now);
 
-/// \ingroup http
-/// \brief Closes a connection from the side of this process.
-void close_connection(open_connection& connection);
 
 } // namespace gooseberrywood::http
 
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,6 +1,7 @@
 #include "http/exchange.hpp"
 
 #include "base/log.hpp"
+#include "http/connection_close.hpp"
 #include "http/error_response.hpp"
 #include "http/header_list.hpp"
 #include "http/limits.hpp"
@@ -87,7 +88,7 @@
     auto* const message = request.message.get();
     if (auto* const connection = connection_of(request))
     {
-        close_connection(*connection);
+        close_connection(*connection, close_reason::given_up);
     }
     if (soup_server_message_get_status(message) == SOUP_STATUS_NONE)
     {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "http/connection_check.hpp"
+#include "http/connection_close.hpp"
 #include "http/error_response.hpp"
 #include "http/response_limits.hpp"
 #include "http/status.hpp"
@@ -254,12 +255,6 @@
     }
 }
 
-bool has_unread_bytes(GSocket* socket)
-{
-    char byte = 0;
-    return recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /// Answers a request that is not HTTP/1.1, or whose head is too large. libsoup would close the
 /// connection without an answer.
 void reject_malformed_request(connection_table& table, GSocket* socket, framing_fault const& fault)
@@ -401,23 +396,22 @@
 
 void close_idle_connections(server& closing)
 {
-    for (auto const& [key, connection] : closing.connections->open)
+    for (auto& [key, connection] : closing.connections->open)
     {
-        if (!connection.is_in_use && !has_unread_bytes(key))
+        if (!connection.is_closed && !connection.is_in_use && unread_bytes(connection) == 0)
         {
-            // libsoup reads the end of the connection and closes it.
-            g_socket_shutdown(key, TRUE, TRUE, nullptr);
+            close_connection(connection, close_reason::stopping);
         }
     }
 }
 
 void close_unanswered_connections(server& closing)
 {
-    for (auto const& [key, connection] : closing.connections->open)
+    for (auto& [key, connection] : closing.connections->open)
     {
-        if (!connection.is_being_answered)
+        if (!connection.is_closed && !connection.is_being_answered)
         {
-            g_socket_shutdown(key, TRUE, TRUE, nullptr);
+            close_connection(connection, close_reason::grace_over);
         }
     }
 }
--- a/test/http_closed_connection_test.cpp
+++ b/test/http_closed_connection_test.cpp
@@ -1,13 +1,11 @@
 #include "http/server.hpp"
+#include "raw_client.hpp"
 #include "run_loop.hpp"
 
 #include <doctest/doctest.h>
 
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
-#include <array>
 #include <cstddef>
 #include <filesystem>
 #include <iterator>
@@ -26,48 +24,6 @@
     return static_cast<std::size_t>(std::distance(begin(listed), end(listed)));
 }
 
-/// A connection on which the test sends and receives without blocking.
-struct client
-{
-    explicit client(std::uint16_t port) : descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in to{};
-        to.sin_family = AF_INET;
-        to.sin_port = htons(port);
-        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(connect(descriptor, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
-    }
-    client(client const&) = delete;
-    client& operator=(client const&) = delete;
-    ~client()
-    {
-        close(descriptor);
-    }
-
-    void send(std::string_view bytes) const
-    {
-        REQUIRE(::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-                static_cast<ssize_t>(bytes.size()));
-    }
-
-    [[nodiscard]] bool has_received(std::string_view text)
-    {
-        std::array<char, 4096> bytes{};
-        auto const count = recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
-        received.append(bytes.data(), count > 0 ? static_cast<std::size_t>(count) : 0);
-        return received.find(text) != std::string::npos;
-    }
-
-    void reset_when_closed() const
-    {
-        linger const no_linger{1, 0};
-        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &no_linger, sizeof no_linger);
-    }
-
-    int descriptor;
-    std::string received;
-};
-
 constexpr std::string_view request = "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab";
 
 } // namespace
@@ -92,7 +48,7 @@
     REQUIRE(server.has_value());
     auto const port = (*server)->listening->port;
     auto const before = open_descriptors();
-    auto made = std::make_unique<client>(port);
+    auto made = std::make_unique<test::raw_client>(port);
     auto const is_released = [&]
     {
         made.reset();
