Read what waits before a client's connection is closed, and serve nothing after it

Callers saw: a whole request on a kept connection got neither an answer nor a refusal; it ran all the same, and its answer was lost. Cause: the times of a connection were judged by what this process had read, and not by what had arrived; the check of connections may come before the sockets are read when the loop is late. A socket that was shut down still yields what it received before, and only connections with a rejected request discarded that, so that the request was served on a connection that was closed. Change, in one place for all closes (http/connection_close): what has arrived is read before a time is judged; close_connection makes the connection discard what is read later, and serves_requests keeps what libsoup had read already from being handled. A close for want of room passes over a connection with an unread request, and refuses a request that it cuts if no part of its answer was queued. A stop refuses what is only partly read at its end. Deadlines are stored, so that a configuration with shorter limits does not end what began under longer ones.

--- a/src/http/connection_check.cpp
+++ b/src/http/connection_check.cpp
@@ -5,6 +5,8 @@
 
 #include <malloc.h>
 
+#include <cstdint>
+
 namespace gooseberrywood::http
 {
 
@@ -18,21 +20,16 @@
 // libsoup's buffer of an unfinished head doubles when it is full.
 constexpr std::size_t head_buffer_factor = 2;
 
-bool is_reading_head(open_connection const& connection)
-{
-    return connection.input && connection.input->part == message_part::head &&
-           connection.input->head.bytes > 0;
-}
-
-void note_head(open_connection& connection, base::mono_time now)
+void note_head(connection_table const& table, open_connection& connection, base::mono_time now)
 {
     if (!is_reading_head(connection))
     {
-        connection.head_since = {};
+        connection.head_deadline = {};
     }
-    else if (connection.head_since == base::mono_time{})
+    else if (connection.head_deadline == base::mono_time{})
     {
-        connection.head_since = now;
+        connection.head_deadline = now + table.limits.head_timeout;
+        connection.deferred_at_head_bytes.reset();
     }
 }
 
@@ -66,28 +63,52 @@
     return !connection.is_being_answered || connection.queued_response_bytes > 0;
 }
 
-void check_times(connection_table& table, open_connection& connection, base::mono_time now)
+/// What a client has not sent or read in time.
+enum class overdue_part : std::uint8_t
+{
+    none,
+    head,
+    body,
+    /// The next request, or the reading of an answer.
+    any_use,
+};
+
+overdue_part find_overdue(open_connection const& connection, base::mono_time now)
 {
-    note_head(connection, now);
-    auto const& limits = table.limits;
     if (is_reading_head(connection))
     {
-        if (now >= connection.head_since + limits.head_timeout)
-        {
-            time_out(table, connection, "the head did not arrive in time", now);
-        }
-        return;
+        return now >= connection.head_deadline ? overdue_part::head : overdue_part::none;
+    }
+    if (!waits_for_client(connection) || now < connection.idle_deadline)
+    {
+        return overdue_part::none;
     }
-    if (!waits_for_client(connection) || now < connection.active_at + limits.idle_timeout)
+    return connection.is_in_use && !connection.is_being_answered ? overdue_part::body
+                                                                 : overdue_part::any_use;
+}
+
+void check_times(connection_table& table, open_connection& connection, base::mono_time now)
+{
+    note_head(table, connection, now);
+    auto const overdue = find_overdue(connection, now);
+    if (overdue == overdue_part::none || must_be_read_first(connection))
     {
         return;
     }
-    if (connection.is_in_use && !connection.is_being_answered)
+    switch (overdue)
     {
+    case overdue_part::head:
+        time_out(table, connection, "the head did not arrive in time", now);
+        break;
+    case overdue_part::body:
         time_out(table, connection, "the body did not arrive in time", now);
-        return;
+        break;
+    case overdue_part::any_use:
+        close_connection(connection, close_reason::idle);
+        break;
+    case overdue_part::none:
+        break;
     }
-    close_connection(connection, close_reason::idle);
 }
 
 void check_connection(connection_table& table, open_connection& connection, base::mono_time now)
--- a/src/http/connection_close.hpp
+++ b/src/http/connection_close.hpp
@@ -32,7 +32,20 @@
 [[nodiscard]] std::size_t unread_bytes(open_connection const& connection);
 
 /// \ingroup http
-/// \brief Closes a connection from the side of this process, and logs why.
+/// \brief Whether nothing of a request was read since the last answer, and nothing waits unread.
+[[nodiscard]] bool is_between_requests(open_connection const& connection);
+
+/// \ingroup http
+/// \brief Whether the times of a connection can't be judged yet, because bytes have arrived that
+/// were not read: the main loop may be late, and not the client. \returns false once more of a head
+/// was read since the first deferral. What arrives in time is read at once, so that the client is
+/// late then.
+[[nodiscard]] bool must_be_read_first(open_connection& connection);
+
+/// \ingroup http
+/// \brief Closes a connection from the side of this process, and logs why. What has arrived is
+/// discarded, so that no request is served whose client can't get the answer: a socket that was
+/// shut down still yields what it received before.
 void close_connection(open_connection& connection, close_reason reason);
 
 } // namespace gooseberrywood::http
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -71,6 +71,36 @@
     }
 }
 
+void send_now(open_connection const& connection, rejection const& answer)
+{
+    auto const response = encode(answer);
+    (void)send(g_socket_get_fd(connection.socket.get()), response.data(), response.size(),
+               MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+rejection no_room_for_response()
+{
+    return {status::bad_gateway,
+            {result_code::outcome_unknown, "there is no memory for the response now"}};
+}
+
+/// Answers the request of a connection that is about to be closed, unless its answer has begun.
+void refuse_shed_request(open_connection const& connection)
+{
+    if (connection.is_ending || connection.is_response_begun)
+    {
+        return;
+    }
+    if (connection.is_being_answered)
+    {
+        send_now(connection, no_room_for_response());
+    }
+    else if (connection.is_in_use || is_reading_head(connection))
+    {
+        send_now(connection, no_room_for_request());
+    }
+}
+
 void shed(connection_table& table, open_connection& connection, char const* reason,
           base::mono_time now)
 {
@@ -84,10 +114,34 @@
     {
         base::give_up(*response);
     }
+    refuse_shed_request(connection);
     begin_end(table, connection, now);
     close_connection(connection, close_reason::no_room);
 }
 
+open_connection* find_oldest_stalled(connection_table& table, open_connection const* kept,
+                                     base::mono_time now)
+{
+    open_connection* oldest = nullptr;
+    for (auto& [key, connection] : table.open)
+    {
+        if (&connection != kept && is_stalled(connection, now) &&
+            (oldest == nullptr || connection.progress_at < oldest->progress_at))
+        {
+            oldest = &connection;
+        }
+    }
+    return oldest;
+}
+
+/// Whether a connection between two requests has received more, which the main loop is about to
+/// read.
+bool has_unread_request(open_connection const& connection)
+{
+    return serves_requests(connection) && !connection.is_in_use && !is_reading_head(connection) &&
+           unread_bytes(connection) > 0;
+}
+
 std::size_t count_open(connection_table const& table)
 {
     return static_cast<std::size_t>(std::count_if(table.open.begin(), table.open.end(),
@@ -95,9 +149,10 @@
                                                   { return !entry.second.is_closed; }));
 }
 
-void note_received(open_connection& connection, std::size_t bytes, base::mono_time now)
+void note_received(connection_table const& table, open_connection& connection, std::size_t bytes,
+                   base::mono_time now)
 {
-    connection.active_at = now;
+    note_activity(table, connection, now);
     connection.bytes_since_progress += bytes;
     if (connection.bytes_since_progress >= progress_bytes)
     {
@@ -124,9 +179,16 @@
 
 void set_limits(connection_table& table, server_limits const& limits)
 {
+    auto const longer_idle = std::max(limits.idle_timeout - table.limits.idle_timeout, {});
+    auto const longer_head = std::max(limits.head_timeout - table.limits.head_timeout, {});
     table.limits = limits;
     for (auto& [key, connection] : table.open)
     {
+        connection.idle_deadline += longer_idle;
+        if (connection.head_deadline != base::mono_time{})
+        {
+            connection.head_deadline += longer_head;
+        }
         if (connection.input)
         {
             connection.input->max_head_bytes = limits.max_head_bytes;
@@ -140,6 +202,24 @@
     return it != table.open.end() ? &it->second : nullptr;
 }
 
+bool serves_requests(open_connection const& connection)
+{
+    return !connection.is_ending && !connection.is_closed;
+}
+
+bool is_reading_head(open_connection const& connection)
+{
+    return connection.input && connection.input->part == message_part::head &&
+           connection.input->head.bytes > 0;
+}
+
+void note_activity(connection_table const& table, open_connection& connection, base::mono_time now)
+{
+    connection.active_at = now;
+    connection.idle_deadline = now + table.limits.idle_timeout;
+    connection.deferred_at_head_bytes.reset();
+}
+
 open_connection* add_connection(connection_table& table, base::object_ptr<GSocket> socket,
                                 base::mono_time now)
 {
@@ -164,7 +244,7 @@
     auto& added = table.open[key];
     added.socket = std::move(socket);
     added.share = share;
-    added.active_at = now;
+    note_activity(table, added, now);
     added.progress_at = now;
     return &added;
 }
@@ -234,7 +314,7 @@
 void receive_body(connection_table& table, open_connection& from, std::string_view bytes,
                   base::mono_time now)
 {
-    if (from.is_ending)
+    if (!serves_requests(from))
     {
         return;
     }
@@ -254,7 +334,7 @@
     }
     g_byte_array_append(from.body.get(), reinterpret_cast<guint8 const*>(bytes.data()),
                         static_cast<guint>(bytes.size()));
-    note_received(from, bytes.size(), now);
+    note_received(table, from, bytes.size(), now);
 }
 
 shared_bytes take_body(open_connection& from)
@@ -283,7 +363,8 @@
     }
     connection.counted_response_bytes += counted ? bytes : 0;
     connection.queued_response_bytes += bytes;
-    connection.active_at = now;
+    connection.is_response_begun = true;
+    note_activity(table, connection, now);
     connection.progress_at = now;
     return true;
 }
@@ -295,7 +376,7 @@
     auto const counted = std::min(bytes, connection.counted_response_bytes);
     connection.counted_response_bytes -= counted;
     release(table.budgets, connection.share, counted);
-    connection.active_at = now;
+    note_activity(table, connection, now);
     connection.progress_at = now;
 }
 
@@ -303,6 +384,7 @@
 {
     connection.is_in_use = false;
     connection.is_being_answered = false;
+    connection.is_response_begun = false;
     connection.is_admitted = false;
     connection.body.reset();
     connection.body_bytes = 0;
@@ -311,7 +393,7 @@
     connection.queued_response_bytes = 0;
     connection.response_share.reset();
     connection.bytes_since_progress = 0;
-    connection.active_at = now;
+    note_activity(table, connection, now);
     connection.progress_at = now;
     if (connection.share.bytes > connection_bytes)
     {
@@ -322,20 +404,16 @@
 bool shed_stalled(connection_table& table, open_connection const* kept, char const* reason,
                   base::mono_time now)
 {
-    open_connection* oldest = nullptr;
-    for (auto& [key, connection] : table.open)
+    while (auto* const oldest = find_oldest_stalled(table, kept, now))
     {
-        if (&connection != kept && is_stalled(connection, now) &&
-            (oldest == nullptr || connection.progress_at < oldest->progress_at))
+        if (!has_unread_request(*oldest))
         {
-            oldest = &connection;
+            shed(table, *oldest, reason, now);
+            return true;
         }
+        oldest->progress_at = now;
     }
-    if (oldest != nullptr)
-    {
-        shed(table, *oldest, reason, now);
-    }
-    return oldest != nullptr;
+    return false;
 }
 
 void begin_rejection(connection_table& table, open_connection& connection, rejection const& answer,
@@ -360,9 +438,7 @@
         // A second answer must not overtake the one that is being written.
         return;
     }
-    auto const response = encode(answer);
-    (void)send(g_socket_get_fd(connection.socket.get()), response.data(), response.size(),
-               MSG_DONTWAIT | MSG_NOSIGNAL);
+    send_now(connection, answer);
     g_socket_shutdown(connection.socket.get(), FALSE, TRUE, nullptr);
 }
 
--- a/src/http/connection_table.hpp
+++ b/src/http/connection_table.hpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace gooseberrywood::http
@@ -44,6 +45,8 @@
     bool is_in_use = false;
     /// A request was read to its end and is being answered.
     bool is_being_answered = false;
+    /// A part of the response to it was queued.
+    bool is_response_begun = false;
     /// The connection is about to be closed. What still arrives is discarded.
     bool is_ending = false;
     /// This process has closed the connection, and libsoup is about to notice it.
@@ -67,12 +70,17 @@
     std::weak_ptr<base::byte_share> response_share;
     /// Last time at which a byte was received or written.
     base::mono_time active_at{};
+    /// Time up to which the client may let the connection idle, by the limits in effect at
+    /// `active_at` or longer ones that came later: the client may not know of shorter ones yet.
+    base::mono_time idle_deadline{};
     /// Last time at which the connection was used, or a request or response made progress.
     base::mono_time progress_at{};
     /// Bytes received since then.
     std::size_t bytes_since_progress = 0;
-    /// Start of the head that is being received; unset while none is.
-    base::mono_time head_since{};
+    /// Time up to which the head that is being received must be complete; unset while none is.
+    base::mono_time head_deadline{};
+    /// Bytes of the head when a check last deferred its judgement; see `must_be_read_first`.
+    std::optional<std::size_t> deferred_at_head_bytes;
     /// The connection is closed at this time if it is ending.
     base::mono_time close_at{};
 };
@@ -111,7 +119,8 @@
 void attach_socket(GSocketAddress* remote, GSocket* socket);
 
 /// \ingroup http
-/// \brief Sets new limits, which also apply to open connections.
+/// \brief Sets new limits. What has begun on open connections keeps its deadlines, unless the new
+/// ones are later.
 void set_limits(connection_table& table, server_limits const& limits);
 
 /// \ingroup http
@@ -119,6 +128,19 @@
 /// \returns null if it is not open any more.
 [[nodiscard]] open_connection* find_connection(connection_table& table, GSocket* socket);
 
+/// \ingroup http
+/// \brief Whether requests on the connection are served. Those on one that this process ends are
+/// not, even if they arrived before.
+[[nodiscard]] bool serves_requests(open_connection const& connection);
+
+/// \ingroup http
+/// \brief Whether a part of a head was received.
+[[nodiscard]] bool is_reading_head(open_connection const& connection);
+
+/// \ingroup http
+/// \brief Records that a byte was received or written.
+void note_activity(connection_table const& table, open_connection& connection, base::mono_time now);
+
 /// \ingroup http
 /// \brief Adds a connection. When there is no room for it, a stalled one is closed.
 /// \returns null if there is still no room.
@@ -190,9 +212,9 @@
 
 /// \ingroup http
 /// \brief Closes the stalled connection that has made no progress for the longest time, and returns
-/// what it holds.
-/// \param kept connection that is not closed; may be null.
-/// \returns false if no connection has stalled.
+/// what it holds. A request on it that has no part of its answer yet is refused; what waits unread
+/// on a connection between two requests counts as progress. \param kept connection that is not
+/// closed; may be null. \returns false if no connection has stalled.
 bool shed_stalled(connection_table& table, open_connection const* kept, char const* reason,
                   base::mono_time now);
 
@@ -207,7 +229,6 @@
 void reject_request(connection_table& table, open_connection& connection, rejection const& answer,
                     base::mono_time now);
 
-
 } // namespace gooseberrywood::http
 
 #endif
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -223,6 +223,10 @@
         return;
     }
     request.streaming = true;
+    if (auto* const connection = connection_of(request))
+    {
+        connection->is_response_begun = true;
+    }
     set_headers(request, status, content_type, headers);
     soup_message_headers_set_encoding(
         soup_server_message_get_response_headers(request.message.get()), SOUP_ENCODING_CHUNKED);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -26,6 +26,9 @@
 // 3 ms each way, a client can still send 5 MB a second.
 constexpr int receive_buffer_bytes = 32 * 1024;
 
+// The load balancer sends new connections elsewhere by then.
+constexpr base::duration retry_after_stop = std::chrono::milliseconds(50);
+
 open_connection* connection_of(server& owner, SoupServerMessage* message)
 {
     return find_connection(*owner.connections, socket_of(message));
@@ -111,13 +114,13 @@
     // The chunks are joined by this server. libsoup would keep each as an object of its own.
     soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
     auto* const connection = connection_of(owner, message);
-    if (connection == nullptr || connection->is_ending)
+    if (connection == nullptr || !serves_requests(*connection))
     {
         return;
     }
     connection->is_in_use = true;
     connection->progress_at = base::mono_now();
-    connection->active_at = connection->progress_at;
+    note_activity(*owner.connections, *connection, connection->progress_at);
     if (auto const answer = check_head(owner, message, *connection))
     {
         reject_head(owner, message, *connection, *answer);
@@ -128,7 +131,7 @@
 {
     auto& owner = *static_cast<server*>(data);
     auto* const connection = connection_of(owner, message);
-    if (connection == nullptr || connection->is_ending)
+    if (connection == nullptr || !serves_requests(*connection))
     {
         return;
     }
@@ -214,9 +217,10 @@
         return;
     }
     auto* const connection = connection_of(owner, message);
-    if (connection == nullptr || connection->is_ending)
+    if (connection == nullptr || !serves_requests(*connection))
     {
-        // The request was rejected; the rest of it was read in one piece with its begin.
+        // The request was rejected, or its connection closed; the rest of it was read in one piece
+        // with its begin.
         soup_server_message_set_status(message, SOUP_STATUS_BAD_REQUEST, nullptr);
         return;
     }
@@ -246,6 +250,13 @@
     GSocket* socket = nullptr;
 };
 
+rejection refuse_at_stop()
+{
+    return {status::unavailable,
+            {base::result_code::shutting_down, "the process stops before the request has arrived"},
+            retry_after_stop};
+}
+
 void forget_connection(gpointer data, GObject*)
 {
     std::unique_ptr<connection_end> const ended(static_cast<connection_end*>(data));
@@ -260,7 +271,7 @@
 void reject_malformed_request(connection_table& table, GSocket* socket, framing_fault const& fault)
 {
     auto* const connection = find_connection(table, socket);
-    if (connection == nullptr || connection->is_ending)
+    if (connection == nullptr || !serves_requests(*connection))
     {
         return;
     }
@@ -398,7 +409,7 @@
 {
     for (auto& [key, connection] : closing.connections->open)
     {
-        if (!connection.is_closed && !connection.is_in_use && unread_bytes(connection) == 0)
+        if (!connection.is_closed && is_between_requests(connection))
         {
             close_connection(connection, close_reason::stopping);
         }
@@ -409,10 +420,16 @@
 {
     for (auto& [key, connection] : closing.connections->open)
     {
-        if (!connection.is_closed && !connection.is_being_answered)
+        if (connection.is_closed || connection.is_being_answered || must_be_read_first(connection))
+        {
+            continue;
+        }
+        if (serves_requests(connection) && !is_between_requests(connection))
         {
-            close_connection(connection, close_reason::grace_over);
+            reject_request(*closing.connections, connection, refuse_at_stop(), base::mono_now());
+            continue;
         }
+        close_connection(connection, close_reason::grace_over);
     }
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -73,12 +73,12 @@
 void announce_close(server& closing);
 
 /// \ingroup http
-/// \brief Closes the connections on which no request is being read or answered.
+/// \brief Closes the connections on which no request is being read or answered, or waits unread.
 void close_idle_connections(server& closing);
 
 /// \ingroup http
-/// \brief Closes the connections on which no request is being answered, also those on which one is
-/// being read. Nothing of such a request was passed on.
+/// \brief Closes the connections on which no request is being answered. One that is being read is
+/// refused; one that waits unread is read first, so that this must be called again.
 void close_unanswered_connections(server& closing);
 
 } // namespace gooseberrywood::http
