--- a/test/process/gateway_kept_connections_test.cpp
+++ b/test/process/gateway_kept_connections_test.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <csignal>
 #include <map>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -220,3 +221,45 @@
     }
     CHECK(answered > 60);
 }
+
+namespace
+{
+
+/// Sends a lookup on each connection while the gateway stands still, so that the time of their
+/// limit passes before it reads them.
+void send_while_stopped(gateway_under_test const& gateway,
+                        std::vector<std::unique_ptr<kept_connection>> const& connections)
+{
+    send_signal(*gateway.program, SIGSTOP);
+    for (std::size_t i = 0; i < connections.size(); ++i)
+    {
+        connections[i]->send(lookup(fmt::format("late-{}", i)));
+    }
+    std::this_thread::sleep_for(2400ms);
+    send_signal(*gateway.program, SIGCONT);
+}
+
+} // namespace
+
+SCENARIO("requests arrive on kept connections while the loop of the gateway is late")
+{
+    // Guards against whole requests that get neither an answer nor a refusal because the limit of
+    // idle time passes before they are read.
+    site_service service(1, 4);
+    auto const& gateway = service.gateways[0];
+    change_limits(service, {{"idle_timeout_ms", 6000}});
+    std::vector<std::unique_ptr<kept_connection>> connections;
+    for (int i = 0; i < 160; ++i)
+    {
+        connections.push_back(std::make_unique<kept_connection>(gateway.http_port));
+        REQUIRE(connections.back()->exchange(lookup(fmt::format("first-{}", i))).status == 200);
+    }
+    std::this_thread::sleep_for(4000ms);
+    send_while_stopped(gateway, connections);
+    int answered = 0;
+    for (auto const& connection : connections)
+    {
+        answered += connection->read_answer().status != 0 ? 1 : 0;
+    }
+    CHECK(answered == 160);
+}
