--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,6 +1,7 @@
 #include "http/exchange.hpp"
 
 #include "base/log.hpp"
+#include "http/connection_close.hpp"
 #include "http/error_response.hpp"
 #include "http/header_list.hpp"
 #include "http/limits.hpp"
@@ -87,7 +88,7 @@
     auto* const message = request.message.get();
     if (auto* const connection = connection_of(request))
     {
-        close_connection(*connection);
+        close_connection(*connection, close_reason::given_up);
     }
     if (soup_server_message_get_status(message) == SOUP_STATUS_NONE)
     {
@@ -222,6 +223,10 @@
         return;
     }
     request.streaming = true;
+    if (auto* const connection = connection_of(request))
+    {
+        connection->is_response_begun = true;
+    }
     set_headers(request, status, content_type, headers);
     soup_message_headers_set_encoding(
         soup_server_message_get_response_headers(request.message.get()), SOUP_ENCODING_CHUNKED);
