Let a request be answered although a part of the next head came with it

Callers saw: a request that took longer than the limit of heads and two seconds more lost its connection without an answer, if the begin of the next request had arrived with it. Cause: libsoup reads nothing while a request is answered, but the framing had seen a part of the next head by then, whose time ran out; the rejection could not be written behind the answer that was due, and the connection was closed. Change: the time of a head runs only while the client can send more of it. Evidence: http_unread_request_test, "a part of the next request arrives with one that takes long", fails against (no answer) and passes.

--- a/src/http/connection_check.cpp
+++ b/src/http/connection_check.cpp
@@ -20,9 +20,16 @@
 // libsoup's buffer of an unfinished head doubles when it is full.
 constexpr std::size_t head_buffer_factor = 2;
 
+/// Whether the client is due to send the rest of a head. It can't be read before the request that
+/// came before it is answered.
+bool waits_for_head(open_connection const& connection)
+{
+    return is_reading_head(connection) && !connection.is_being_answered;
+}
+
 void note_head(connection_table const& table, open_connection& connection, base::mono_time now)
 {
-    if (!is_reading_head(connection))
+    if (!waits_for_head(connection))
     {
         connection.head_deadline = {};
     }
@@ -75,7 +82,7 @@
 
 overdue_part find_overdue(open_connection const& connection, base::mono_time now)
 {
-    if (is_reading_head(connection))
+    if (waits_for_head(connection))
     {
         return now >= connection.head_deadline ? overdue_part::head : overdue_part::none;
     }
--- a/test/http_unread_request_test.cpp
+++ b/test/http_unread_request_test.cpp
@@ -193,6 +193,27 @@
     CHECK(served.handled == 0);
 }
 
+SCENARIO("a part of the next request arrives with one that takes long")
+{
+    // Guards against a request whose connection is closed before its answer, because the head
+    // behind it was not read to its end in time.
+    std::shared_ptr<http::exchange> held;
+    http::server_options options;
+    options.limits.head_timeout = 100ms;
+    auto const server = http::serve(
+        "127.0.0.1:0", [&](std::shared_ptr<http::exchange> const& exchange) { held = exchange; },
+        std::move(options));
+    REQUIRE(server.has_value());
+    test::raw_client client((*server)->listening->port);
+    client.send(std::string(request) + std::string(begun_head));
+    REQUIRE(test::run_until([&] { return held != nullptr; }));
+    // Longer than a client gets to read the answer to a rejected request.
+    test::run_for(2700ms);
+    http::respond(*held, 200, "text/plain", "answer");
+    CHECK(test::run_until([&] { return client.has_received("answer") || client.has_ended(); }));
+    CHECK(client.has_received("answer"));
+}
+
 SCENARIO("the limit of idle time changes while a connection is idle")
 {
     // Guards against connections that are closed, beside a change of the configuration, earlier
