Look at what waits unread before a peer counts as silent

Callers saw: nothing directly. Between processes: after the main loop has stood still for three seconds, a connection was closed over frames that had arrived, so that calls on it had no known outcome and the peer was avoided. Cause: the same as for clients' connections: silence was judged by what had been read. Change: base::unread_bytes is asked by all that close a connection for silence, clients' and peers' alike. Evidence: wire_late_loop_test fails against (closed, hello not read) and passes.

--- a/src/http/connection_close.cpp
+++ b/src/http/connection_close.cpp
@@ -1,8 +1,7 @@
 #include "http/connection_close.hpp"
 
 #include "base/log.hpp"
-
-#include <sys/ioctl.h>
+#include "base/unread_bytes.hpp"
 
 #include <array>
 #include <string_view>
@@ -25,10 +24,7 @@
 
 std::size_t unread_bytes(open_connection const& connection)
 {
-    int count = 0;
-    bool const is_known =
-        ioctl(g_socket_get_fd(connection.socket.get()), FIONREAD, &count) == 0 && count > 0;
-    return is_known ? static_cast<std::size_t>(count) : 0;
+    return base::unread_bytes(connection.socket.get());
 }
 
 bool is_between_requests(open_connection const& connection)
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -1,5 +1,6 @@
 #include "wire/connection.hpp"
 
+#include "base/unread_bytes.hpp"
 #include "wire/codec.hpp"
 
 #include <fmt/format.h>
@@ -170,7 +171,7 @@
 
 void check_liveness(connection& c)
 {
-    if (base::mono_now() >= c.silence_deadline)
+    if (base::mono_now() >= c.silence_deadline && base::unread_bytes(c.socket.get()) == 0)
     {
         close(c, {base::result_code::peer_silent, "peer sent nothing within the silence limit"});
         return;
