Test: requests on connections that are closed for want of room

Guards the refusals of: 503 for a request that was read in part, 502 for one that runs and has no part of its answer, nothing behind an answer that has begun.

--- a/test/http_unread_request_test.cpp
+++ b/test/http_unread_request_test.cpp
@@ -193,6 +193,57 @@
     CHECK(served.handled == 0);
 }
 
+SCENARIO("a connection with a request on it is closed for want of room")
+{
+    // Guards against requests that get neither an answer nor a refusal because others need the
+    // room.
+    std::shared_ptr<http::exchange> held;
+    auto const server = http::serve(
+        "127.0.0.1:0", [&](std::shared_ptr<http::exchange> const& exchange) { held = exchange; });
+    REQUIRE(server.has_value());
+    auto& table = *(*server)->connections;
+    test::raw_client client((*server)->listening->port);
+    auto const is_shed_after_a_second = [&]
+    {
+        test::run_for(1300ms);
+        return http::shed_stalled(table, nullptr, "no room", base::mono_now()) &&
+               test::run_until([&] { return client.has_ended(); });
+    };
+    WHEN("a part of its head was read")
+    {
+        client.send(begun_head);
+        REQUIRE(is_shed_after_a_second());
+        CHECK(client.has_received("HTTP/1.1 503"));
+    }
+    WHEN("a part of its body was read")
+    {
+        client.send(begun_body);
+        REQUIRE(is_shed_after_a_second());
+        CHECK(client.has_received("HTTP/1.1 503"));
+    }
+    WHEN("it runs, and another one waits behind it")
+    {
+        client.send(request);
+        REQUIRE(test::run_until([&] { return held != nullptr; }));
+        client.send(request);
+        REQUIRE(is_shed_after_a_second());
+        CHECK(client.has_received("HTTP/1.1 502"));
+    }
+    WHEN("its answer has begun, and another one waits behind it")
+    {
+        client.send(request);
+        REQUIRE(test::run_until([&] { return held != nullptr; }));
+        client.send(request);
+        http::begin_stream(*held, 200, "text/plain", {});
+        REQUIRE(http::append_stream(*held, "a part"));
+        REQUIRE(is_shed_after_a_second());
+        CHECK(client.has_received("a part"));
+        CHECK_FALSE(client.has_received("HTTP/1.1 502"));
+    }
+    // Before the server ends.
+    held.reset();
+}
+
 SCENARIO("a part of the next request arrives with one that takes long")
 {
     // Guards against a request whose connection is closed before its answer, because the head
