Count the end of a stop from when its steps are made; keep deadlines and refusals as they were promised

Callers saw, or would have seen: a stop whose main loop was late ended the process with answers that were queued and not written; a refusal at the end of a stop could be lost to a reset, as its connection was closed 50 ms later while the client still sent; limits that change to and fro moved deadlines without bound; a stream taken up while the process stops could be sent on with an empty body after its caller was answered; an error that was queued could get a second answer when room was short. Evidence: the new sections of http_unread_request_test (limits in turn, refusal at a stop) and the scenario of gateway_kept_connections_test.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -103,9 +103,20 @@
     return !self.requests.empty() || !self.callers->connections->open.empty();
 }
 
+/// Times of the last steps of a stop, each counted from when the step before it was made.
+struct stop_end
+{
+    /// Connections without an answer in progress are closed.
+    base::mono_time close_at = base::mono_time::max();
+    /// The process ends whatever is still to be written.
+    base::mono_time exit_at = base::mono_time::max();
+};
+
 /// Stops the process once no caller waits for an answer. Callers that still wait at the end are
 /// answered first.
-void stop_when_idle(gateway& self, base::mono_time listen_until, base::mono_time latest)
+/// \param end times of the end, set at the first call after `latest`.
+void stop_when_idle(gateway& self, base::mono_time listen_until, base::mono_time latest,
+                    stop_end& end)
 {
     auto const now = base::mono_now();
     if (now < listen_until)
@@ -117,13 +128,15 @@
     if (now >= latest)
     {
         end_callers(self);
+        // From now, and not from `latest`: the main loop may be late.
+        end.close_at = std::min(end.close_at, now + last_answers_duration);
     }
-    auto const close_at = latest + last_answers_duration;
-    if (now >= close_at)
+    if (now >= end.close_at)
     {
         http::close_unanswered_connections(*self.callers);
+        end.exit_at = std::min(end.exit_at, now + last_write_duration);
     }
-    if (has_work(self) && now < close_at + last_write_duration)
+    if (has_work(self) && now < end.exit_at)
     {
         return;
     }
@@ -151,10 +164,10 @@
     hand_over_jobs(self, [&self] { revoke_lease(self); });
     auto const now = base::mono_now();
     auto const latest = now + self.settings.stop_grace - stop_margin;
-    self.stop_timer =
-        base::every(stop_check_interval,
-                    [&self, listen_until = std::min(now + listen_time_after_stop, latest), latest]
-                    { stop_when_idle(self, listen_until, latest); });
+    self.stop_timer = base::every(
+        stop_check_interval,
+        [&self, listen_until = std::min(now + listen_time_after_stop, latest), latest,
+         end = stop_end{}]() mutable { stop_when_idle(self, listen_until, latest, end); });
 }
 
 } // namespace
--- a/src/gateway/serve_plain.cpp
+++ b/src/gateway/serve_plain.cpp
@@ -246,7 +246,9 @@
     find_stream_origin(self, request.head.resumed_attempt, deadline,
                        [&self, request](auto const& origin)
                        {
-                           if (!http::is_caller_disconnected(*request.exchange))
+                           // A stop may have answered the caller, and released the body.
+                           if (!request.exchange->answered &&
+                               !http::is_caller_disconnected(*request.exchange))
                            {
                                continue_stream(self, request, origin);
                            }
--- a/src/http/connection_check.cpp
+++ b/src/http/connection_check.cpp
@@ -35,6 +35,7 @@
     }
     else if (connection.head_deadline == base::mono_time{})
     {
+        connection.head_began_at = now;
         connection.head_deadline = now + table.limits.head_timeout;
         connection.deferred_at_head_bytes.reset();
     }
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -179,15 +179,15 @@
 
 void set_limits(connection_table& table, server_limits const& limits)
 {
-    auto const longer_idle = std::max(limits.idle_timeout - table.limits.idle_timeout, {});
-    auto const longer_head = std::max(limits.head_timeout - table.limits.head_timeout, {});
     table.limits = limits;
     for (auto& [key, connection] : table.open)
     {
-        connection.idle_deadline += longer_idle;
+        connection.idle_deadline =
+            std::max(connection.idle_deadline, connection.active_at + limits.idle_timeout);
         if (connection.head_deadline != base::mono_time{})
         {
-            connection.head_deadline += longer_head;
+            connection.head_deadline =
+                std::max(connection.head_deadline, connection.head_began_at + limits.head_timeout);
         }
         if (connection.input)
         {
--- a/src/http/connection_table.hpp
+++ b/src/http/connection_table.hpp
@@ -77,7 +77,9 @@
     base::mono_time progress_at{};
     /// Bytes received since then.
     std::size_t bytes_since_progress = 0;
-    /// Time up to which the head that is being received must be complete; unset while none is.
+    /// Time at which a check saw the begin of the head that is being received.
+    base::mono_time head_began_at{};
+    /// Time up to which that head must be complete; unset while none is received.
     base::mono_time head_deadline{};
     /// Bytes of the head when a check last deferred its judgement; see `must_be_read_first`.
     std::optional<std::size_t> deferred_at_head_bytes;
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -70,6 +70,15 @@
     }
 }
 
+/// Records that a response is due on the connection, so that nothing else is sent on it.
+void note_response_begun(exchange const& request)
+{
+    if (auto* const connection = connection_of(request))
+    {
+        connection->is_response_begun = true;
+    }
+}
+
 /// Queues a part of the response.
 /// \param counted whether the connection must hold memory for it.
 /// \returns false if there is no memory for it.
@@ -105,6 +114,7 @@
 {
     base::log_line(base::log_level::info, "response_dropped",
                    {{"status", std::int64_t{status}}, {"bytes", static_cast<std::int64_t>(bytes)}});
+    note_response_begun(request);
     auto const error =
         error_json({base::result_code::outcome_unknown, "there is no memory for the response now"});
     set_headers(request, status::bad_gateway, "application/json", {});
@@ -131,6 +141,7 @@
         abort_response(*this);
         return;
     }
+    note_response_begun(*this);
     soup_server_message_set_status(message.get(), SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
     announce_close_if_due(*this);
     soup_server_message_unpause(message.get());
@@ -223,10 +234,7 @@
         return;
     }
     request.streaming = true;
-    if (auto* const connection = connection_of(request))
-    {
-        connection->is_response_begun = true;
-    }
+    note_response_begun(request);
     set_headers(request, status, content_type, headers);
     soup_message_headers_set_encoding(
         soup_server_message_get_response_headers(request.message.get()), SOUP_ENCODING_CHUNKED);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -420,11 +420,13 @@
 {
     for (auto& [key, connection] : closing.connections->open)
     {
-        if (connection.is_closed || connection.is_being_answered || must_be_read_first(connection))
+        // A rejected request has its answer, and its client some time to read it.
+        if (!serves_requests(connection) || connection.is_being_answered ||
+            must_be_read_first(connection))
         {
             continue;
         }
-        if (serves_requests(connection) && !is_between_requests(connection))
+        if (!is_between_requests(connection))
         {
             reject_request(*closing.connections, connection, refuse_at_stop(), base::mono_now());
             continue;
--- a/test/http_unread_request_test.cpp
+++ b/test/http_unread_request_test.cpp
@@ -137,6 +137,22 @@
     CHECK(served.handled >= 1);
 }
 
+SCENARIO("a server that stops refuses a request that has not arrived whole")
+{
+    // Guards against a refusal that is lost because the connection is reset while its client sends.
+    impatient_server served;
+    test::raw_client client(served.server->listening->port);
+    client.send(begun_body);
+    test::run_for(50ms);
+    http::close_unanswered_connections(*served.server);
+    http::close_unanswered_connections(*served.server);
+    CHECK(served.server->connections->open.size() == 1);
+    client.send(request.substr(begun_body.size()));
+    CHECK(test::run_until([&] { return client.has_received("503") || client.has_ended(); }));
+    CHECK(client.has_received("503"));
+    CHECK(served.handled == 0);
+}
+
 SCENARIO("a client stays idle for longer than the limit")
 {
     // Guards against connections that are kept for a client that sends nothing, or not all.
@@ -291,6 +307,18 @@
             CHECK(test::run_until([&] { return client.has_ended(); }));
         }
     }
+    WHEN("it becomes shorter and longer in turn")
+    {
+        test::raw_client client(served.server->listening->port);
+        REQUIRE(test::run_until([&] { return table.open.size() == 1; }));
+        for (int i = 0; i < 20; ++i)
+        {
+            limits.idle_timeout = i % 2 == 0 ? 10ms : 500ms;
+            http::set_limits(table, limits);
+        }
+        test::run_for(900ms);
+        CHECK(client.has_ended());
+    }
     WHEN("it becomes longer")
     {
         test::raw_client client(served.server->listening->port);
--- a/test/process/gateway_kept_connections_test.cpp
+++ b/test/process/gateway_kept_connections_test.cpp
@@ -158,6 +158,38 @@
     CHECK(wait_exit(*gateway.program) == 0);
 }
 
+SCENARIO("the loop of the gateway is late at the end of the grace time")
+{
+    // Guards against answers that are queued and never written, since the process ends by times
+    // that have passed meanwhile.
+    site_service service(1);
+    auto const& gateway = service.gateways[0];
+    change_route(service, "lookup", {{"timeout_ms", 20000}});
+    for (auto const* desk : {"desk-0", "desk-1"})
+    {
+        set_site(service, "upstream", {{"id", desk}, {"silent", true}});
+    }
+    std::vector<std::unique_ptr<kept_connection>> connections;
+    for (int i = 0; i < 10; ++i)
+    {
+        connections.push_back(std::make_unique<kept_connection>(gateway.http_port));
+        connections.back()->send(lookup(fmt::format("slow-{}", i)));
+    }
+    REQUIRE(eventually([&] { return site_state(service).at("runs").contains("slow-9"); }));
+    send_signal(*gateway.program, SIGTERM);
+    (void)wait_event(*gateway.program, "stopping");
+    // The process uses 7 s of the grace time for requests.
+    std::this_thread::sleep_for(6500ms);
+    send_signal(*gateway.program, SIGSTOP);
+    std::this_thread::sleep_for(1400ms);
+    send_signal(*gateway.program, SIGCONT);
+    for (auto const& connection : connections)
+    {
+        CHECK(connection->read_answer().status == 504);
+    }
+    CHECK(wait_exit(*gateway.program) == 0);
+}
+
 namespace
 {
 
