--- a/src/http/connection_close.hpp
+++ b/src/http/connection_close.hpp
@@ -37,9 +37,10 @@
 
 /// \ingroup http
 /// \brief Whether the times of a connection can't be judged yet, because bytes have arrived that
-/// were not read: the main loop may be late, and not the client. \returns false once more of a head
-/// was read since the first deferral. What arrives in time is read at once, so that the client is
-/// late then.
+/// were not read: the main loop may be late, and not the client.
+///
+/// \returns false once more of a head was read since the first deferral. What arrives in time is
+/// read at once, so that the client is late then.
 [[nodiscard]] bool must_be_read_first(open_connection& connection);
 
 /// \ingroup http
--- a/src/http/connection_table.hpp
+++ b/src/http/connection_table.hpp
@@ -45,7 +45,7 @@
     bool is_in_use = false;
     /// A request was read to its end and is being answered.
     bool is_being_answered = false;
-    /// A part of the response to it was queued.
+    /// A part of the response to it was queued, so that no other may be sent.
     bool is_response_begun = false;
     /// The connection is about to be closed. What still arrives is discarded.
     bool is_ending = false;
@@ -215,8 +215,11 @@
 /// \ingroup http
 /// \brief Closes the stalled connection that has made no progress for the longest time, and returns
 /// what it holds. A request on it that has no part of its answer yet is refused; what waits unread
-/// on a connection between two requests counts as progress. \param kept connection that is not
-/// closed; may be null. \returns false if no connection has stalled.
+/// on a connection between two requests counts as progress.
+///
+/// \param kept connection that is not closed; may be null.
+///
+/// \returns false if no connection has stalled.
 bool shed_stalled(connection_table& table, open_connection const* kept, char const* reason,
                   base::mono_time now);
 
